--- /dev/null
+++ b/packages/core/src/fireflystand_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where requests run, without input or output."""
--- /dev/null
+++ b/packages/core/src/fireflystand_core/messages/__init__.py
@@ -0,0 +1,7 @@
+"""Define the messages between instances and their msgpack codec."""
+
+from . import kinds, registry
+from .kinds import *  # noqa: F403
+from .registry import *  # noqa: F403
+
+__all__ = [*kinds.__all__, *registry.__all__]
--- /dev/null
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -0,0 +1,329 @@
+"""Define the messages that instances exchange."""
+
+import attrs
+
+from .registry import message
+
+__all__ = [
+    "Accepted",
+    "WitnessRequest",
+    "WitnessReply",
+    "FeedItem",
+    "FeedItems",
+    "FeedPull",
+    "GroupClaim",
+    "HandOver",
+    "HandOverReply",
+    "Heartbeat",
+    "HeartbeatReply",
+    "Hello",
+    "JournalAppend",
+    "JournalAppended",
+    "JournalEntry",
+    "Permit",
+    "PermitCancel",
+    "PermitRefused",
+    "PermitRequest",
+    "PermitReturn",
+    "QuotaLease",
+    "QuotaRequest",
+    "Seal",
+    "Sealed",
+    "StoredAnswer",
+]
+
+
+@message("hello")
+@attrs.frozen
+class Hello:
+    """Introduce the sender at the start of a stream."""
+
+    instance: str
+    incarnation: str
+    data_centre: str
+    address: str
+
+
+@message("accepted")
+@attrs.frozen
+class Accepted:
+    """Acknowledge a message that has no other answer."""
+
+
+@message("feed-item")
+@attrs.frozen
+class FeedItem:
+    """Carry one versioned item; ``value`` is JSON text, ``None`` once deleted."""
+
+    key: str
+    version: int
+    value: str | None
+
+
+@message("heartbeat")
+@attrs.frozen
+class Heartbeat:
+    """Tell a random peer that the sender lives and what it has seen.
+
+    ``digest`` is the hash of the sender's whole feed state, ``revision`` the
+    highest store version in it, ``live`` the instance ids it heard of lately
+    with their incarnation and the age of the news in seconds.
+    """
+
+    instance: str
+    incarnation: str
+    revision: int
+    digest: int
+    store_age: float
+    live: dict[str, tuple[str, float]]
+
+
+@message("heartbeat-reply")
+@attrs.frozen
+class HeartbeatReply:
+    """Answer a heartbeat with the receiver's own view."""
+
+    instance: str
+    incarnation: str
+    revision: int
+    digest: int
+    store_age: float
+    live: dict[str, tuple[str, float]]
+
+
+@message("feed-pull")
+@attrs.frozen
+class FeedPull:
+    """Ask for the feed items newer than the versions the sender has."""
+
+    versions: dict[str, int]
+
+
+@message("feed-items")
+@attrs.frozen
+class FeedItems:
+    """Push or return feed items."""
+
+    items: list[FeedItem]
+
+
+@attrs.frozen
+class GroupClaim:
+    """Name a group and the epoch that its coordinator claims."""
+
+    service: str
+    group: int
+    epoch: int
+    unjournaled: bool = False
+
+
+@message("witness-request")
+@attrs.frozen
+class WitnessRequest:
+    """Ask a witness to confirm all claims of the sender at once."""
+
+    instance: str
+    incarnation: str
+    witness_incarnation: str
+    claims: list[GroupClaim]
+
+
+@message("witness-reply")
+@attrs.frozen
+class WitnessReply:
+    """Confirm claims; ``higher`` names the newer epochs the witness knows."""
+
+    witness: str
+    incarnation: str
+    confirmed: list[GroupClaim]
+    higher: list[GroupClaim]
+
+
+@message("seal")
+@attrs.frozen
+class Seal:
+    """Ask a witness to confirm no epoch of the group below ``epoch`` any more."""
+
+    service: str
+    group: int
+    epoch: int
+
+
+@message("sealed")
+@attrs.frozen
+class Sealed:
+    """Tell that a witness confirms nothing below ``epoch``."""
+
+    witness: str
+    incarnation: str
+    service: str
+    group: int
+    epoch: int
+    unjournaled: bool
+
+
+@attrs.frozen
+class StoredAnswer:
+    """Hold an answer that repeats of its request receive again."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@message("permit-request")
+@attrs.frozen
+class PermitRequest:
+    """Ask a coordinator for permission to send one request."""
+
+    request_id: str
+    service: str
+    group: int
+    shard: int
+    key_hash: int
+    account: str
+    idempotent: bool
+    fingerprint: int
+    deadline: float  # seconds left
+    idempotency_key: str | None = None
+    hedge_of: str | None = None
+    attempt: int = 0
+
+
+@message("permit")
+@attrs.frozen
+class Permit:
+    """Allow one request to one target; send within ``send_within`` seconds."""
+
+    permit_id: str
+    target: str
+    address: str
+    epoch: int
+    send_within: float
+    hedge_after: float | None = None
+
+
+@message("permit-refused")
+@attrs.frozen
+class PermitRefused:
+    """Refuse a permit.
+
+    ``outcome`` is ``not-run`` or ``unknown``; ``replay`` is the first
+    outcome of a repeated request; ``coordinator`` names a better instance.
+    """
+
+    outcome: str
+    reason: str
+    status: int = 503
+    retry_after: float | None = None
+    replay: StoredAnswer | None = None
+    coordinator: str | None = None
+
+
+@message("permit-return")
+@attrs.frozen
+class PermitReturn:
+    """Give a permit back with what became of the request.
+
+    ``outcome`` is ``answered``, ``not-run`` or ``unknown``; ``broken`` tells
+    that the connection broke after the request was handed over; ``refused``
+    that the target refused the connection; ``latency`` is in seconds.
+    """
+
+    service: str
+    group: int
+    permit_id: str
+    outcome: str
+    status: int
+    latency: float
+    broken: bool = False
+    refused: bool = False
+    shed: bool = False
+    stale: bool = False
+    answer: StoredAnswer | None = None
+
+
+@message("permit-cancel")
+@attrs.frozen
+class PermitCancel:
+    """Withdraw a permit request that still waits."""
+
+    service: str
+    group: int
+    request_id: str
+
+
+@message("quota-request")
+@attrs.frozen
+class QuotaRequest:
+    """Ask for tokens of an account and return unspent ones."""
+
+    instance: str
+    account: str
+    tokens: float
+    returned: float = 0.0
+    wait: float = 0.0  # seconds
+
+
+@message("quota-lease")
+@attrs.frozen
+class QuotaLease:
+    """Lend tokens for ``ttl`` seconds, or tell when to ask again."""
+
+    account: str
+    tokens: float
+    ttl: float
+    retry_after: float = 0.0
+    coordinator: str | None = None
+
+
+@message("hand-over")
+@attrs.frozen
+class HandOver:
+    """Pass a group's volatile state to its next coordinator."""
+
+    service: str
+    group: int
+    epoch: int
+    state: dict[str, bytes]
+
+
+@message("hand-over-reply")
+@attrs.frozen
+class HandOverReply:
+    """Tell whether the receiver has claimed the group."""
+
+    accepted: bool
+    epoch: int = 0
+    reason: str = ""
+
+
+@attrs.frozen
+class JournalEntry:
+    """Record the intent or the outcome of one request with an idempotency key."""
+
+    service: str
+    group: int
+    epoch: int
+    key: str
+    fingerprint: int
+    state: str  # "intent", "answered", "not-run" or "unknown"
+    written_at: float  # seconds since 1970
+    answer: StoredAnswer | None = None
+
+
+@message("journal-append")
+@attrs.frozen
+class JournalAppend:
+    """Ask a journal writer to make entries durable."""
+
+    entries: list[JournalEntry]
+
+
+@message("journal-appended")
+@attrs.frozen
+class JournalAppended:
+    """Tell whether the entries are durable."""
+
+    durable: bool
+    reason: str = ""
--- /dev/null
+++ b/packages/core/src/fireflystand_core/messages/tests/test_codec.py
@@ -0,0 +1,48 @@
+"""Test the peer message codec."""
+
+import unittest
+
+from fireflystand_core.exceptions import ProtocolError
+from fireflystand_core.messages import (
+    Decoder,
+    FeedItem,
+    FeedItems,
+    Hello,
+    PermitReturn,
+    StoredAnswer,
+    encode,
+)
+
+
+class CodecTests(unittest.TestCase):
+    """Guard against messages that change or get lost on the wire."""
+
+    def test_nested_message_survives_split_reads(self):
+        answer = StoredAnswer(200, [("content-type", "text/plain")], b"\x00\xff")
+        sent = PermitReturn("winkel", 1, "p1", "answered", 200, 0.01, answer=answer)
+        data = encode(7, sent) + encode(0, FeedItems([FeedItem("a", 3, None)]))
+        decoder = Decoder()
+        received = []
+        for index in range(len(data)):
+            received.extend(decoder.feed(data[index : index + 1]))
+        self.assertEqual([e.correlation for e in received], [7, 0])
+        self.assertEqual(received[0].message, sent)
+        self.assertEqual(received[1].message.items[0], FeedItem("a", 3, None))
+
+    def test_unreadable_input_names_the_peer(self):
+        decoder = Decoder(peer="namur-a-1")
+        with self.assertRaises(ProtocolError) as caught:
+            list(decoder.feed(b"\x93\xa3abc\x01\x80"))
+        self.assertEqual(caught.exception.peer, "namur-a-1")
+        self.assertEqual(caught.exception.step, "decode")
+
+    def test_missing_field_is_a_protocol_error(self):
+        decoder = Decoder()
+        good = encode(1, Hello("a", "1", "namur-a", "127.0.0.1:1"))
+        broken = good.replace(b"\xa8instance", b"\xa8instancf")
+        with self.assertRaises(ProtocolError):
+            list(decoder.feed(broken))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/operator/src/fireflystand_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operate a fireflystand deployment from the command line."""
--- /dev/null
+++ b/packages/router/src/fireflystand_router/__init__.py
@@ -0,0 +1,1 @@
+"""Route requests to the targets that own their keys."""
--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fault injection, demo and benchmarks."""
