--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -66,16 +66,14 @@
     """Tell a random peer that the sender lives and what it has seen.
 
     ``digest`` is the hash of the sender's whole feed state, ``revision`` the
-    highest store version in it, ``live`` the instance ids it heard of lately
-    with their incarnation and the age of the news in seconds.
+    highest store version in it.
     """
 
     instance: str
     incarnation: str
     revision: int
     digest: int
-    store_age: float
-    live: dict[str, tuple[str, float]]
+    store_age: float  # seconds since the store was last heard, directly
 
 
 @message("heartbeat-reply")
@@ -87,8 +85,7 @@
     incarnation: str
     revision: int
     digest: int
-    store_age: float
-    live: dict[str, tuple[str, float]]
+    store_age: float  # seconds since the store was last heard, directly
 
 
 @message("feed-pull")
@@ -152,13 +149,14 @@
 @message("sealed")
 @attrs.frozen
 class Sealed:
-    """Tell that a witness confirms nothing below ``epoch``."""
+    """Tell that a witness confirms nothing below ``epoch`` any more."""
 
     witness: str
     incarnation: str
     service: str
     group: int
     epoch: int
+    confirmed_age: float | None  # seconds since it last confirmed a lower epoch
     unjournaled: bool
 
 
--- /dev/null
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -0,0 +1,178 @@
+"""Send small HTTP requests over one kept connection (h11 on trio)."""
+
+import json
+from typing import Any
+
+import attrs
+import h11
+import trio
+
+from fireflystand_core.exceptions import FireflystandError
+
+__all__ = ["ConnectionFailedError", "ControlClient", "Response", "split_address"]
+
+READ_SIZE = 65536
+MAX_BODY_BYTES = 2 * 1024 * 1024
+
+
+class ConnectionFailedError(FireflystandError):
+    """Report an exchange that broke; ``refused`` if no connection was made."""
+
+    def __init__(self, message: str, *, step: str, peer: str, refused: bool) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.refused = refused
+
+
+@attrs.frozen
+class Response:
+    """Hold a whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class ControlClient:
+    """Own one connection to a peer and send one request at a time."""
+
+    def __init__(self, address: str, timeout: float = 1.0) -> None:
+        self.address = address
+        self.timeout = timeout  # seconds
+        self._stream: trio.SocketStream | None = None
+        self._connection: h11.Connection | None = None
+        self._lock = trio.Lock()
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout: float | None = None,
+    ) -> Response:
+        """Send a request and return the whole answer.
+
+        Raise ConnectionFailedError if the exchange breaks or takes longer than
+        ``timeout`` seconds; the peer may have acted on the request then.
+        """
+        limit = self.timeout if timeout is None else timeout
+        async with self._lock:
+            done = False
+            step = "connect"
+            try:
+                with trio.fail_after(limit):
+                    if self._stream is None:
+                        await self._connect()
+                    step = "exchange"
+                    response = await self._exchange(method, path, headers, body)
+                done = True
+                return response
+            except trio.TooSlowError as error:
+                raise ConnectionFailedError(
+                    f"no answer within {limit} s",
+                    step=step,
+                    peer=self.address,
+                    refused=False,
+                ) from error
+            except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+                raise ConnectionFailedError(
+                    f"{method} {path}: {error!r}",
+                    step=step,
+                    peer=self.address,
+                    refused=isinstance(error, ConnectionRefusedError),
+                ) from error
+            finally:
+                if not done:
+                    self.abort()
+
+    async def _connect(self) -> None:
+        host, port = split_address(self.address)
+        socket = trio.socket.socket()
+        try:
+            await socket.connect((host, port))
+        except BaseException:
+            socket.close()
+            raise
+        self._stream = trio.SocketStream(socket)
+        self._connection = h11.Connection(h11.CLIENT)
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None,
+        body: bytes,
+    ) -> Response:
+        fields = [("Host", self.address), ("Content-Length", str(len(body)))]
+        fields.extend((headers or {}).items())
+        connection = self._connection
+        data = connection.send(
+            h11.Request(method=method, target=path, headers=fields),
+        )
+        if body:
+            data += connection.send(h11.Data(data=body))
+        data += connection.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+        response = await self._next_event()
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_BODY_BYTES:
+                    raise OSError("answer is larger than 2 MiB")
+                chunks.append(bytes(event.data))
+        self._recycle()
+        names = {k.decode("latin-1"): v.decode("latin-1") for k, v in response.headers}
+        return Response(response.status_code, names, b"".join(chunks))
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                received = await self._stream.receive_some(READ_SIZE)
+                if not received:
+                    raise OSError("peer closed the connection")
+                self._connection.receive_data(received)
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            elif isinstance(event, h11.ConnectionClosed):
+                raise OSError("peer closed the connection")
+            else:
+                return event
+
+    def _recycle(self) -> None:
+        try:
+            self._connection.start_next_cycle()
+        except h11.LocalProtocolError:
+            self.abort()
+
+    @property
+    def connected(self) -> bool:
+        """Tell whether a connection is open."""
+        return self._stream is not None
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self._stream is not None:
+            self._stream.socket.close()
+        self._stream = None
+        self._connection = None
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self.abort()
