--- /dev/null
+++ b/packages/router/src/fireflystand_router/view.py
@@ -0,0 +1,83 @@
+"""Hold what this instance knows of the deployment from the feed."""
+
+import json
+from collections.abc import Callable
+
+import attrs
+import cattrs
+
+from fireflystand_core.configuration import Deployment
+
+__all__ = ["ClaimInfo", "ClusterView", "KeyInfo"]
+
+
+@attrs.frozen
+class ClaimInfo:
+    """Name the coordinator of a group; feed item ``claims/<service>/<group>``."""
+
+    service: str
+    group: int
+    epoch: int
+    instance: str
+    incarnation: str
+
+
+@attrs.frozen
+class KeyInfo:
+    """Tell whose API key this is; feed item ``keys/<hash>``."""
+
+    account: str
+    state: str  # "active" or "withdrawn"
+
+
+@attrs.define(eq=False)
+class ClusterView:
+    """Hold the newest item of each kind; listeners hear of each changed key."""
+
+    generation: int = 0
+    operation_id: str = ""
+    deployment: Deployment | None = None
+    keys_by_hash: dict[str, KeyInfo] = attrs.field(factory=dict)
+    data_centre_states_by_id: dict[str, str] = attrs.field(factory=dict)
+    target_states_by_id: dict[str, str] = attrs.field(factory=dict)
+    claims_by_group: dict[tuple[str, int], ClaimInfo] = attrs.field(factory=dict)
+    listeners: list[Callable[[str], None]] = attrs.field(factory=list)
+
+    def apply(self, key: str, text: str | None) -> None:
+        """Take over a feed item; the caller passes only newer versions."""
+        value = None if text is None else json.loads(text)
+        kind, _, name = key.partition("/")
+        if key == "config/deployment":
+            self.generation = value["generation"]
+            self.operation_id = value["operation_id"]
+            self.deployment = cattrs.structure(value["deployment"], Deployment)
+        elif kind == "keys":
+            _set(self.keys_by_hash, name, value and cattrs.structure(value, KeyInfo))
+        elif kind == "data-centres":
+            _set(self.data_centre_states_by_id, name, value and value["state"])
+        elif kind == "targets":
+            _set(self.target_states_by_id, name, value and value["state"])
+        elif kind == "claims":
+            service, _, group = name.rpartition("/")
+            claim = value and cattrs.structure(value, ClaimInfo)
+            _set(self.claims_by_group, (service, int(group)), claim)
+        for listener in self.listeners:
+            listener(key)
+
+    def admits_target(self, target: str) -> bool:
+        """Tell whether new work may go to a target of the deployment."""
+        if self.target_states_by_id.get(target, "in") != "in":
+            return False
+        for service in self.deployment.services_by_id.values():
+            settings = service.targets_by_id.get(target)
+            if settings is not None:
+                state = self.data_centre_states_by_id.get(settings.data_centre, "in")
+                return state == "in"
+        return False
+
+
+def _set(mapping: dict, name: object, value: object) -> None:
+    if value is None:
+        mapping.pop(name, None)
+    else:
+        mapping[name] = value
