Add the target client with strict response framing

Cause: permits name a target, and nothing sends the request there yet. h11 accepts bare LF, folded lines, repeated equal Content-Length fields, Content-Length together with chunked, and chunk extensions with a bare CR, so a second parser could read such a message differently.

Change: `framing` checks raw heads and chunk lines before h11 sees them. `forward` keeps bounded pools, hands a connection back only after a regular exchange with nothing unread on it, and tells Answered, NotRun and Unknown apart. A response without a length counts as broken, since its end looks the same as the death of the target. Each attempt has its own request id, so a late DELETE cannot reach the next attempt. `events` and `metrics` hold the registries that the edge uses.

Ruled out: passing close-delimited responses on; retrying on the same pooled connection after its first write failed.

--- /dev/null
+++ b/packages/router/src/fireflystand_router/events.py
@@ -0,0 +1,97 @@
+"""Define the numbered log events and write them as text or JSON lines."""
+
+import json
+import sys
+from typing import TextIO
+
+import attrs
+from loguru import logger
+
+from fireflystand_core.exceptions import FireflystandError
+
+__all__ = ["EVENTS_BY_NUMBER", "Event", "configure_log", "define_event", "emit"]
+
+EVENTS_BY_NUMBER: dict[int, "Event"] = {}
+
+
+@attrs.frozen
+class Event:
+    """Describe one kind of log event; ``fields`` are the names it carries."""
+
+    number: int
+    level: str
+    text: str
+    fields: tuple[str, ...] = ()
+
+
+def define_event(number: int, level: str, text: str, *fields: str) -> Event:
+    """Add an event to the registry and return it."""
+    if number in EVENTS_BY_NUMBER:
+        raise ValueError(f"event {number} is already defined")
+    event = Event(number, level, text, fields)
+    EVENTS_BY_NUMBER[number] = event
+    return event
+
+
+def emit(event: Event, error: Exception | None = None, **fields: object) -> None:
+    """Log an event; an error adds its message, step and peer."""
+    unknown = set(fields) - set(event.fields)
+    if unknown:
+        raise ValueError(f"event {event.number} has no field {sorted(unknown)}")
+    if isinstance(error, FireflystandError):
+        fields |= {"error": error.message, "step": error.step, "peer": error.peer}
+    elif error is not None:
+        fields |= {"error": repr(error)}
+    logger.bind(event=event.number, fields=fields).log(event.level, event.text)
+
+
+def configure_log(
+    sink: TextIO | None = None, *, as_json: bool = False, level: str = "INFO"
+) -> None:
+    """Write events to ``sink`` (standard error by default), one per line."""
+    output = sys.stderr if sink is None else sink
+    render = _json_line if as_json else _text_line
+
+    def write(message) -> None:
+        output.write(render(message.record))
+
+    logger.remove()
+    logger.add(write, level=level, format="{message}", backtrace=False, diagnose=False)
+
+
+def _json_line(record) -> str:
+    extra = record["extra"]
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "event": extra.get("event"),
+        "text": record["message"],
+        **extra.get("fields", {}),
+    }
+    return json.dumps(line, default=str) + "\n"
+
+
+def _text_line(record) -> str:
+    extra = record["extra"]
+    fields = "".join(f" {k}={v!r}" for k, v in extra.get("fields", {}).items())
+    number = extra.get("event", "-")
+    time = record["time"].isoformat()
+    return f"{time} {record['level'].name} {number} {record['message']}{fields}\n"
+
+
+ENTRY_STARTED = define_event(1001, "INFO", "entry listens", "address")
+ENTRY_STOPPING = define_event(1002, "INFO", "entry stops accepting", "in_flight")
+ENTRY_STOPPED = define_event(1003, "INFO", "entry stopped", "in_flight")
+MESSAGE_REFUSED = define_event(
+    1010, "INFO", "malformed request refused", "status", "reason"
+)
+CONNECTION_FAULT = define_event(1011, "ERROR", "caller connection failed", "request_id")
+REQUEST_UNKNOWN = define_event(
+    1020, "WARNING", "outcome of a request is unknown", "request_id", "target", "reason"
+)
+RESPONSE_BROKEN = define_event(
+    1021, "WARNING", "response broke off", "request_id", "target", "reason"
+)
+CANCEL_FAILED = define_event(
+    1030, "INFO", "cancellation did not reach the target", "request_id"
+)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -0,0 +1,120 @@
+"""Send requests to targets and tell their outcomes apart."""
+
+import attrs
+import h11
+import trio
+
+from fireflystand_core.outcomes import NotRun, Unknown
+
+from ..events import CANCEL_FAILED, emit
+from ..http_client import ConnectionFailedError, ControlClient
+from .exchange import BrokenExchangeError, Exchange, ForwardRequest
+from .pool import FRESH_IDLE_LIMIT, IDLE_LIMIT, TargetPool
+
+__all__ = ["Failure", "Forwarder"]
+
+CONNECTIONS_PER_TARGET = 16
+CANCEL_TIMEOUT = 1.0  # seconds
+CANCELS_AT_ONCE = 64
+NOT_RUN_BODY_LIMIT = 64 * 1024  # bytes
+
+
+@attrs.frozen
+class Failure:
+    """Tell why there is no response; the flags go into ``PermitReturn``."""
+
+    outcome: NotRun | Unknown
+    refused: bool = False
+    broken: bool = False
+    shed: bool = False
+    stale: bool = False
+
+
+class Forwarder:
+    """Own the connection pools of all targets."""
+
+    def __init__(self, connections: int = CONNECTIONS_PER_TARGET) -> None:
+        self.pools_by_address: dict[str, TargetPool] = {}
+        self._connections = connections
+        self._nursery: trio.Nursery | None = None
+        self._cancels = trio.Semaphore(CANCELS_AT_ONCE)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Use ``nursery`` for uploads and cancellations."""
+        self._nursery = nursery
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        for pool in self.pools_by_address.values():
+            pool.close()
+
+    def _pool(self, address: str) -> TargetPool:
+        pool = self.pools_by_address.get(address)
+        if pool is None:
+            pool = TargetPool(address, self._connections)
+            self.pools_by_address[address] = pool
+        return pool
+
+    async def open(self, request: ForwardRequest) -> Exchange | Failure:
+        """Send the request; return the exchange once its response head arrived.
+
+        A cancelled call also cancels the request at the target.
+        """
+        pool = self._pool(request.address)
+        idle_limit = IDLE_LIMIT if request.repeatable else FRESH_IDLE_LIMIT
+        try:
+            connection = await pool.take(idle_limit)
+        except (OSError, trio.TooSlowError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            return Failure(NotRun("target cannot be reached"), refused=refused)
+        if trio.current_time() > request.send_before:
+            pool.put_back(connection)
+            return Failure(NotRun("permit expired before the request was sent"))
+        exchange = Exchange(pool, connection, request)
+        try:
+            await exchange.start(self._nursery)
+        except BrokenExchangeError as error:
+            exchange.abort()
+            return Failure(Unknown(error.message), broken=True)
+        except trio.Cancelled:
+            self.cancel(exchange)
+            raise
+        except BaseException:
+            exchange.abort()
+            raise
+        if exchange.refused_by_target:
+            return await self._not_run(exchange)
+        return exchange
+
+    async def _not_run(self, exchange: Exchange) -> Failure:
+        status = exchange.status
+        size = 0
+        try:
+            while exchange.upload_done and (part := await exchange.receive()):
+                size += len(part)
+                if size > NOT_RUN_BODY_LIMIT:
+                    break
+        except BrokenExchangeError:
+            pass  # The head already told the outcome.
+        finally:
+            exchange.abort()
+        reason = "target sheds load" if status == 503 else "target is not the owner"
+        return Failure(NotRun(reason), shed=status == 503, stale=status == 421)
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Close the exchange and ask the target to stop the request."""
+        if exchange.ended:
+            return
+        exchange.abort()
+        self._nursery.start_soon(self._cancel_at_target, exchange.request)
+
+    async def _cancel_at_target(self, request: ForwardRequest) -> None:
+        path = f"/fireflystand/requests/{request.request_id}"
+        async with self._cancels:
+            client = ControlClient(request.address, CANCEL_TIMEOUT)
+            try:
+                await client.request("DELETE", path)
+            except (ConnectionFailedError, h11.ProtocolError) as error:
+                emit(CANCEL_FAILED, error, request_id=request.request_id)
+            finally:
+                await client.close()
--- /dev/null
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -0,0 +1,234 @@
+"""Run one request on one connection to a target."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+import h11
+import trio
+
+from fireflystand_core.exceptions import FireflystandError
+
+from ..fields import VIA, Fields, end_to_end_fields
+from ..framing import MalformedMessageError, check_head
+from .pool import PooledConnection, TargetPool
+
+__all__ = ["BrokenExchangeError", "Exchange", "ForwardRequest"]
+
+READ_SIZE = 65536
+RESPONSE_HEADER_LIMIT = 32 * 1024  # bytes
+INFORMATIONAL_LIMIT = 8  # responses
+BODYLESS_METHODS = frozenset([b"GET", b"HEAD", b"DELETE", b"OPTIONS"])
+
+
+class BrokenExchangeError(FireflystandError):
+    """Report an exchange that broke after bytes were handed to the target."""
+
+
+@attrs.define(eq=False)
+class ForwardRequest:
+    """Hold what goes to a target; times are on trio's clock.
+
+    ``body`` is the first part of the body and ``rest`` returns the following
+    parts, then an empty one; ``length`` is None for a body of unknown length.
+    """
+
+    request_id: str
+    address: str
+    method: bytes
+    target: bytes
+    fields: Fields
+    control: Fields
+    body: bytes
+    length: int | None
+    deadline: float
+    send_before: float
+    repeatable: bool
+    rest: Callable[[], Awaitable[bytes]] | None = None
+    handed: bool = False  # set once bytes may have reached the target
+
+
+class Exchange:
+    """Own a connection until its response ended or was given up."""
+
+    def __init__(
+        self, pool: TargetPool, connection: PooledConnection, request: ForwardRequest
+    ) -> None:
+        self.request = request
+        self.status = 0
+        self.fields: Fields = []
+        self.length: int | None = None
+        self.upload_done = request.rest is None
+        self.upload_error: Exception | None = None
+        self._upload_scope = trio.CancelScope()
+        self._pool = pool
+        self._connection = connection
+        self._http = connection.http
+        self._received = 0
+        self._ended = False
+        self._outcome_field = b""
+
+    @property
+    def refused_by_target(self) -> bool:
+        """Tell whether the target said that it did not run the request."""
+        return self.status in (421, 503) and self._outcome_field == b"not-run"
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Send the request and return once the final response head arrived."""
+        self.request.handed = True
+        try:
+            await self._send_head()
+            if self.request.rest is not None:
+                nursery.start_soon(self._upload)
+            await self._read_head()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise self._broken(f"connection broke: {error!r}", "head") from error
+        except (h11.ProtocolError, MalformedMessageError) as error:
+            raise self._broken(f"irregular response: {error}", "head") from error
+
+    def _broken(self, reason: str, step: str) -> Exception:
+        if self.upload_error is not None:
+            return self.upload_error
+        return BrokenExchangeError(reason, step=step, peer=self.request.address)
+
+    async def _send_head(self) -> None:
+        request = self.request
+        left = max(1, int((request.deadline - trio.current_time()) * 1000))
+        headers = [*request.fields, *request.control, VIA]
+        headers.append((b"Fireflystand-Deadline-Ms", str(left).encode()))
+        if request.length is None:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        elif request.length or request.method not in BODYLESS_METHODS:
+            headers.append((b"Content-Length", str(request.length).encode()))
+        data = self._http.send(
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        )
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body))
+        if request.rest is None:
+            data += self._http.send(h11.EndOfMessage())
+        await self._connection.stream.send_all(data)
+
+    async def _upload(self) -> None:
+        with self._upload_scope:
+            try:
+                while part := await self.request.rest():
+                    data = self._http.send(h11.Data(data=part))
+                    await self._connection.stream.send_all(data)
+                data = self._http.send(h11.EndOfMessage())
+                if data:
+                    await self._connection.stream.send_all(data)
+                self.upload_done = True
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # The response may have arrived before the target stopped reading.
+                return
+            except (FireflystandError, h11.ProtocolError) as error:
+                self.upload_error = error
+                self.abort()
+
+    async def _read_head(self) -> None:
+        buffer = bytearray()
+        for _ in range(INFORMATIONAL_LIMIT):
+            head = await self._receive_head(buffer)
+            found = check_head(head)
+            self._http.receive_data(head)
+            event = self._http.next_event()
+            if isinstance(event, h11.Response):
+                self._take_response(event, found)
+                if buffer:
+                    self._http.receive_data(bytes(buffer))
+                return
+        raise MalformedMessageError("too many informational responses")
+
+    async def _receive_head(self, buffer: bytearray) -> bytes:
+        while (end := buffer.find(b"\r\n\r\n")) < 0:
+            if len(buffer) > RESPONSE_HEADER_LIMIT:
+                raise MalformedMessageError("response header section too large")
+            received = await self._connection.stream.receive_some(READ_SIZE)
+            if not received:
+                raise MalformedMessageError("connection ended before the response")
+            buffer += received
+        head = bytes(buffer[: end + 4])
+        del buffer[: end + 4]
+        return head
+
+    def _take_response(self, event: h11.Response, found) -> None:
+        self.status = event.status_code
+        own: dict[bytes, bytes] = {}
+        for name, value in event.headers:
+            if name.startswith(b"fireflystand-"):
+                own[name] = value
+        echoed = own.get(b"fireflystand-request-id")
+        if echoed not in (None, self.request.request_id.encode()):
+            raise MalformedMessageError("response belongs to another request")
+        self._outcome_field = own.get(b"fireflystand-outcome", b"")
+        bodyless = self.request.method == b"HEAD" or event.status_code in (204, 304)
+        if not found and not bodyless:
+            # The end of such a body can't be told from a target that died.
+            raise MalformedMessageError("response without a length")
+        if b"content-length" in found:
+            self.length = int(found[b"content-length"][0])
+        self.fields = end_to_end_fields(event.headers)
+
+    async def receive(self) -> bytes:
+        """Return the next part of the body; empty once it is complete.
+
+        Raise BrokenExchangeError if the response breaks off or is too long.
+        """
+        while (part := self.receive_ready()) is None:
+            try:
+                received = await self._connection.stream.receive_some(READ_SIZE)
+                self._http.receive_data(received)
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as e:
+                raise self._broken(f"connection broke: {e!r}", "body") from e
+        return part
+
+    def receive_ready(self) -> bytes | None:
+        """Return a part that already arrived; None if more bytes are needed."""
+        if self._ended:
+            if self.upload_error is not None:
+                raise self.upload_error
+            return b""
+        try:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                return None
+            if isinstance(event, h11.Data):
+                self._received += len(event.data)
+                # The last part is not passed on before the end has been checked.
+                if self._received == self.length:
+                    self._http.next_event()
+                    self._finish()
+                return bytes(event.data)
+        except h11.ProtocolError as error:
+            raise self._broken(f"irregular response: {error}", "body") from error
+        if not isinstance(event, h11.EndOfMessage):
+            raise self._broken("connection ended inside the response", "body")
+        self._finish()
+        return b""
+
+    def _finish(self) -> None:
+        if self._http.trailing_data[0]:
+            raise self._broken("more bytes than the response declares", "body")
+        self._ended = True
+        self._upload_scope.cancel()
+        reusable = self.upload_done and self._http.states == {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }
+        if reusable and self._connection.is_quiet():
+            self._http.start_next_cycle()
+            self._pool.put_back(self._connection)
+        else:
+            self._pool.discard(self._connection)
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the connection was handed back."""
+        return self._ended
+
+    def abort(self) -> None:
+        """Give the response up and close the connection; may be repeated."""
+        if not self._ended:
+            self._ended = True
+            self._upload_scope.cancel()
+            self._pool.discard(self._connection)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -0,0 +1,108 @@
+"""Keep a bounded number of connections to each target."""
+
+import h11
+import trio
+
+from ..http_client import split_address
+
+__all__ = ["PooledConnection", "TargetPool"]
+
+CONNECT_TIMEOUT = 1.0  # seconds
+IDLE_LIMIT = 30.0  # seconds
+# A target may close an idle connection at the moment of a write, and a request
+# that must not be repeated would then end with an unknown outcome.
+FRESH_IDLE_LIMIT = 1.0  # seconds
+
+
+class PooledConnection:
+    """Own one connection to a target."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.http = h11.Connection(h11.CLIENT)
+        self.idle_since = trio.current_time()
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing arrived, neither bytes nor the end."""
+        return not self.stream.socket.is_readable()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.stream.socket.close()
+
+
+class TargetPool:
+    """Own the connections to one target; at most ``limit`` are open."""
+
+    def __init__(self, address: str, limit: int) -> None:
+        self.address = address
+        self._limit = limit
+        self._idle: list[PooledConnection] = []
+        self._slots = trio.Semaphore(limit)
+        self.in_use = 0
+
+    @property
+    def idle(self) -> int:
+        """Return the number of idle connections."""
+        return len(self._idle)
+
+    async def take(self, idle_limit: float = IDLE_LIMIT) -> PooledConnection:
+        """Return a connection on which nothing is unread.
+
+        Raise OSError or trio.TooSlowError if none can be made; no byte was sent.
+        """
+        await self._slots.acquire()
+        self.in_use += 1
+        try:
+            return self._reuse(idle_limit) or await self._connect()
+        except BaseException:
+            self._leave()
+            raise
+
+    def _reuse(self, idle_limit: float) -> PooledConnection | None:
+        now = trio.current_time()
+        while self._idle and now - self._idle[-1].idle_since <= idle_limit:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> PooledConnection:
+        while self._idle and len(self._idle) + self.in_use > self._limit:
+            self._idle.pop(0).close()
+        socket = trio.socket.socket()
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT):
+                await socket.connect(split_address(self.address))
+        except BaseException:
+            socket.close()
+            raise
+        connection = PooledConnection(trio.SocketStream(socket))
+        if not connection.is_quiet():
+            connection.close()
+            raise OSError("target sent bytes before the request")
+        return connection
+
+    def put_back(self, connection: PooledConnection) -> None:
+        """Keep a connection whose last exchange was regular."""
+        self._leave()
+        now = connection.idle_since = trio.current_time()
+        self._idle.append(connection)
+        while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
+            self._idle.pop(0).close()
+
+    def discard(self, connection: PooledConnection) -> None:
+        """Close a connection that must not be used again."""
+        self._leave()
+        connection.close()
+
+    def _leave(self) -> None:
+        self.in_use -= 1
+        self._slots.release()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/packages/router/src/fireflystand_router/framing.py
@@ -0,0 +1,201 @@
+"""Check HTTP/1.1 message framing more strictly than h11 does."""
+
+import re
+
+from fireflystand_core.exceptions import ProtocolError
+
+__all__ = [
+    "HEADER_LIMIT",
+    "MalformedMessageError",
+    "RequestFramer",
+    "check_head",
+    "declared_length",
+]
+
+HEADER_LIMIT = 16 * 1024  # bytes
+CHUNK_LINE_LIMIT = 256  # bytes
+TRAILER_LIMIT = 4 * 1024  # bytes
+
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})(?:;[\t\x20-\x7e]*)?")
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_FIELD = re.compile(rb"[-!#$%&'*+.^_`|~0-9a-zA-Z]+:")
+_REQUEST_LINE = re.compile(
+    rb"[-!#$%&'*+.^_`|~0-9a-zA-Z]{1,32} [\x21-\x22\x24-\x7e]+ HTTP/1\.[01]"
+)
+
+
+class MalformedMessageError(ProtocolError):
+    """Report a message with more than one reading; ``status`` is the refusal."""
+
+    def __init__(self, message: str, *, status: int = 400, peer: str = "") -> None:
+        super().__init__(message, step="framing", peer=peer)
+        self.status = status
+
+
+def check_head(head: bytes) -> dict[bytes, list[bytes]]:
+    """Return the framing fields of a head that ends with an empty line.
+
+    Raise MalformedMessageError for bare CR or LF, folded lines, control
+    characters, and framing fields that contradict each other.
+    """
+    lines = head[:-4].split(b"\r\n")
+    found: dict[bytes, list[bytes]] = {}
+    for line in lines:
+        if _CONTROL.search(line):
+            raise MalformedMessageError("control character in header section")
+    for line in lines[1:]:
+        if not _FIELD.match(line):
+            raise MalformedMessageError("malformed or folded field line")
+        name, _, value = line.partition(b":")
+        name = name.lower()
+        if name in (b"content-length", b"transfer-encoding"):
+            found.setdefault(name, []).append(value.strip(b" \t"))
+    _check_framing_fields(found)
+    return found
+
+
+def _check_framing_fields(found: dict[bytes, list[bytes]]) -> None:
+    lengths = found.get(b"content-length", [])
+    codings = found.get(b"transfer-encoding", [])
+    if len(lengths) > 1:
+        raise MalformedMessageError("more than one Content-Length")
+    if lengths and codings:
+        raise MalformedMessageError("Content-Length with Transfer-Encoding")
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        raise MalformedMessageError("malformed Content-Length")
+    if len(codings) > 1 or (codings and codings[0].lower() != b"chunked"):
+        raise MalformedMessageError("unsupported Transfer-Encoding")
+
+
+def declared_length(found: dict[bytes, list[bytes]]) -> int | None:
+    """Return the body length that the framing fields declare; None if chunked."""
+    if b"transfer-encoding" in found:
+        return None
+    return int(found.get(b"content-length", [b"0"])[0])
+
+
+class RequestFramer:
+    """Split a caller's byte stream into heads and bodies, one request at a time."""
+
+    def __init__(self, header_limit: int = HEADER_LIMIT) -> None:
+        self.buffer = bytearray()
+        self.length: int | None = 0  # of the current body, None if chunked
+        self.complete = True
+        self._header_limit = header_limit
+        self._searched = 0
+        self._remaining = 0
+        self._step = self._read_length
+
+    def read_head(self) -> bytes | None:
+        """Return the next checked head, or None if more bytes are needed."""
+        buffer = self.buffer
+        end = buffer.find(b"\r\n\r\n", max(0, self._searched - 3))
+        if end < 0:
+            self._searched = len(buffer)
+            if len(buffer) > self._header_limit:
+                raise MalformedMessageError("header section too large", status=431)
+            self._check_partial_head()
+            return None
+        self._searched = 0
+        if end + 4 > self._header_limit:
+            raise MalformedMessageError("header section too large", status=431)
+        head = bytes(buffer[: end + 4])
+        del buffer[: end + 4]
+        self._start_body(head)
+        return head
+
+    def _check_partial_head(self) -> None:
+        # A sender that uses bare LF never sends an empty CRLF line, so it would
+        # otherwise wait for the header timeout.
+        position = self.buffer.find(b"\n")
+        if position == 0 or (
+            position > 0 and self.buffer[position - 1 : position] != b"\r"
+        ):
+            raise MalformedMessageError("bare LF in header section")
+        if self.buffer.startswith(b"\r\n"):
+            raise MalformedMessageError("empty line before the request line")
+
+    def _start_body(self, head: bytes) -> None:
+        request_line, _, _ = head.partition(b"\r\n")
+        if not _REQUEST_LINE.fullmatch(request_line):
+            raise MalformedMessageError("malformed request line")
+        found = check_head(head)
+        if b"transfer-encoding" in found and request_line.endswith(b"1.0"):
+            raise MalformedMessageError("Transfer-Encoding in HTTP/1.0")
+        self.length = declared_length(found)
+        self._remaining = self.length or 0
+        self.complete = self.length == 0
+        self._step = self._read_chunk_line if self.length is None else self._read_length
+
+    def read_body(self) -> bytes:
+        """Return checked raw bytes of the current body; empty if more are needed."""
+        parts = []
+        while not self.complete:
+            part = self._step()
+            if not part:
+                break
+            parts.append(part)
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def _take(self, size: int) -> bytes:
+        part = bytes(self.buffer[:size])
+        del self.buffer[:size]
+        return part
+
+    def _read_length(self) -> bytes:
+        part = self._take(self._remaining)
+        self._remaining -= len(part)
+        self.complete = self._remaining == 0
+        return part
+
+    def _read_line(self, limit: int, what: str) -> bytes:
+        end = self.buffer.find(b"\n", 0, limit)
+        if end < 0:
+            if len(self.buffer) >= limit:
+                raise MalformedMessageError(f"{what} too long")
+            return b""
+        line = self._take(end + 1)
+        if not line.endswith(b"\r\n"):
+            raise MalformedMessageError(f"bare LF in {what}")
+        return line
+
+    def _read_chunk_line(self) -> bytes:
+        line = self._read_line(CHUNK_LINE_LIMIT, "chunk size")
+        if not line:
+            return b""
+        match = _CHUNK_LINE.fullmatch(line[:-2])
+        if match is None:
+            raise MalformedMessageError("malformed chunk size")
+        self._remaining = int(match[1], 16)
+        self._step = self._read_chunk_data if self._remaining else self._read_trailer
+        return line
+
+    def _read_chunk_data(self) -> bytes:
+        part = self._take(self._remaining)
+        self._remaining -= len(part)
+        if self._remaining == 0:
+            self._step = self._read_chunk_end
+        return part
+
+    def _read_chunk_end(self) -> bytes:
+        if len(self.buffer) < 2:
+            if self.buffer and self.buffer[:1] != b"\r":
+                raise MalformedMessageError("chunk longer than its size")
+            return b""
+        if self.buffer[:2] != b"\r\n":
+            raise MalformedMessageError("chunk longer than its size")
+        self._step = self._read_chunk_line
+        return self._take(2)
+
+    def _read_trailer(self) -> bytes:
+        line = self._read_line(TRAILER_LIMIT, "trailer")
+        if line == b"\r\n":
+            self.complete = True
+        elif line:
+            if _CONTROL.search(line[:-2]) or not _FIELD.match(line):
+                raise MalformedMessageError("malformed trailer")
+            self._remaining += len(line)
+            if self._remaining > TRAILER_LIMIT:
+                raise MalformedMessageError("trailer too long")
+        return line
--- /dev/null
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -0,0 +1,106 @@
+"""Declare the metrics and send them to statsd in batches."""
+
+from collections import defaultdict
+
+import attrs
+import statsd
+import trio
+
+__all__ = ["METRICS_BY_NAME", "Metric", "Metrics", "define_metric"]
+
+FLUSH_INTERVAL = 1.0  # seconds
+TIMINGS_PER_FLUSH = 200  # samples of one metric
+
+METRICS_BY_NAME: dict[str, "Metric"] = {}
+
+
+@attrs.frozen
+class Metric:
+    """Describe a metric; ``kind`` is ``counter``, ``timer`` or ``gauge``."""
+
+    name: str
+    kind: str
+    unit: str
+    text: str
+
+
+def define_metric(name: str, kind: str, unit: str, text: str) -> Metric:
+    """Add a metric to the registry and return it."""
+    if name in METRICS_BY_NAME:
+        raise ValueError(f"metric {name} is already defined")
+    metric = Metric(name, kind, unit, text)
+    METRICS_BY_NAME[name] = metric
+    return metric
+
+
+class Metrics:
+    """Collect values and send them once per interval."""
+
+    def __init__(self, client: statsd.StatsClient | None = None) -> None:
+        self._client = client
+        self.counts_by_name: dict[str, int] = defaultdict(int)
+        self.gauges_by_name: dict[str, float] = {}
+        self._timings_by_name: dict[str, list[float]] = defaultdict(list)
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counts_by_name[metric.name] += amount
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        self.gauges_by_name[metric.name] = value
+
+    def timing(self, metric: Metric, seconds: float) -> None:
+        """Record a duration; only the first samples of an interval are kept."""
+        samples = self._timings_by_name[metric.name]
+        if len(samples) < TIMINGS_PER_FLUSH:
+            samples.append(seconds)
+
+    async def run(self) -> None:
+        """Flush until cancelled."""
+        while True:
+            await trio.sleep(FLUSH_INTERVAL)
+            self.flush()
+
+    def flush(self) -> None:
+        """Send what was collected and start anew."""
+        if self._client is not None:
+            with self._client.pipeline() as pipeline:
+                for name, amount in self.counts_by_name.items():
+                    pipeline.incr(name, amount)
+                for name, value in self.gauges_by_name.items():
+                    pipeline.gauge(name, value)
+                for name, samples in self._timings_by_name.items():
+                    for seconds in samples:
+                        pipeline.timing(name, seconds * 1000)
+        self.counts_by_name.clear()
+        self._timings_by_name.clear()
+
+
+REQUESTS = define_metric("entry.requests", "counter", "requests", "requests received")
+REFUSALS = define_metric(
+    "entry.refusals", "counter", "requests", "requests that the router answered itself"
+)
+MALFORMED = define_metric(
+    "entry.malformed", "counter", "requests", "malformed or slow requests refused"
+)
+ANSWERED = define_metric(
+    "entry.answered", "counter", "requests", "requests with a complete response"
+)
+UNKNOWN = define_metric(
+    "entry.unknown", "counter", "requests", "requests whose outcome is unknown"
+)
+DEPARTED = define_metric(
+    "entry.departed", "counter", "requests", "requests whose caller left"
+)
+RETRIES = define_metric("entry.retries", "counter", "requests", "requests sent again")
+HEDGES = define_metric("entry.hedges", "counter", "requests", "hedged requests sent")
+REPLAYS = define_metric(
+    "entry.replays", "counter", "requests", "repeats that got the first response"
+)
+LATENCY = define_metric(
+    "entry.latency", "timer", "ms", "time from the header section to the response's end"
+)
+CONNECTIONS = define_metric(
+    "entry.connections", "gauge", "connections", "open caller connections"
+)
