Add the callers' HTTP server and the request flow

Cause: callers need a server that finds route, account, quota and permit for each request and tells the outcome accurately.

Seen failing first: with the deadline scopes of waiting and sending nested, a request that a target held got 503 not-run at its deadline (now 504 unknown), and a quota wait got 503 (now 429).

Conclusion: the flow depends on permits, quotas, accounts and placement only through the protocols in `entry/interfaces.py`.

--- /dev/null
+++ b/packages/router/src/fireflystand_router/entry/attempts.py
@@ -0,0 +1,264 @@
+"""Send one request under permits and settle each permit exactly once."""
+
+import attrs
+import trio
+
+from fireflystand_core.messages import (
+    Permit,
+    PermitRefused,
+    PermitRequest,
+    PermitReturn,
+    StoredAnswer,
+)
+from fireflystand_core.outcomes import Unknown
+
+from ..fields import Fields
+from ..forward import Exchange, Failure, Forwarder, ForwardRequest
+from ..metrics import HEDGES, Metrics
+from .interfaces import Location, Permits
+from .requests import CallerRequest
+
+__all__ = ["Hold", "Job", "Sender"]
+
+
+@attrs.define(eq=False)
+class Job:
+    """Hold a request while it is attempted; ``deadline`` is on trio's clock.
+
+    ``unsure`` tells that a target may have run an attempt.
+    """
+
+    request: CallerRequest
+    location: Location
+    fingerprint: int
+    deadline: float
+    body: "object"  # entry.body.CallerBody
+    prefix: bytes
+    unsure: bool = False
+    attempt: int = 0
+
+    def permit_request(self, request_id: str, hedge_of: str | None) -> PermitRequest:
+        """Return the request for a permit of the current attempt."""
+        request, location = self.request, self.location
+        return PermitRequest(
+            request_id=request_id,
+            service=request.service.id,
+            group=location.group,
+            shard=location.shard,
+            key_hash=location.key_hash,
+            account=request.account,
+            idempotent=request.idempotent,
+            fingerprint=self.fingerprint,
+            deadline=max(0.0, self.deadline - trio.current_time()),
+            idempotency_key=request.idempotency_key,
+            hedge_of=hedge_of,
+            attempt=self.attempt,
+        )
+
+    def forward_request(
+        self, request_id: str, permit: Permit, send_before: float
+    ) -> ForwardRequest:
+        """Return what goes to the target that the permit names."""
+        request, body = self.request, self.body
+        return ForwardRequest(
+            request_id=request_id,
+            address=permit.address,
+            method=request.method,
+            target=request.target,
+            fields=request.fields,
+            control=self._control_fields(request_id, permit),
+            body=self.prefix,
+            length=body.length,
+            deadline=self.deadline,
+            send_before=send_before,
+            repeatable=request.idempotent,
+            rest=None if body.complete else body.read,
+        )
+
+    def _control_fields(self, request_id: str, permit: Permit) -> Fields:
+        values = {
+            b"Fireflystand-Service": self.request.service.id,
+            b"Fireflystand-Group": str(self.location.group),
+            b"Fireflystand-Shard": str(self.location.shard),
+            b"Fireflystand-Epoch": str(permit.epoch),
+            b"Fireflystand-Request-Id": request_id,
+            b"Fireflystand-Client-Account": self.request.account,
+        }
+        return [(name, value.encode()) for name, value in values.items()]
+
+
+class Hold:
+    """Own one permit and the request sent under it."""
+
+    def __init__(
+        self, permits: Permits, job: Job, permit: Permit, request_id: str
+    ) -> None:
+        self.permit = permit
+        self._permits = permits
+        self._job = job
+        self._taken_at = trio.current_time()
+        self._settled = False
+        send_before = self._taken_at + permit.send_within
+        self.request = job.forward_request(request_id, permit, send_before)
+
+    def settle(
+        self, outcome: str, status: int, answer: StoredAnswer | None = None, **flags
+    ) -> None:
+        """Give the permit back; later calls have no effect."""
+        if self._settled:
+            return
+        self._settled = True
+        if outcome == "unknown":
+            self._job.unsure = True
+        returned = PermitReturn(
+            service=self._job.request.service.id,
+            group=self._job.location.group,
+            permit_id=self.permit.permit_id,
+            outcome=outcome,
+            status=status,
+            latency=trio.current_time() - self._taken_at,
+            answer=answer,
+            **flags,
+        )
+        self._permits.give_back(returned)
+
+    def settle_failure(self, failure: Failure) -> None:
+        """Give the permit back after an attempt without a response."""
+        self.settle(
+            failure.outcome.tag,
+            failure.outcome.status,
+            refused=failure.refused,
+            broken=failure.broken,
+            shed=failure.shed,
+            stale=failure.stale,
+        )
+
+    def close(self) -> None:
+        """Give the permit back if that has not happened yet."""
+        self.settle("unknown" if self.request.handed else "not-run", 0)
+
+
+class Sender:
+    """Obtain permits and send the attempts of requests, hedged where allowed."""
+
+    def __init__(
+        self, permits: Permits, forwarder: Forwarder, metrics: Metrics
+    ) -> None:
+        self._permits = permits
+        self._forwarder = forwarder
+        self._metrics = metrics
+
+    async def acquire(
+        self, job: Job, suffix: str = "", hedge_of: str | None = None
+    ) -> Hold | PermitRefused:
+        """Return a held permit for the current attempt of the job."""
+        # Each attempt has its own id, so that the cancellation of one attempt can
+        # not reach the next one on the same target.
+        request_id = f"{job.request.id}-{job.attempt}{suffix}"
+        asked = job.permit_request(request_id, hedge_of)
+        permit = await self._permits.acquire(asked)
+        if isinstance(permit, PermitRefused):
+            return permit
+        return Hold(self._permits, job, permit, request_id)
+
+    async def send(self, job: Job, hold: Hold) -> tuple[Hold, Exchange | Failure]:
+        """Return the first response head, or the failure of the attempt.
+
+        The caller closes the hold that is returned; others are closed here.
+        """
+        delay = hold.permit.hedge_after
+        if delay is None or not job.request.idempotent or hold.request.rest:
+            return hold, await self._open(hold)
+        race = _Race(self, job, hold)
+        return await race.run(delay)
+
+    async def _open(self, hold: Hold) -> Exchange | Failure:
+        result = await self._forwarder.open(hold.request)
+        if isinstance(result, Failure):
+            hold.settle_failure(result)
+        return result
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Cancel a request at its target."""
+        self._forwarder.cancel(exchange)
+
+
+class _Race:
+    """Run an attempt and its hedge until one has a response head."""
+
+    def __init__(self, sender: Sender, job: Job, primary: Hold) -> None:
+        self._sender = sender
+        self._job = job
+        self._primary = primary
+        self._running = 0
+        self._results: list[tuple[Hold, Exchange | Failure]] = []
+        self._changed = trio.Event()
+
+    async def run(self, delay: float) -> tuple[Hold, Exchange | Failure]:
+        """Start the hedge after ``delay`` seconds and return the winner."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._start(nursery, self._run_primary)
+                with trio.move_on_after(delay):
+                    await self._changed.wait()
+                if not self._results:
+                    self._start(nursery, self._run_hedge)
+                while self._running and not self._winner():
+                    self._changed = trio.Event()
+                    await self._changed.wait()
+                nursery.cancel_scope.cancel()
+        except BaseException:
+            self._close_losers(None)
+            raise
+        winner = self._winner() or self._failure()
+        self._close_losers(winner)
+        return winner
+
+    def _start(self, nursery: trio.Nursery, function) -> None:
+        self._running += 1
+        nursery.start_soon(self._run, function)
+
+    async def _run(self, function) -> None:
+        try:
+            await function()
+        finally:
+            self._running -= 1
+            self._changed.set()
+
+    async def _run_primary(self) -> None:
+        await self._run_hold(self._primary)
+
+    async def _run_hedge(self) -> None:
+        primary_id = self._primary.request.request_id
+        hold = await self._sender.acquire(self._job, "-h", primary_id)
+        if isinstance(hold, Hold):
+            self._sender._metrics.count(HEDGES)
+            await self._run_hold(hold)
+
+    async def _run_hold(self, hold: Hold) -> None:
+        try:
+            result = await self._sender._open(hold)
+        except BaseException:
+            hold.close()
+            raise
+        self._results.append((hold, result))
+
+    def _winner(self) -> tuple[Hold, Exchange] | None:
+        for hold, result in self._results:
+            if isinstance(result, Exchange):
+                return hold, result
+        return None
+
+    def _failure(self) -> tuple[Hold, Failure]:
+        for hold, result in self._results:
+            if isinstance(result.outcome, Unknown):
+                return hold, result
+        return self._results[0]
+
+    def _close_losers(self, winner) -> None:
+        for hold, result in self._results:
+            if winner is not None and hold is winner[0]:
+                continue
+            if isinstance(result, Exchange):
+                self._sender.cancel(result)
+            hold.close()
--- /dev/null
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -0,0 +1,309 @@
+"""Lead a request from its header section to its outcome."""
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import h11
+import trio
+import xxhash
+
+from fireflystand_core.configuration import Deployment
+from fireflystand_core.messages import PermitRefused, StoredAnswer
+from fireflystand_core.outcomes import NotRun
+
+from ..events import REQUEST_UNKNOWN, RESPONSE_BROKEN, emit
+from ..fields import Fields
+from ..forward import BrokenExchangeError, Exchange, Failure, Forwarder
+from ..framing import MalformedMessageError
+from ..metrics import (
+    ANSWERED,
+    LATENCY,
+    REFUSALS,
+    REPLAYS,
+    REQUESTS,
+    RETRIES,
+    UNKNOWN,
+    Metrics,
+)
+from .attempts import Hold, Job, Sender
+from .body import CallerBody
+from .interfaces import Accounts, Permits, Placement, Quotas
+from .refusals import RequestRefusedError
+from .requests import FINGERPRINT_BYTES, CallerRequest, fingerprint_of, read_request
+from .retries import RetryBudget
+
+__all__ = ["RequestFlow", "Responder"]
+
+KEPT_BODY_LIMIT = 64 * 1024  # bytes
+ATTEMPT_LIMIT = 5
+RETRY_DELAY = 0.01  # seconds before the second retry, doubled for each further one
+
+
+class Responder(Protocol):
+    """Write the response to one request of a caller."""
+
+    request_id: str
+    started: bool
+
+    async def refuse(self, refusal: RequestRefusedError) -> None:
+        """Send a response of the router's own."""
+
+    async def permit_body(self) -> None:
+        """Send ``100 Continue`` if the caller waits for it."""
+
+    def start(self, status: int, fields: Fields, length: int | None, close: bool):
+        """Queue the head of a response."""
+
+    async def write(self, part: bytes) -> None:
+        """Queue a part of the body; send if much is queued."""
+
+    async def flush(self) -> None:
+        """Send what is queued."""
+
+    async def finish(self) -> None:
+        """Send the end of the response."""
+
+    def abort(self) -> None:
+        """Break the connection off so that the response is seen as incomplete."""
+
+
+class RequestFlow:
+    """Serve requests with quotas, permits, retries and hedges."""
+
+    def __init__(
+        self,
+        *,
+        deployment: Callable[[], Deployment | None],
+        accounts: Accounts,
+        quotas: Quotas,
+        permits: Permits,
+        placement: Placement,
+        forwarder: Forwarder,
+        metrics: Metrics,
+        may_admit: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._deployment = deployment
+        self._accounts = accounts
+        self._quotas = quotas
+        self._placement = placement
+        self._metrics = metrics
+        self._may_admit = may_admit
+        self._sender = Sender(permits, forwarder, metrics)
+        self._budget = RetryBudget()
+
+    async def run(
+        self, event: h11.Request, body: CallerBody, responder: Responder
+    ) -> None:
+        """Answer one request; a cancelled call means that the caller left."""
+        self._metrics.count(REQUESTS)
+        begin = time.perf_counter()
+        try:
+            try:
+                await self._admit(event, body, responder)
+            except MalformedMessageError as error:
+                raise RequestRefusedError(
+                    error.status, error.message, close=True
+                ) from error
+        except RequestRefusedError as refusal:
+            self._metrics.count(REFUSALS)
+            if refusal.outcome == "unknown":
+                self._metrics.count(UNKNOWN)
+            await responder.refuse(refusal)
+        self._metrics.timing(LATENCY, time.perf_counter() - begin)
+
+    async def _admit(self, event, body: CallerBody, responder: Responder) -> None:
+        deployment = self._deployment()
+        if deployment is None or not self._may_admit():
+            raise RequestRefusedError(
+                503, "instance does not admit requests", retry_after=1
+            )
+        request = read_request(event, deployment, self._accounts)
+        responder.request_id = request.id
+        body.set_limit(request.route.max_body_bytes)
+        deadline = trio.current_time() + request.deadline
+        await self._take_quota(request, deadline)
+        job = await self._prepare(request, body, deadline, responder)
+        await self._serve(job, responder)
+
+    async def _take_quota(self, request: CallerRequest, deadline: float) -> None:
+        if not request.account:
+            return
+        with trio.move_on_at(deadline) as scope:
+            refused = await self._quotas.take(request.account, deadline)
+        if scope.cancelled_caught:
+            raise RequestRefusedError(429, "no quota before the deadline")
+        if refused is not None:
+            raise RequestRefusedError(
+                429, "account is over its rate", retry_after=refused.retry_after
+            )
+
+    async def _prepare(
+        self, request, body: CallerBody, deadline: float, responder: Responder
+    ) -> Job:
+        with trio.move_on_at(deadline) as scope:
+            await responder.permit_body()
+            prefix = await body.read_prefix(FINGERPRINT_BYTES)
+        if scope.cancelled_caught:
+            raise MalformedMessageError("request body is too slow", status=408)
+        fingerprint = fingerprint_of(request, prefix)
+        affinity = fingerprint
+        if request.idempotency_key is not None:
+            affinity = hash_of_repeat(request)
+        location = self._placement.locate(
+            request.service, request.routing_key, affinity
+        )
+        return Job(request, location, fingerprint, deadline, body, prefix)
+
+    async def _serve(self, job: Job, responder: Responder) -> None:
+        """Attempt the request until it has an outcome or its deadline passes."""
+        with trio.move_on_at(job.deadline):
+            return await self._attempt_all(job, responder)
+        if responder.started:
+            return responder.abort()
+        if job.unsure:
+            raise self._unknown(job, 504, "deadline passed")
+        raise RequestRefusedError(503, "deadline passed before the request was sent")
+
+    async def _attempt_all(self, job: Job, responder: Responder) -> None:
+        self._budget.add_request(job.request.service.id)
+        while True:
+            hold = await self._sender.acquire(job)
+            if isinstance(hold, PermitRefused):
+                return await self._refused(job, hold, responder)
+            failure = await self._attempt(job, hold, responder)
+            if failure is None:
+                return
+            if not self._may_repeat(job, failure):
+                raise self._final(job, failure)
+            self._metrics.count(RETRIES)
+            if job.attempt:
+                await trio.sleep(RETRY_DELAY * 2**job.attempt)
+            job.attempt += 1
+
+    async def _attempt(
+        self, job: Job, hold: Hold, responder: Responder
+    ) -> Failure | None:
+        try:
+            hold, result = await self._sender.send(job, hold)
+            if isinstance(result, Failure):
+                return result
+            await self._deliver(job, hold, result, responder)
+            return None
+        except (RequestRefusedError, MalformedMessageError) as error:
+            # The caller's body failed while the target was receiving it.
+            hold.close()
+            if responder.started:
+                return responder.abort()
+            raise RequestRefusedError(
+                error.status, error.message, outcome="unknown", close=True
+            ) from error
+        finally:
+            hold.close()
+
+    async def _deliver(
+        self, job: Job, hold: Hold, exchange: Exchange, responder: Responder
+    ) -> None:
+        keep = job.request.idempotency_key is not None
+        kept: bytearray | None = bytearray() if keep else None
+        try:
+            responder.start(
+                exchange.status,
+                exchange.fields,
+                exchange.length,
+                close=not exchange.upload_done,
+            )
+            while part := await self._next_part(exchange, responder):
+                await responder.write(part)
+                kept = _keep(kept, part)
+        except BrokenExchangeError as error:
+            exchange.abort()
+            hold.settle("unknown", exchange.status, broken=True)
+            emit(
+                RESPONSE_BROKEN,
+                error,
+                request_id=job.request.id,
+                target=hold.permit.target,
+                reason=error.message,
+            )
+            self._metrics.count(UNKNOWN)
+            return responder.abort()
+        finally:
+            self._sender.cancel(exchange)
+        answer = None if kept is None else _stored(exchange, bytes(kept))
+        hold.settle("answered", exchange.status, answer)
+        self._metrics.count(ANSWERED)
+        await responder.finish()
+
+    async def _next_part(self, exchange: Exchange, responder: Responder) -> bytes:
+        part = exchange.receive_ready()
+        if part is None:
+            await responder.flush()
+            part = await exchange.receive()
+        return part
+
+    async def _refused(
+        self, job: Job, refused: PermitRefused, responder: Responder
+    ) -> None:
+        if refused.replay is not None:
+            return await self._replay(job, refused.replay, responder)
+        if job.unsure and refused.outcome == "not-run":
+            raise self._unknown(job, 502, refused.reason)
+        raise RequestRefusedError(
+            refused.status,
+            refused.reason,
+            outcome=refused.outcome,
+            retry_after=refused.retry_after,
+        )
+
+    async def _replay(
+        self, job: Job, answer: StoredAnswer, responder: Responder
+    ) -> None:
+        self._metrics.count(REPLAYS)
+        fields = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in answer.headers]
+        length = len(answer.body)
+        if job.request.method == b"HEAD" or answer.status in (204, 304):
+            length = None
+        responder.start(answer.status, fields, length, close=False)
+        if answer.body:
+            await responder.write(answer.body)
+        await responder.finish()
+
+    def _may_repeat(self, job: Job, failure: Failure) -> bool:
+        if job.attempt + 1 >= ATTEMPT_LIMIT or job.body.streamed:
+            return False
+        ran = not isinstance(failure.outcome, NotRun)
+        if ran and not job.request.idempotent:
+            return False
+        return self._budget.allow(job.request.service.id)
+
+    def _final(self, job: Job, failure: Failure) -> RequestRefusedError:
+        outcome = failure.outcome
+        if job.unsure:
+            return self._unknown(job, 502, outcome.reason)
+        return RequestRefusedError(outcome.status, outcome.reason, retry_after=1)
+
+    def _unknown(self, job: Job, status: int, reason: str) -> RequestRefusedError:
+        emit(REQUEST_UNKNOWN, request_id=job.request.id, target="", reason=reason)
+        return RequestRefusedError(status, reason, outcome="unknown")
+
+
+def hash_of_repeat(request: CallerRequest) -> int:
+    """Return a 64-bit hash that all repeats of an idempotency key share."""
+    text = f"{request.account}\0{request.idempotency_key}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def _keep(kept: bytearray | None, part: bytes) -> bytearray | None:
+    if kept is None or len(kept) + len(part) > KEPT_BODY_LIMIT:
+        return None
+    kept += part
+    return kept
+
+
+def _stored(exchange: Exchange, body: bytes) -> StoredAnswer:
+    headers = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in exchange.fields
+    ]
+    return StoredAnswer(exchange.status, headers, body)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/entry/refusals.py
@@ -0,0 +1,58 @@
+"""Describe the responses that the router makes itself."""
+
+import json
+import math
+import re
+
+from fireflystand_core.exceptions import FireflystandError
+
+__all__ = ["RequestRefusedError"]
+
+
+class RequestRefusedError(FireflystandError):
+    """Refuse a request; ``close`` ends the connection after the response."""
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        *,
+        outcome: str = "not-run",
+        retry_after: float | None = None,
+        close: bool = False,
+        fields: dict[str, str] | None = None,
+    ) -> None:
+        # The reason may come from a peer and goes into a response field.
+        reason = re.sub(r"[^\x20-\x7e]", "?", reason)
+        super().__init__(reason, step="refuse")
+        self.status = status
+        self.reason = reason
+        self.outcome = outcome
+        self.retry_after = retry_after
+        self.close = close
+        self.fields = fields or {}
+
+    def body(self, request_id: str) -> bytes:
+        """Return the JSON body."""
+        value = {
+            "outcome": self.outcome,
+            "reason": self.reason,
+            "request_id": request_id,
+        }
+        return json.dumps(value).encode()
+
+    def headers(self, request_id: str, size: int) -> list[tuple[str, str]]:
+        """Return the response fields for a body of ``size`` bytes."""
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(size)),
+            ("Fireflystand-Outcome", self.outcome),
+            ("Fireflystand-Request-Id", request_id),
+            ("Fireflystand-Reason", self.reason),
+            *self.fields.items(),
+        ]
+        if self.retry_after is not None:
+            headers.append(("Retry-After", str(max(1, math.ceil(self.retry_after)))))
+        if self.close:
+            headers.append(("Connection", "close"))
+        return headers
--- /dev/null
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -0,0 +1,107 @@
+"""Accept callers' connections and stop gracefully."""
+
+from collections.abc import Callable
+
+import trio
+
+from ..events import (
+    CONNECTION_FAULT,
+    ENTRY_STARTED,
+    ENTRY_STOPPED,
+    ENTRY_STOPPING,
+    emit,
+)
+from ..metrics import CONNECTIONS, Metrics
+from .connection import CallerConnection
+from .flow import RequestFlow
+
+__all__ = ["EntryServer"]
+
+CONNECTION_LIMIT = 4096
+GRACE_PERIOD = 2.0  # seconds between failing readiness and closing the listener
+DRAIN_TIMEOUT = 60.0  # seconds for requests in flight
+DRAIN_INTERVAL = 0.05  # seconds
+
+
+class EntryServer:
+    """Own the listener and the connections of callers."""
+
+    def __init__(
+        self,
+        flow: RequestFlow,
+        metrics: Metrics,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        connection_limit: int = CONNECTION_LIMIT,
+        grace_period: float = GRACE_PERIOD,
+        drain_timeout: float = DRAIN_TIMEOUT,
+    ) -> None:
+        self._flow = flow
+        self._metrics = metrics
+        self._host = host
+        self._port = port
+        self._connection_limit = connection_limit
+        self._grace_period = grace_period
+        self._drain_timeout = drain_timeout
+        self._connections: set[CallerConnection] = set()
+        self._listeners: list[trio.SocketListener] = []
+        self._accepting: trio.CancelScope | None = None
+        self._handlers: trio.Nursery | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests being served."""
+        return sum(connection.busy for connection in self._connections)
+
+    async def start(self, nursery: trio.Nursery) -> str:
+        """Listen and return the address."""
+        self._handlers = nursery
+        self._listeners = await trio.open_tcp_listeners(self._port, host=self._host)
+        port = self._listeners[0].socket.getsockname()[1]
+        self._accepting = await nursery.start(self._accept)
+        address = f"{self._host}:{port}"
+        emit(ENTRY_STARTED, address=address)
+        return address
+
+    async def _accept(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            await trio.serve_listeners(
+                self._handle, self._listeners, handler_nursery=self._handlers
+            )
+
+    async def _handle(self, stream: trio.SocketStream) -> None:
+        if len(self._connections) >= self._connection_limit:
+            return await trio.aclose_forcefully(stream)
+        connection = CallerConnection(stream, self._flow, self._metrics)
+        self._connections.add(connection)
+        self._metrics.gauge(CONNECTIONS, len(self._connections))
+        try:
+            await connection.run()
+        except Exception as error:
+            emit(CONNECTION_FAULT, error, request_id=connection.request_id)
+        finally:
+            self._connections.discard(connection)
+            self._metrics.gauge(CONNECTIONS, len(self._connections))
+
+    async def close(self, fail_readiness: Callable[[], None] = lambda: None) -> None:
+        """Stop gracefully: fail readiness, wait, stop accepting, finish requests."""
+        fail_readiness()
+        await trio.sleep(self._grace_period)
+        emit(ENTRY_STOPPING, in_flight=self.in_flight)
+        if self._accepting is not None:
+            self._accepting.cancel()
+        for listener in self._listeners:
+            await listener.aclose()
+        for connection in list(self._connections):
+            connection.drain()
+        with trio.move_on_after(self._drain_timeout):
+            while self._connections:
+                await trio.sleep(DRAIN_INTERVAL)
+        emit(ENTRY_STOPPED, in_flight=self.in_flight)
