--- /dev/null
+++ b/packages/router/src/fireflystand_router/health.py
@@ -0,0 +1,138 @@
+"""Serve readiness, liveness and the instance's own view as JSON."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import h11
+import trio
+
+from .framing import MalformedMessageError, RequestFramer
+
+__all__ = ["HealthServer", "Readiness"]
+
+READ_SIZE = 16 * 1024  # bytes
+REQUEST_TIMEOUT = 10.0  # seconds
+CONNECTION_LIMIT = 64
+
+
+@attrs.define(eq=False)
+class Readiness:
+    """Tell whether the instance should get requests.
+
+    Each condition returns why it is not met, or an empty text.
+    """
+
+    conditions_by_name: dict[str, Callable[[], str]] = attrs.field(factory=dict)
+    stopping: bool = False
+
+    def stop(self) -> None:
+        """Fail from now on, before a planned stop."""
+        self.stopping = True
+
+    def reasons(self) -> dict[str, str]:
+        """Return the conditions that are not met."""
+        reasons = {"stopping": "planned stop"} if self.stopping else {}
+        for name, condition in self.conditions_by_name.items():
+            if reason := condition():
+                reasons[name] = reason
+        return reasons
+
+
+class HealthServer:
+    """Own a listener for probes and operators; each connection gets one answer."""
+
+    def __init__(
+        self,
+        readiness: Readiness,
+        *,
+        state: Callable[[], Any],
+        explain: Callable[[str, str], Any],
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        self._readiness = readiness
+        self._state = state
+        self._explain = explain
+        self._host = host
+        self._port = port
+        self._scope = trio.CancelScope()
+        self._open = 0
+
+    async def start(self, nursery: trio.Nursery) -> str:
+        """Listen and return the address."""
+        listeners = await trio.open_tcp_listeners(self._port, host=self._host)
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(self._serve, listeners)
+        return f"{self._host}:{port}"
+
+    async def _serve(self, listeners: list[trio.SocketListener]) -> None:
+        with self._scope:
+            await trio.serve_listeners(self._connection, listeners)
+
+    async def close(self) -> None:
+        """Stop listening and drop every connection."""
+        self._scope.cancel()
+
+    async def _connection(self, stream: trio.SocketStream) -> None:
+        self._open += 1
+        try:
+            with trio.move_on_after(REQUEST_TIMEOUT):
+                if self._open <= CONNECTION_LIMIT:
+                    await self._exchange(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._open -= 1
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    async def _exchange(self, stream: trio.SocketStream) -> None:
+        http = h11.Connection(h11.SERVER)
+        framer = RequestFramer()
+        try:
+            while (head := framer.read_head()) is None:
+                received = await stream.receive_some(READ_SIZE)
+                if not received:
+                    return
+                framer.buffer += received
+            http.receive_data(head)
+            status, value = self._answer(http.next_event())
+        except (MalformedMessageError, h11.RemoteProtocolError) as error:
+            status, value = 400, {"error": str(error)}
+        await stream.send_all(_encode(http, status, value))
+        await stream.send_eof()
+
+    def _answer(self, request: h11.Request) -> tuple[int, Any]:
+        if request.method != b"GET":
+            return 405, {"error": "only GET is served here"}
+        path, _, query = request.target.decode("ascii").partition("?")
+        if path == "/fireflystand/v1/live":
+            return 200, {"live": True}
+        if path == "/fireflystand/v1/ready":
+            reasons = self._readiness.reasons()
+            return (503 if reasons else 200), {"ready": not reasons, "reasons": reasons}
+        if path == "/fireflystand/v1/state":
+            return 200, self._state()
+        if path == "/fireflystand/v1/explain":
+            return self._explained(query)
+        return 404, {"error": f"nothing is served at {path}"}
+
+    def _explained(self, query: str) -> tuple[int, Any]:
+        fields = parse_qs(query)
+        if "service" not in fields or "key" not in fields:
+            return 400, {"error": "service and key are required"}
+        return 200, self._explain(fields["service"][-1], fields["key"][-1])
+
+
+def _encode(http: h11.Connection, status: int, value: Any) -> bytes:
+    body = json.dumps(value, default=str).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+    ]
+    data = http.send(h11.Response(status_code=status, headers=headers))
+    return data + http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage())
