--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure parts of the system on the loopback interface."""
