Add the operators' command line

Cause: operators change configuration, API keys, data centres and targets while others do the same and while responses of the store get lost.

Ruled out: repeating a change after a conflict, because it would undo what the other operator was told is accepted; running a command from inside fire, because fire reports left-over arguments only after the call.

Change: each change is one conditional update with its audit record embedded. After a lost response the object is read back and searched for the operation id, along the chain of generations for config/current. A repeat uses the same expected version, so at most one attempt succeeds.

Conclusion: in the tested races one change wins, the other names it, and nothing accepted reverts.

--- a/packages/core/src/fireflystand_core/configuration/__init__.py
+++ b/packages/core/src/fireflystand_core/configuration/__init__.py
@@ -1,6 +1,16 @@
 """Describe, check and compare what operators declare."""
 
-from . import checks, document, generations, kinds, loading, model, rendering, schema
+from . import (
+    checks,
+    document,
+    generations,
+    kinds,
+    loading,
+    model,
+    rendering,
+    schema,
+    units,
+)
 from .checks import *  # noqa: F403
 from .document import *  # noqa: F403
 from .generations import *  # noqa: F403
@@ -9,6 +19,7 @@
 from .model import *  # noqa: F403
 from .rendering import *  # noqa: F403
 from .schema import *  # noqa: F403
+from .units import *  # noqa: F403
 
 __all__ = [
     *checks.__all__,
@@ -19,4 +30,5 @@
     *model.__all__,
     *rendering.__all__,
     *schema.__all__,
+    *units.__all__,
 ]
--- /dev/null
+++ b/packages/operator/src/fireflystand_operator/configuration.py
@@ -0,0 +1,187 @@
+"""Check, render, plan and apply settings files."""
+
+import json
+
+import attrs
+
+from fireflystand_core.configuration import (
+    CurrentPointer,
+    Generation,
+    compare,
+    generation_key,
+    load_files,
+    render,
+    settings_of,
+)
+from fireflystand_core.exceptions import StoreUnavailableError
+from fireflystand_router.store import StoredObject
+
+from .changes import Author, write_change
+from .context import CURRENT_KEY, Context, Current, Waiting
+from .results import CommandResult, InputFaultError, RejectedError
+
+__all__ = ["apply", "check", "plan", "show_rendered"]
+
+MAX_OBJECT_BYTES = 1_000_000  # the store's limit on one value
+
+
+def check(base: str, overlay: str | None) -> CommandResult:
+    """Check settings files; raise FaultySettingsError with every fault."""
+    deployment = load_files(base, overlay)
+    counts = {
+        "data_centres": len(deployment.data_centres_by_id),
+        "services": len(deployment.services_by_id),
+        "targets": sum(
+            len(service.targets_by_id) for service in deployment.services_by_id.values()
+        ),
+        "accounts": len(deployment.accounts_by_id),
+        "routes": len(deployment.routes),
+    }
+    summary = ", ".join(f"{n} {name.replace('_', ' ')}" for name, n in counts.items())
+    lines = [f"{deployment.name}: no faults; {summary}"]
+    return CommandResult(lines, {"name": deployment.name, **counts})
+
+
+def show_rendered(base: str, overlay: str | None) -> CommandResult:
+    """Return the merged settings as YAML."""
+    deployment = load_files(base, overlay)
+    return CommandResult(
+        render(deployment).rstrip().split("\n"), settings_of(deployment)
+    )
+
+
+async def plan(context: Context, base: str, overlay: str | None) -> CommandResult:
+    """Compare settings files with what is in effect."""
+    deployment = load_files(base, overlay)
+    current = await context.current()
+    before = None
+    if current.pointer is not None:
+        before = (await context.generation(current.pointer.object)).deployment
+    differences = compare(before, deployment)
+    heading = f"{len(differences)} differences from generation {current.generation}"
+    return CommandResult(
+        [heading, *map(str, differences)],
+        {
+            "generation": current.generation,
+            "operation_id": current.operation_id,
+            "differences": [attrs.asdict(item) for item in differences],
+        },
+    )
+
+
+async def apply(
+    context: Context,
+    base: str,
+    overlay: str | None,
+    author: Author,
+    waiting: Waiting,
+    onto: int | None = None,
+) -> CommandResult:
+    """Put settings files into effect as the next generation.
+
+    ``onto`` is the generation the files were prepared for; another one in effect
+    rejects the change. Raise RejectedError or UnknownOutcomeError.
+    """
+    deployment = load_files(base, overlay)
+    current = await context.current()
+    if onto is not None and onto != current.generation:
+        raise RejectedError(
+            f"generation {current.generation} of operation {current.operation_id} "
+            f"is in effect, not {onto}",
+            winner=current.operation_id,
+        )
+    before = None
+    if current.pointer is not None:
+        before = (await context.generation(current.pointer.object)).deployment
+    differences = compare(before, deployment)
+    if before is not None and not differences:
+        lines = [f"generation {current.generation} already says the same"]
+        number = current.generation
+        data = {"generation": number, "operation_id": current.operation_id}
+    else:
+        generation = _next(current, deployment, author)
+        await _write(context, current, generation)
+        number = generation.generation
+        lines = [
+            f"generation {number} accepted as operation {author.operation_id}",
+            *map(str, differences),
+        ]
+        data = {
+            "generation": number,
+            "operation_id": author.operation_id,
+            "differences": [attrs.asdict(item) for item in differences],
+        }
+    return await context.finish(
+        lines, data, waiting, lambda state: state.generation >= number
+    )
+
+
+def _next(current: Current, deployment, author: Author) -> Generation:
+    number = current.generation + 1
+    return Generation(
+        number,
+        author.operation_id,
+        current.operation_id,
+        deployment,
+        author.audit(f"generation {current.generation}", f"generation {number}"),
+    )
+
+
+async def _write(context: Context, current: Current, generation: Generation) -> None:
+    operation_id = generation.operation_id
+    key = generation_key(operation_id)
+    value = generation.to_value()
+    size = len(json.dumps(value, separators=(",", ":")))
+    if size > MAX_OBJECT_BYTES:
+        raise InputFaultError(
+            f"the settings take {size} bytes in the store; at most "
+            f"{MAX_OBJECT_BYTES} are possible"
+        )
+    await write_change(
+        context.store, key, value, 0, operation_id, _is_operation(operation_id)
+    )
+    pointer = CurrentPointer(generation.generation, operation_id, key, generation.audit)
+
+    async def recognise(found: StoredObject) -> bool:
+        made = await operation_of(context, found.value, generation.generation)
+        return made == operation_id
+
+    try:
+        await write_change(
+            context.store,
+            CURRENT_KEY,
+            pointer.to_value(),
+            current.version,
+            operation_id,
+            recognise,
+            winner=lambda found: found["operation_id"],
+        )
+    except RejectedError:
+        await _discard(context, key)
+        raise
+
+
+def _is_operation(operation_id: str):
+    async def recognise(found: StoredObject) -> bool:
+        return found.value["operation_id"] == operation_id
+
+    return recognise
+
+
+async def operation_of(context: Context, pointer: dict, number: int) -> str:
+    """Return the operation that made a generation, from the chain in effect."""
+    operation_id, generation = pointer["operation_id"], pointer["generation"]
+    while generation > number:
+        found = await context.generation(generation_key(operation_id))
+        operation_id, generation = found.previous, found.generation - 1
+    return operation_id if generation == number else ""
+
+
+async def _discard(context: Context, key: str) -> None:
+    """Delete the object of a generation that lost; it is harmless if it stays."""
+    try:
+        found = await context.store.get(key)
+        if found is not None:
+            await context.store.delete(key, found.version)
+    except StoreUnavailableError:
+        return
--- /dev/null
+++ b/packages/operator/src/fireflystand_operator/instances.py
@@ -0,0 +1,156 @@
+"""Ask the live instances for their state."""
+
+import json
+from collections.abc import Callable
+from urllib.parse import urlencode
+
+import attrs
+import cattrs
+import trio
+
+from fireflystand_core.exceptions import FireflystandError, ProtocolError
+from fireflystand_router.http_client import ControlClient
+
+__all__ = ["GroupState", "InstanceState", "InstancesClient", "ListedInstance"]
+
+STATE_PATH = "/fireflystand/v1/state"
+EXPLAIN_PATH = "/fireflystand/v1/explain"
+CALL_TIMEOUT = 2.0  # seconds
+PARALLEL_CALLS = 40
+POLL_INTERVAL = 0.25  # seconds between two rounds of a wait
+
+
+@attrs.frozen
+class GroupState:
+    """Describe a group that an instance coordinates; ``lease_age`` in seconds."""
+
+    service: str
+    group: int
+    epoch: int = 0
+    lease_age: float = 0.0
+    pending_moves: int = 0
+    targets: list = attrs.field(factory=list)
+
+
+@attrs.frozen
+class InstanceState:
+    """Describe an instance as it reports itself."""
+
+    instance: str
+    data_centre: str
+    generation: int
+    feed_revision: int
+    admitting: bool
+    groups: list[GroupState] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class ListedInstance:
+    """Hold an entry of the platform's instance list."""
+
+    id: str
+    health_address: str
+    state: str
+    data_centre: str = ""
+
+
+class InstancesClient:
+    """Read the instance list and the instances' own reports."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+    async def live(self) -> list[ListedInstance]:
+        """Return the instances that the platform lists as live."""
+        value = await self._get(self.address, "/instances")
+        try:
+            listed = cattrs.structure(value, list[ListedInstance])
+        except Exception as error:
+            raise ProtocolError(
+                f"the instance list is malformed: {error!r}",
+                step="instances",
+                peer=self.address,
+            ) from error
+        return [item for item in listed if item.state == "live"]
+
+    async def states(self) -> dict[str, InstanceState | None]:
+        """Return the state of each live instance by id, ``None`` without response."""
+        found: dict[str, InstanceState | None] = {}
+        limiter = trio.CapacityLimiter(PARALLEL_CALLS)
+        listed = await self.live()
+
+        async def ask(item: ListedInstance) -> None:
+            async with limiter:
+                found[item.id] = await self._state(item)
+
+        async with trio.open_nursery() as nursery:
+            for item in listed:
+                found[item.id] = None
+                nursery.start_soon(ask, item)
+        return found
+
+    async def _state(self, item: ListedInstance) -> InstanceState | None:
+        try:
+            value = await self._get(item.health_address, STATE_PATH)
+            return cattrs.structure(value, InstanceState)
+        except Exception:
+            # An instance that cannot be asked counts as without response.
+            return None
+
+    async def wait(
+        self, in_effect: Callable[[InstanceState], bool], timeout: float
+    ) -> list[str]:
+        """Wait until all live instances pass, and return those that did not.
+
+        ``timeout`` is in seconds. Without a live instance the wait does not end
+        early, because nothing shows that the change is in effect.
+        """
+        late = ["the instance list"]
+        with trio.move_on_after(timeout):
+            while late:
+                late = await self._late(in_effect)
+                if late:
+                    await trio.sleep(POLL_INTERVAL)
+        return late
+
+    async def _late(self, in_effect: Callable[[InstanceState], bool]) -> list[str]:
+        try:
+            states = await self.states()
+        except FireflystandError as error:
+            return [f"the instance list ({error.message})"]
+        if not states:
+            return ["the instance list (no live instance)"]
+        return sorted(
+            name
+            for name, state in states.items()
+            if state is None or not in_effect(state)
+        )
+
+    async def explain(self, service: str, key: str) -> dict:
+        """Return what the first instance that responds says of a key."""
+        query = urlencode({"service": service, "key": key})
+        problem = "no live instance is listed"
+        for item in await self.live():
+            try:
+                value = await self._get(item.health_address, f"{EXPLAIN_PATH}?{query}")
+                return {"instance": item.id, **value}
+            except FireflystandError as error:
+                problem = str(error)
+        raise ProtocolError(f"no instance explained the key: {problem}", step="explain")
+
+    async def _get(self, address: str, path: str):
+        client = ControlClient(address, CALL_TIMEOUT)
+        try:
+            response = await client.request("GET", path)
+        finally:
+            await client.close()
+        if response.status != 200:
+            raise ProtocolError(
+                f"GET {path} got status {response.status}", step="get", peer=address
+            )
+        try:
+            return response.json()
+        except (json.JSONDecodeError, UnicodeDecodeError) as error:
+            raise ProtocolError(
+                f"GET {path} returned no JSON", step="get", peer=address
+            ) from error
--- /dev/null
+++ b/packages/operator/src/fireflystand_operator/session.py
@@ -0,0 +1,191 @@
+"""Run one command: clients, output, errors and exit code."""
+
+import json as json_format
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TextIO
+
+import trio
+
+from fireflystand_core.configuration import (
+    FaultySettingsError,
+    Place,
+    Scalar,
+    find_kind,
+    parse_duration,
+)
+from fireflystand_core.exceptions import FireflystandError
+from fireflystand_router.store import StoreClient
+
+from .changes import Author
+from .context import Context, Waiting
+from .instances import InstancesClient
+from .results import (
+    CommandResult,
+    ExitCode,
+    InputFaultError,
+    RejectedError,
+    UnknownOutcomeError,
+)
+
+__all__ = ["Session", "UsageError"]
+
+STORE_VARIABLE = "FIREFLYSTAND_STORE_ADDRESS"
+INSTANCES_VARIABLE = "FIREFLYSTAND_INSTANCE_LIST_ADDRESS"
+
+Operation = Callable[[Context], Awaitable[CommandResult]]
+
+
+class UsageError(Exception):
+    """Report arguments that do not fit together."""
+
+
+class Session:
+    """Note a command, then run it and keep its exit code.
+
+    A command is run only after fire has accepted the whole command line.
+    """
+
+    def __init__(self, out: TextIO | None = None, err: TextIO | None = None) -> None:
+        self.code = ExitCode.USAGE
+        self._noted: Callable[[], None] | None = None
+        self._out = out or sys.stdout
+        self._err = err or sys.stderr
+
+    def note_local(self, operation: Callable[[], CommandResult], json: object) -> None:
+        """Note a command that needs files only."""
+        self._noted = partial(self._run, operation, json)
+
+    def note(
+        self, operation: Operation, json: object, store: object, instances: object
+    ) -> None:
+        """Note a command that needs the store or the instances."""
+
+        def call() -> CommandResult:
+            store_address = address_of(store, "store", STORE_VARIABLE)
+            list_address = address_of(
+                instances, "instances", INSTANCES_VARIABLE, default=store_address
+            )
+            return trio.run(self._with_clients, operation, store_address, list_address)
+
+        self._noted = partial(self._run, call, json)
+
+    def execute(self) -> ExitCode:
+        """Run the noted command and return its exit code."""
+        if self._noted is not None:
+            self._noted()
+        return self.code
+
+    async def _with_clients(
+        self, operation: Operation, store_address: str, list_address: str
+    ) -> CommandResult:
+        store = StoreClient(store_address)
+        try:
+            return await operation(Context(store, InstancesClient(list_address)))
+        finally:
+            await store.close()
+
+    def _run(self, operation: Callable[[], CommandResult], json: object) -> None:
+        as_json = False
+        try:
+            as_json = flag(json, "json")
+            result = operation()
+        except UsageError as error:
+            self._fail(ExitCode.USAGE, as_json, [str(error)], {})
+        except FaultySettingsError as error:
+            faults = [
+                {
+                    "file": fault.place.file,
+                    "line": fault.place.line,
+                    "path": fault.place.path,
+                    "message": fault.message,
+                }
+                for fault in error.faults
+            ]
+            lines = [*map(str, error.faults), f"{len(faults)} faults"]
+            self._fail(ExitCode.FAULT, as_json, lines, {"faults": faults})
+        except InputFaultError as error:
+            self._fail(ExitCode.FAULT, as_json, [error.message], {})
+        except RejectedError as error:
+            lines = [f"rejected: {error.message}"]
+            self._fail(ExitCode.REJECTED, as_json, lines, {"winner": error.winner})
+        except UnknownOutcomeError as error:
+            lines = [f"unknown: {error.message}"]
+            data = {"operation_id": error.operation_id}
+            self._fail(ExitCode.UNKNOWN, as_json, lines, data)
+        except FireflystandError as error:
+            # Raised before a change was written: nothing took effect.
+            self._fail(ExitCode.UNKNOWN, as_json, [f"nothing was changed: {error}"], {})
+        else:
+            self._finish(result, as_json)
+
+    def _finish(self, result: CommandResult, as_json: bool) -> None:
+        self.code = result.code
+        if as_json:
+            self._print_json({"exit": int(result.code), "result": result.data})
+        else:
+            for line in result.lines or ["none"]:
+                print(line, file=self._out)
+
+    def _fail(self, code: ExitCode, as_json: bool, lines: list[str], data) -> None:
+        self.code = code
+        if as_json:
+            self._print_json({"exit": int(code), "error": "\n".join(lines), **data})
+        else:
+            for line in lines:
+                print(line, file=self._err)
+
+    def _print_json(self, value: dict) -> None:
+        print(json_format.dumps(value, ensure_ascii=False, indent=2), file=self._out)
+
+
+def flag(value: object, name: str) -> bool:
+    """Return a flag without value as given by fire."""
+    if value in (True, "True"):
+        return True
+    if value in (False, None, "False"):
+        return False
+    raise UsageError(f"--{name} takes no value, but {value!r} follows it")
+
+
+def number(value: object, name: str) -> int | None:
+    """Return a whole number given on the command line."""
+    if value is None:
+        return None
+    try:
+        return int(str(value))
+    except ValueError:
+        raise UsageError(f"--{name} takes a whole number, not {value!r}") from None
+
+
+def address_of(value: object, name: str, variable: str, default: str = "") -> str:
+    """Return an address from a flag, the environment or a default."""
+    text = value or os.environ.get(variable) or default
+    if not text:
+        raise UsageError(f"give --{name} HOST:PORT or set {variable}")
+    try:
+        place = Place("command line", 1)
+        return find_kind("address").read(Scalar(place, str(text), text))
+    except ValueError as error:
+        raise UsageError(f"--{name}: {error}") from None
+
+
+def waiting_of(wait: object, timeout: object) -> Waiting:
+    """Return how long to wait for the effect of a change."""
+    wanted = flag(wait, "wait")
+    if timeout is None:
+        return Waiting(wanted)
+    try:
+        return Waiting(wanted, parse_duration(str(timeout)))
+    except ValueError as error:
+        raise UsageError(f"--timeout: {error}") from None
+
+
+def author_of(who: object, reason: object) -> Author:
+    """Return the author of a change; ``who`` defaults to the login name."""
+    why = "" if reason is None else str(reason)
+    if "True" in (who, why):
+        raise UsageError("--who and --reason take a text")
+    return Author(str(who), why) if who else Author(why=why)
