Read and check the process settings of fireflystandd

Cause: a process learns its identity and addresses from its settings; a wrong one must keep it from starting.

--- a/packages/core/src/fireflystand_core/configuration/__init__.py
+++ b/packages/core/src/fireflystand_core/configuration/__init__.py
@@ -7,6 +7,7 @@
     kinds,
     loading,
     model,
+    reading,
     rendering,
     schema,
     units,
@@ -17,6 +18,7 @@
 from .kinds import *  # noqa: F403
 from .loading import *  # noqa: F403
 from .model import *  # noqa: F403
+from .reading import *  # noqa: F403
 from .rendering import *  # noqa: F403
 from .schema import *  # noqa: F403
 from .units import *  # noqa: F403
@@ -28,6 +30,7 @@
     *kinds.__all__,
     *loading.__all__,
     *model.__all__,
+    *reading.__all__,
     *rendering.__all__,
     *schema.__all__,
     *units.__all__,
--- a/packages/core/src/fireflystand_core/configuration/document.py
+++ b/packages/core/src/fireflystand_core/configuration/document.py
@@ -11,7 +11,10 @@
 
 @attrs.frozen
 class Place:
-    """Tell where a value stands; ``path`` is the path inside the file."""
+    """Tell where a value stands; ``path`` is the path inside the file.
+
+    ``line`` is 0 for what is no file, such as the environment.
+    """
 
     file: str
     line: int
@@ -31,8 +34,9 @@
     message: str
 
     def __str__(self) -> str:
-        where = f"{self.place.file}:{self.place.line}: "
-        return where + f"{self.place.path or 'file'}: {self.message}"
+        line = f":{self.place.line}" if self.place.line else ""
+        where = f"{self.place.file}{line}: {self.place.path or 'file'}"
+        return f"{where}: {self.message}"
 
 
 @attrs.define
--- a/packages/core/src/fireflystand_core/configuration/reading.py
+++ b/packages/core/src/fireflystand_core/configuration/reading.py
@@ -104,6 +104,8 @@
         raise ValueError("use !remove only in an overlay, on what the base file has")
     kind = find_kind(setting.kind)
     value = kind.read(node)
+    if setting.choices and value not in setting.choices:
+        raise ValueError(f"{value!r} is unknown; use {' or '.join(setting.choices)}")
     low, high = setting.minimum, setting.maximum
     if low is not None and value < low:
         raise ValueError(f"{node.text} is too small; write at least {kind.write(low)}")
--- a/packages/core/src/fireflystand_core/configuration/schema.py
+++ b/packages/core/src/fireflystand_core/configuration/schema.py
@@ -10,7 +10,7 @@
     """Declare a setting; ``minimum`` and ``maximum`` are in the model's unit.
 
     A setting of kind ``section`` holds one map, of kind ``list`` named items,
-    and of kind ``names`` a list of names.
+    and of kind ``names`` a list of names. ``choices`` lists the only values.
     """
 
     name: str
@@ -20,6 +20,7 @@
     default_text: str = ""
     minimum: float | None = None
     maximum: float | None = None
+    choices: tuple[str, ...] = ()
     section: "Section | None" = None
 
 
