--- a/packages/core/src/fireflystand_core/configuration/__init__.py
+++ b/packages/core/src/fireflystand_core/configuration/__init__.py
@@ -8,6 +8,7 @@
     loading,
     model,
     reading,
+    reference,
     rendering,
     schema,
     units,
@@ -19,6 +20,7 @@
 from .loading import *  # noqa: F403
 from .model import *  # noqa: F403
 from .reading import *  # noqa: F403
+from .reference import *  # noqa: F403
 from .rendering import *  # noqa: F403
 from .schema import *  # noqa: F403
 from .units import *  # noqa: F403
@@ -31,6 +33,7 @@
     *loading.__all__,
     *model.__all__,
     *reading.__all__,
+    *reference.__all__,
     *rendering.__all__,
     *schema.__all__,
     *units.__all__,
--- a/packages/core/src/fireflystand_core/configuration/rendering.py
+++ b/packages/core/src/fireflystand_core/configuration/rendering.py
@@ -98,7 +98,10 @@
 def _compare(path: str, before: dict, after: dict):
     for key in [*before, *(key for key in after if key not in before)]:
         below = f"{path}.{key}" if path else key
-        if key not in after:
+        old, new = before.get(key), after.get(key)
+        if _is_collection(old or new) and _is_collection(new or old):
+            yield from _compare(below, old or {}, new or {})
+        elif key not in after:
             yield Difference("removed", below, before[key], None)
         elif key not in before:
             yield Difference("added", below, None, after[key])
@@ -108,6 +111,11 @@
             yield Difference("changed", below, before[key], after[key])
 
 
+def _is_collection(value: object) -> bool:
+    """Tell whether a value holds named things, which are compared one by one."""
+    return isinstance(value, dict) and all(isinstance(v, dict) for v in value.values())
+
+
 def _brief(value: object) -> str:
     if not isinstance(value, dict):
         return str(value)
--- a/packages/core/src/fireflystand_core/configuration/tests/test_loading.py
+++ b/packages/core/src/fireflystand_core/configuration/tests/test_loading.py
@@ -215,6 +215,9 @@
         self.assertTrue(lines[0].startswith("- services.stock.targets.s2: address"))
         self.assertTrue(lines[2].startswith("+ routes./new: service stock"))
         self.assertEqual(compare(before, before), [])
+        first = [str(difference) for difference in compare(None, before)]
+        self.assertIn("+ data_centres.north: region land", first)
+        self.assertTrue(any("stock: keyed True" in line for line in first), first)
 
 
 if __name__ == "__main__":
--- a/packages/operator/src/fireflystand_operator/configuration.py
+++ b/packages/operator/src/fireflystand_operator/configuration.py
@@ -58,7 +58,8 @@
     if current.pointer is not None:
         before = (await context.generation(current.pointer.object)).deployment
     differences = compare(before, deployment)
-    heading = f"{len(differences)} differences from generation {current.generation}"
+    noun = "difference" if len(differences) == 1 else "differences"
+    heading = f"{len(differences)} {noun} from generation {current.generation}"
     return CommandResult(
         [heading, *map(str, differences)],
         {
--- a/packages/operator/src/fireflystand_operator/session.py
+++ b/packages/operator/src/fireflystand_operator/session.py
@@ -117,7 +117,8 @@
             self._fail(ExitCode.UNKNOWN, as_json, lines, data)
         except FireflystandError as error:
             # Raised before a change was written: nothing took effect.
-            self._fail(ExitCode.UNKNOWN, as_json, [f"nothing was changed: {error}"], {})
+            lines = [f"failed, nothing was changed: {error}"]
+            self._fail(ExitCode.UNKNOWN, as_json, lines, {})
         else:
             self._finish(result, as_json)
 
