--- a/packages/testing/src/fireflystand_testing/http_server.py
+++ b/packages/testing/src/fireflystand_testing/http_server.py
@@ -85,20 +85,37 @@
                 request = await _read_request(connection, stream)
                 if request is None:
                     return
-                reply = await self._handler(request)
+                reply = await _answer(self._handler, request, stream)
                 if reply.drop:
                     return
                 await _send_reply(connection, stream, request, reply)
                 if connection.our_state is not h11.DONE:
                     return
                 connection.start_next_cycle()
-        except (OSError, trio.BrokenResourceError, h11.ProtocolError):
-            return
+        except* (OSError, trio.BrokenResourceError, h11.ProtocolError):
+            pass
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
 
+async def _answer(handler, request: Request, stream) -> Reply:
+    """Run the handler, but give up when the caller closes the connection."""
+    reply = Reply(drop=True)
+
+    async def run() -> None:
+        nonlocal reply
+        reply = await handler(request)
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        peeked = await stream.socket.recv(1, trio.socket.MSG_PEEK)
+        if not peeked:
+            nursery.cancel_scope.cancel()
+    return reply
+
+
 async def _read_request(connection, stream) -> Request | None:
     request = await _next_event(connection, stream)
     if not isinstance(request, h11.Request):
