Ignore a second abort of a caller's connection

Cause: setting the linger option on a closed socket raises OSError, so a second abort would have been logged as a fault of the router.

Change: the second call returns at once.

--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -254,6 +254,8 @@
 
     def abort(self) -> None:
         """Break the connection off so that the response is seen as incomplete."""
+        if self._aborted:
+            return
         self._aborted = True
         self._queued.clear()
         # A reset, because an HTTP/1.0 caller takes a close for the response's end.
