--- /dev/null
+++ b/packages/core/src/fireflystand_core/sharding/ranking.py
@@ -0,0 +1,57 @@
+"""Rank instances and targets by rendezvous hash."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from .hashing import stable_hash
+
+__all__ = [
+    "WITNESS_COUNT",
+    "candidate_order",
+    "choose_witnesses",
+    "home_groups",
+    "rendezvous_order",
+]
+
+WITNESS_COUNT = 5
+
+
+def rendezvous_order(name: str, members: Iterable[str]) -> list[str]:
+    """Return the members by falling rendezvous score for ``name``."""
+    return sorted(members, key=lambda m: (stable_hash(name, m), m), reverse=True)
+
+
+def home_groups(service: str, targets: Iterable[str], groups: int) -> dict[str, int]:
+    """Return the home group of each target; no group exceeds its equal part."""
+    ordered = sorted(targets)
+    room = dict.fromkeys(range(groups), -(-len(ordered) // groups))
+    group_by_target: dict[str, int] = {}
+    for target in ordered:
+        names = rendezvous_order(f"{service}/{target}", map(str, room))
+        group = next(int(name) for name in names if room[int(name)] > 0)
+        room[group] -= 1
+        group_by_target[target] = group
+    return group_by_target
+
+
+def candidate_order(service: str, group: int, instances: Iterable[str]) -> list[str]:
+    """Return the instances in the order in which they may claim a group."""
+    return rendezvous_order(f"{service}/{group}", instances)
+
+
+def choose_witnesses(
+    service: str,
+    group: int,
+    data_centres_by_instance: Mapping[str, str],
+    count: int = WITNESS_COUNT,
+) -> list[str]:
+    """Return up to ``count`` instances spread evenly over the data centres."""
+    ordered = candidate_order(service, group, data_centres_by_instance)
+    chosen: list[str] = []
+    used: Counter[str] = Counter()
+    while ordered and len(chosen) < count:
+        best = min(ordered, key=lambda i: used[data_centres_by_instance[i]])
+        ordered.remove(best)
+        chosen.append(best)
+        used[data_centres_by_instance[best]] += 1
+    return chosen
