--- /dev/null
+++ b/packages/core/src/fireflystand_core/groups/tests/test_groups.py
@@ -0,0 +1,91 @@
+"""Test the record of a group and the rules of its coordinator."""
+
+import unittest
+
+from fireflystand_core.groups import (
+    GroupCoordinator,
+    GroupIdentity,
+    GroupRecord,
+    HotKeyCounter,
+    ReadRecord,
+    Stopped,
+    TargetInfo,
+    spread_hot_keys,
+)
+
+WITNESSES = {"w1": "1", "w2": "1", "w3": "1"}
+
+
+class GroupRecordTests(unittest.TestCase):
+    """Guard against records that lose a part on their way through the store."""
+
+    def test_round_trip(self):
+        record = GroupRecord.first("a", "1", WITNESSES, "op")
+        record = record.move({0: "t1", 1: "t1", 5: "t2"}, "op2")
+        record = record.override({2**63: (512, "t2")}, frozenset(), "op3")
+        record = record.suspect(("f1",), "op4").claim("b", "1", WITNESSES, "op5")
+        self.assertEqual(GroupRecord.from_value(record.to_value()), record)
+
+    def test_suspects_are_bounded(self):
+        record = GroupRecord.first("a", "1", WITNESSES, "op")
+        for number in range(100):
+            record = record.suspect((str(number),), "op")
+        self.assertEqual(len(record.suspects), 64)
+        self.assertEqual(record.suspects[-1], "99")
+
+
+class CoordinatorTests(unittest.TestCase):
+    """Guard against decisions without authority and lost store responses."""
+
+    def setUp(self):
+        identity = GroupIdentity("winkel", 0, (0, 1, 2, 3), "a", "1", 4)
+        self.coordinator = GroupCoordinator(identity)
+
+    def claim(self):
+        targets = [TargetInfo("t1"), TargetInfo("t2")]
+        return self.coordinator.claim(None, 0, WITNESSES, targets, 10.0)[0].record
+
+    def test_lost_response_is_recognised_by_the_operation_id(self):
+        record = self.claim()
+        self.coordinator.write_failed(record.operation_id, 10.5)
+        actions = self.coordinator.tick(10.7)
+        self.assertIn(ReadRecord(), actions)
+        self.coordinator.read(record, 1, 10.8)
+        self.assertEqual(self.coordinator.phase, "active")
+
+    def test_record_of_another_instance_stops_the_claim(self):
+        self.claim()
+        other = GroupRecord.first("b", "1", WITNESSES, "other")
+        actions = self.coordinator.read(other, 1, 10.1)
+        self.assertIsInstance(actions[0], Stopped)
+
+    def test_authority_counts_from_when_confirmations_were_asked_for(self):
+        record = self.claim()
+        self.coordinator.written(record.operation_id, 1, 10.1)
+        self.coordinator.confirmed("w1", "1", 1, 10.1, 10.4)
+        self.assertFalse(self.coordinator.has_authority(10.4))
+        self.coordinator.confirmed("w2", "1", 1, 10.2, 10.4)
+        self.assertTrue(self.coordinator.has_authority(10.59))
+        self.assertFalse(self.coordinator.has_authority(10.61))
+
+
+class HotKeyTests(unittest.TestCase):
+    """Guard against several hot keys on one target."""
+
+    def test_hottest_keys_are_kept_in_bounded_memory(self):
+        counter = HotKeyCounter(8)
+        for number in range(1000):
+            counter.add(number)
+            counter.add(-1 - number % 2, 2.0)
+        hottest = [key for key, _ in counter.hottest(500)]
+        self.assertEqual(sorted(hottest), [-2, -1])
+
+    def test_hot_keys_spread(self):
+        hot = [(1, 10.0), (2, 9.0), (3, 8.0)]
+        owners = dict.fromkeys((1, 2, 3), "a")
+        moves = spread_hot_keys(hot, owners, ["a", "b", "c"])
+        self.assertEqual(set(moves.values()), {"b", "c"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/src/fireflystand_core/sharding/ranking.py
+++ b/packages/core/src/fireflystand_core/sharding/ranking.py
@@ -44,11 +44,13 @@
     group: int,
     data_centres_by_instance: Mapping[str, str],
     count: int = WITNESS_COUNT,
+    keep: Iterable[str] = (),
 ) -> list[str]:
-    """Return up to ``count`` instances spread evenly over the data centres."""
+    """Return ``count`` instances, those to keep first, spread over data centres."""
     ordered = candidate_order(service, group, data_centres_by_instance)
-    chosen: list[str] = []
-    used: Counter[str] = Counter()
+    chosen = [i for i in keep if i in data_centres_by_instance][:count]
+    ordered = [i for i in ordered if i not in chosen]
+    used = Counter(data_centres_by_instance[i] for i in chosen)
     while ordered and len(chosen) < count:
         best = min(ordered, key=lambda i: used[data_centres_by_instance[i]])
         ordered.remove(best)
