Run group coordinators, witnesses and target control in the router

An instance needs to claim groups, ask witnesses in batches, grant targets and hand groups over. A hand-over after one failed write was ruled out: with a store that takes 2 s a call it would only add calls, so a needed write may wait 2.5 s first. The bound of 16 unsealed epochs stopped claims for good in a fuzz run that claimed every 0.24 s; it is 1024 now, which fits a value. Conclusion: 16 in-process scenarios on a mock clock pass without two owners.

--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -112,8 +112,8 @@
         return self._lease.witnesses
 
     def store_blocked_for(self, now: float) -> float:
-        """Return for how long a needed store write has failed, in seconds."""
-        return self._writes.failing_for(now)
+        """Return for how long a needed store write has been waiting, in seconds."""
+        return self._writes.pending_for(now)
 
     def written(self, operation_id: str, version: int, now: float) -> list[Action]:
         """Note that a write succeeded."""
--- a/packages/core/src/fireflystand_core/groups/record.py
+++ b/packages/core/src/fireflystand_core/groups/record.py
@@ -11,7 +11,7 @@
 
 MAX_OVERRIDES = 64
 MAX_SUSPECTS = 64
-MAX_PREDECESSORS = 16
+MAX_PREDECESSORS = 1024  # each takes about 150 bytes of the 1 MB of a value
 
 
 @attrs.frozen
--- a/packages/core/src/fireflystand_core/groups/writes.py
+++ b/packages/core/src/fireflystand_core/groups/writes.py
@@ -14,7 +14,7 @@
     record: GroupRecord
     next_call_at: float
     read_next: bool = False
-    failing_since: float | None = None
+    started_at: float = 0.0
 
 
 class RecordWrites:
@@ -40,10 +40,9 @@
         """Tell whether an update is under way."""
         return self._pending is not None
 
-    def failing_for(self, now: float) -> float:
-        """Return for how long the update under way has met failures, in seconds."""
-        since = self._pending.failing_since if self._pending else None
-        return 0.0 if since is None else now - since
+    def pending_for(self, now: float) -> float:
+        """Return for how long the update has been under way, in seconds."""
+        return now - self._pending.started_at if self._pending else 0.0
 
     def next_operation(self) -> str:
         """Return a new operation id."""
@@ -55,7 +54,7 @@
         if self._pending is not None:
             raise ValueError("an update is already under way")
         wait = self._timing.retry_wait
-        self._pending = _Pending(record, now + wait * 50)
+        self._pending = _Pending(record, now + wait * 50, started_at=now)
         return WriteRecord(record, self.version)
 
     def due(self, now: float) -> WriteRecord | ReadRecord | None:
@@ -85,8 +84,6 @@
             return
         pending.read_next = True
         pending.next_call_at = now + self._timing.retry_wait
-        if pending.failing_since is None:
-            pending.failing_since = now
 
     def read_failed(self, now: float) -> None:
         """Note that the record could not be read."""
--- a/packages/core/src/fireflystand_core/membership/witness.py
+++ b/packages/core/src/fireflystand_core/membership/witness.py
@@ -98,6 +98,12 @@
             if seen.highest < epoch or seen.heard_at is None:
                 seen.heard_at = now
 
+    def lose(self, group: GroupName) -> None:
+        """Suspect a group at once because the stream of its coordinator broke."""
+        seen = self._seen_by_group.get(group)
+        if seen is not None and seen.heard_at is not None:
+            seen.heard_at = float("-inf")
+
     def forget(self, group: GroupName) -> None:
         """Stop suspecting a group whose record names other witnesses."""
         seen = self._seen_by_group.get(group)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -0,0 +1,476 @@
+"""Run the group coordinators of this instance."""
+
+import json
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from typing import Protocol
+
+import attrs
+import trio
+
+from fireflystand_core.exceptions import FireflystandError
+from fireflystand_core.groups import (
+    Action,
+    AskStatus,
+    ClaimPublished,
+    GroupCoordinator,
+    GroupIdentity,
+    GroupRecord,
+    ReadRecord,
+    RequestSeal,
+    SendGrant,
+    Started,
+    Stopped,
+    TargetChanged,
+    WriteRecord,
+)
+from fireflystand_core.messages import (
+    HandOver,
+    HandOverReply,
+    Seal,
+    Sealed,
+    WitnessReply,
+)
+from fireflystand_core.sharding import candidate_order, choose_witnesses
+
+from .claim_timing import ClaimTiming
+from .group_targets import group_names, group_shards, group_targets
+from .target_control import TargetAnswer, TargetControl, TargetDiedError
+from .view import ClusterView
+from .witness_host import WitnessHost
+
+__all__ = ["GroupCallbacks", "GroupHost", "LiveInstance"]
+
+TICK = 0.05  # seconds
+SEAL_TIMEOUT = 0.3  # seconds
+HAND_OVER_TIMEOUT = 1.0  # seconds
+# A store that takes 2 s a call is slow for every instance, so that a hand-over
+# would only add calls.
+STORE_PATIENCE = 2.5  # seconds that a needed write may wait before a hand-over
+
+GroupName = tuple[str, int]
+
+
+@attrs.frozen
+class LiveInstance:
+    """Describe an instance that is believed to live."""
+
+    incarnation: str
+    data_centre: str
+    reaches_store: bool = False
+
+
+class GroupCallbacks(Protocol):
+    """Take what the permit side needs to know of a group."""
+
+    def on_group_started(
+        self,
+        service: str,
+        group: int,
+        coordinator: GroupCoordinator,
+        handed_state: dict[str, bytes] | None,
+    ) -> None:
+        """Begin to issue permits."""
+
+    def on_group_stopped(self, service: str, group: int) -> None:
+        """Stop issuing permits."""
+
+    def on_target_changed(
+        self, service: str, group: int, target: str, reason: str
+    ) -> None:
+        """Take over that a target died, came back or is new."""
+
+    def collect_state(self, service: str, group: int) -> dict[str, bytes]:
+        """Return the volatile state for a hand-over; issue nothing any more."""
+
+    def permits_pending(
+        self, service: str, group: int, target: str, shard: int, now: float
+    ) -> bool:
+        """Tell whether a permit for the shard at the target is outstanding."""
+
+
+@attrs.define(eq=False)
+class _Held:
+    coordinator: GroupCoordinator
+    handed_state: dict[str, bytes] | None
+    decided: trio.Event = attrs.field(factory=trio.Event)
+    asking: set[str] = attrs.field(factory=set)
+
+
+class GroupHost:
+    """Claim groups, carry out what their coordinators ask for and hand them over.
+
+    ``publish(key, version, value)`` takes a feed item whose value is JSON text.
+    """
+
+    def __init__(
+        self,
+        network,
+        store,
+        view: ClusterView,
+        witnesses: WitnessHost,
+        callbacks: GroupCallbacks,
+        publish: Callable[[str, int, str], None],
+        live_instances: Callable[[], Mapping[str, LiveInstance]],
+        make_control: Callable[[str, str], TargetControl] = TargetControl,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self._network = network
+        self._store = store
+        self._view = view
+        self._witnesses = witnesses
+        self._callbacks = callbacks
+        self._publish = publish
+        self._live_instances = live_instances
+        self._make_control = make_control
+        self._clock = clock
+        self._held: dict[GroupName, _Held] = {}
+        self._controls: dict[tuple[str, str], TargetControl] = {}
+        self._claiming: set[GroupName] = set()
+        self._timing = ClaimTiming(network.hello.instance, witnesses.witness, view)
+        self._leaving = False
+        self._nursery: trio.Nursery | None = None
+        self._scope = trio.CancelScope()
+        witnesses.holder = self
+        network.handle(HandOver, self._take_over)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to claim and coordinate groups."""
+        self._nursery = nursery
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Hand every group over and stop."""
+        self._leaving = True
+        async with trio.open_nursery() as nursery:
+            for name in list(self.active_coordinators()):
+                nursery.start_soon(self.hand_over, name)
+        self._scope.cancel()
+        for control in self._controls.values():
+            await control.close()
+
+    def coordinator(self, service: str, group: int) -> GroupCoordinator | None:
+        """Return the active coordinator of a group, if it is here."""
+        return self.active_coordinators().get((service, group))
+
+    def active_coordinators(self) -> dict[GroupName, GroupCoordinator]:
+        """Return the coordinators whose claims are in force."""
+        return {
+            name: held.coordinator
+            for name, held in self._held.items()
+            if held.coordinator.phase == "active"
+        }
+
+    async def _run(self) -> None:
+        with self._scope:
+            while True:
+                if self._view.deployment is not None:
+                    self._tick()
+                await trio.sleep(TICK)
+
+    def _tick(self) -> None:
+        now = self._clock()
+        live = dict(self._live_instances())
+        for name, held in list(self._held.items()):
+            coordinator = held.coordinator
+            coordinator.set_targets(group_targets(self._view, *name), now)
+            coordinator.set_instances(
+                {i: entry.incarnation for i, entry in live.items()},
+                {i: entry.data_centre for i, entry in live.items()},
+            )
+            self._perform(name, held, coordinator.tick(now))
+            self._consider_hand_over(name, coordinator, live, now)
+        incarnations = {i: entry.incarnation for i, entry in live.items()}
+        for name in group_names(self._view.deployment):
+            if name in self._held or name in self._claiming or self._leaving:
+                continue
+            if self._timing.should_claim(name, incarnations, now):
+                self._claiming.add(name)
+                self._nursery.start_soon(self._claim, name)
+
+    def _consider_hand_over(self, name, coordinator, live, now) -> None:
+        blocked = coordinator.store_blocked_for(now) > STORE_PATIENCE
+        if coordinator.phase != "active" or not blocked:
+            return
+        witnesses = coordinator.witnesses
+        if any(w in live and live[w].reaches_store for w in witnesses):
+            self._nursery.start_soon(self.hand_over, name)
+
+    # Claims
+
+    async def _claim(
+        self,
+        name: GroupName,
+        handed_epoch: int | None = None,
+        state: dict[str, bytes] | None = None,
+    ) -> _Held | None:
+        try:
+            found = await self._store.get(_key(name))
+        except FireflystandError:
+            return None
+        finally:
+            self._claiming.discard(name)
+        record = None if found is None else GroupRecord.from_value(found.value)
+        version = 0 if found is None else found.version
+        if handed_epoch is None and self._is_news(name, record, version):
+            return None
+        if name in self._held:
+            return None
+        return self._begin(name, record, version, handed_epoch, state)
+
+    def _is_news(self, name, record: GroupRecord | None, version: int) -> bool:
+        claim = self._view.claims_by_group.get(name)
+        if record is None or (claim is not None and claim.epoch >= record.epoch):
+            return False
+        self._publish(_claim_key(name), version, _claim_text(name, record))
+        return True
+
+    def _begin(self, name, record, version, handed_epoch, state) -> _Held | None:
+        now = self._clock()
+        hello = self._network.hello
+        live = self._live_instances()
+        others = {i: e.data_centre for i, e in live.items() if i != hello.instance}
+        chosen = choose_witnesses(*name, others)
+        witnesses = {i: live[i].incarnation for i in chosen}
+        if not witnesses:
+            witnesses = {hello.instance: self._witnesses.witness.incarnation}
+        settings = self._view.deployment.services_by_id.get(name[0])
+        identity = GroupIdentity(
+            *name,
+            group_shards(settings, name[1]),
+            hello.instance,
+            hello.incarnation,
+            settings.shards if settings else 0,
+            settings.groups if settings else 1,
+            max_deadline=settings.max_deadline if settings else 60.0,
+        )
+        coordinator = GroupCoordinator(
+            identity,
+            permits_pending=lambda target, shard, at: self._callbacks.permits_pending(
+                *name, target, shard, at
+            ),
+        )
+        held = self._held[name] = _Held(coordinator, state)
+        targets = group_targets(self._view, *name)
+        actions = coordinator.claim(
+            record, version, witnesses, targets, now, handed_epoch
+        )
+        self._perform(name, held, actions)
+        return held
+
+    # Actions
+
+    def _perform(self, name: GroupName, held: _Held, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Started():
+                    held.decided.set()
+                    self._callbacks.on_group_started(
+                        *name, held.coordinator, held.handed_state
+                    )
+                case Stopped():
+                    self._stop(name, held)
+                case ClaimPublished(version=version):
+                    text = _claim_text(name, held.coordinator.record)
+                    self._publish(_claim_key(name), version, text)
+                    self._witnesses.wake()
+                case TargetChanged(target=target, reason=reason):
+                    self._callbacks.on_target_changed(*name, target, reason)
+                case WriteRecord():
+                    self._nursery.start_soon(self._write, name, held, action)
+                case ReadRecord():
+                    self._nursery.start_soon(self._read, name, held)
+                case RequestSeal():
+                    self._nursery.start_soon(self._seal, name, held, action)
+                case AskStatus(target=target):
+                    self._call_target(name, held, target, None)
+                case SendGrant(target=target):
+                    self._call_target(name, held, target, action)
+
+    def _stop(self, name: GroupName, held: _Held) -> None:
+        held.decided.set()
+        if self._held.get(name) is held:
+            del self._held[name]
+            self._callbacks.on_group_stopped(*name)
+
+    async def _write(self, name, held: _Held, action: WriteRecord) -> None:
+        operation = action.record.operation_id
+        value = action.record.to_value()
+        try:
+            version = await self._store.put(_key(name), value, action.expected_version)
+        except FireflystandError:
+            actions = held.coordinator.write_failed(operation, self._clock())
+        else:
+            actions = held.coordinator.written(operation, version, self._clock())
+        self._perform(name, held, actions)
+
+    async def _read(self, name, held: _Held) -> None:
+        try:
+            found = await self._store.get(_key(name))
+        except FireflystandError:
+            actions = held.coordinator.read_failed(self._clock())
+        else:
+            record = None if found is None else GroupRecord.from_value(found.value)
+            version = 0 if found is None else found.version
+            actions = held.coordinator.read(record, version, self._clock())
+        self._perform(name, held, actions)
+
+    async def _seal(self, name, held: _Held, action: RequestSeal) -> None:
+        request = Seal(*name, action.epoch)
+        try:
+            answer = await self._network.request(action.witness, request, SEAL_TIMEOUT)
+        except FireflystandError as error:
+            if getattr(error, "refused", False):
+                self.instance_refused(action.witness)
+            return
+        if isinstance(answer, Sealed):
+            actions = held.coordinator.sealed(
+                answer.witness,
+                answer.incarnation,
+                answer.epoch,
+                answer.confirmed_age,
+                answer.unjournaled,
+                self._clock(),
+            )
+            self._perform(name, held, actions)
+
+    def _call_target(self, name, held, target: str, grant: SendGrant | None) -> None:
+        if grant is None and target in held.asking:
+            return
+        held.asking.add(target)
+        self._nursery.start_soon(self._exchange, name, held, target, grant)
+
+    async def _exchange(self, name, held: _Held, target, grant) -> None:
+        control = self._control(name[0], target)
+        if control is None:
+            held.asking.discard(target)
+            return
+        answer: TargetAnswer | None = None
+        actions: list[Action] = []
+        try:
+            if grant is None:
+                answer = await control.status()
+            else:
+                answer = await control.grant(*name, grant)
+        except TargetDiedError:
+            actions = held.coordinator.target_died(target, self._clock())
+        except FireflystandError:
+            pass
+        finally:
+            held.asking.discard(target)
+        if answer is not None:
+            actions = self._answered(held, target, grant, answer)
+        self._perform(name, held, actions)
+
+    def _answered(self, held, target, grant, answer: TargetAnswer) -> list[Action]:
+        now = self._clock()
+        coordinator = held.coordinator
+        if answer.higher_epoch:
+            return coordinator.higher_epoch(answer.higher_epoch, now)
+        actions = coordinator.target_status(
+            target,
+            answer.connection,
+            answer.incarnation,
+            answer.clock_ms,
+            answer.draining,
+            now,
+        )
+        if answer.kept:
+            actions += coordinator.grant_acknowledged(
+                target, grant.epoch, grant.sequence, answer.incarnation, now
+            )
+        return actions
+
+    def _control(self, service: str, target: str) -> TargetControl | None:
+        settings = self._view.deployment.services_by_id[service]
+        found = settings.targets_by_id.get(target)
+        if found is None:
+            return None
+        key = (service, target)
+        if key not in self._controls:
+            self._controls[key] = self._make_control(target, found.address)
+        return self._controls[key]
+
+    # Witnesses
+
+    def witness_answered(self, reply: WitnessReply, asked_at: float) -> None:
+        """Take over which claims a witness confirmed."""
+        now = self._clock()
+        for claim in reply.confirmed:
+            held = self._held.get((claim.service, claim.group))
+            if held is not None:
+                actions = held.coordinator.confirmed(
+                    reply.witness, reply.incarnation, claim.epoch, asked_at, now
+                )
+                self._perform((claim.service, claim.group), held, actions)
+        for claim in reply.higher:
+            held = self._held.get((claim.service, claim.group))
+            if held is not None:
+                actions = held.coordinator.higher_epoch(claim.epoch, now)
+                self._perform((claim.service, claim.group), held, actions)
+
+    def instance_refused(self, instance: str) -> None:
+        """Take over that no process listens at an instance's address."""
+        entry = self._live_instances().get(instance)
+        if entry is None:
+            return
+        now = self._clock()
+        for name, held in list(self._held.items()):
+            actions = held.coordinator.instance_died(instance, entry.incarnation, now)
+            self._perform(name, held, actions)
+
+    # Hand-over
+
+    async def hand_over(self, name: GroupName) -> bool:
+        """Give a group to a live witness and tell whether it was taken."""
+        held = self._held.get(name)
+        if held is None or held.coordinator.phase != "active":
+            return False
+        epoch = held.coordinator.epoch
+        live = self._live_instances()
+        reachable = [w for w in held.coordinator.witnesses if w in live]
+        reaching = [w for w in reachable if live[w].reaches_store] or reachable
+        actions = held.coordinator.give_up()
+        state = self._callbacks.collect_state(*name)
+        self._perform(name, held, actions)
+        for successor in candidate_order(*name, reaching):
+            with suppress(FireflystandError):
+                message = HandOver(*name, epoch, state)
+                reply = await self._network.request(
+                    successor, message, HAND_OVER_TIMEOUT
+                )
+                if isinstance(reply, HandOverReply) and reply.accepted:
+                    return True
+        return False
+
+    async def _take_over(self, message: HandOver, link) -> HandOverReply:
+        name = (message.service, message.group)
+        if self._leaving or name in self._held:
+            return HandOverReply(False, reason="leaving or already coordinating")
+        held = await self._claim(name, message.epoch, message.state)
+        if held is None:
+            return HandOverReply(False, reason="the store did not answer")
+        with trio.move_on_after(HAND_OVER_TIMEOUT):
+            await held.decided.wait()
+        accepted = held.coordinator.phase == "active"
+        return HandOverReply(accepted, held.coordinator.epoch)
+
+
+def _key(name: GroupName) -> str:
+    return f"groups/{name[0]}/{name[1]}"
+
+
+def _claim_key(name: GroupName) -> str:
+    return f"claims/{name[0]}/{name[1]}"
+
+
+def _claim_text(name: GroupName, record: GroupRecord) -> str:
+    value = {
+        "service": name[0],
+        "group": name[1],
+        "epoch": record.epoch,
+        "instance": record.coordinator,
+        "incarnation": record.incarnation,
+        "witnesses": dict(record.witnesses),
+    }
+    return json.dumps(value, separators=(",", ":"))
--- /dev/null
+++ b/packages/router/src/fireflystand_router/tests/test_group_host.py
@@ -0,0 +1,185 @@
+"""Test ownership of a group while instances, targets and the store fail."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from fireflystand_testing.ownership_cluster import Cluster
+
+
+class GroupHostTests(unittest.TestCase):
+    """Guard against two owners and keys that stay unserved after a fault."""
+
+    def run_cluster(self, scenario):
+        async def main():
+            cluster = Cluster()
+            async with trio.open_nursery() as nursery:
+                await cluster.start(nursery)
+                await cluster.until_served(3.0)
+                await scenario(cluster)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(cluster.two_owners, 0)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_all_instances_started_at_once_elect_one(self):
+        async def scenario(cluster):
+            await trio.sleep(3.0)
+            active = [n for n in cluster.nodes.values() if n.host._held]
+            self.assertEqual(len(active), 1)
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_killed(self):
+        async def scenario(cluster):
+            cluster.kill(cluster.coordinator_node())
+            await cluster.until_served(2.0)
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_paused_past_its_lease_decides_nothing_on_return(self):
+        async def scenario(cluster):
+            paused = cluster.coordinator_node()
+            cluster.pause(paused)
+            await cluster.until_served(2.5)
+            cluster.resume(paused)
+            now = trio.current_time()
+            held = paused.host.coordinator("winkel", 0)
+            self.assertFalse(held is not None and held.has_authority(now))
+            await trio.sleep(1.0)
+            self.assertIsNone(paused.host.coordinator("winkel", 0))
+            await cluster.until_served(0.5)
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_cut_from_peers(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, set(cluster.nodes) - {node.name})
+            await trio.sleep(0.6)
+            await cluster.until_served(2.0)
+            self.assertIsNot(cluster.coordinator_node(), node)
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_cut_from_store_hands_over_when_a_move_is_needed(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, {"store"})
+            await trio.sleep(5.0)
+            self.assertIs(cluster.coordinator_node(), node)
+            cluster.targets["t1"].alive = False
+            await cluster.until_served(6.0, "t1")
+            taker = cluster.coordinator_node()
+            self.assertIn(node.name, "".join(taker.events))
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_cut_from_one_target(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, {"t2"})
+            await trio.sleep(0.1)
+            await cluster.until_served(2.5, "t2")
+
+        self.run_cluster(scenario)
+
+    def test_target_killed(self):
+        async def scenario(cluster):
+            cluster.targets["t1"].alive = False
+            await cluster.until_served(2.0, "t1")
+
+        self.run_cluster(scenario)
+
+    def test_target_frozen_owns_nothing_when_it_thaws(self):
+        async def scenario(cluster):
+            target = cluster.targets["t1"]
+            target.frozen = True
+            await cluster.until_served(2.2, "t1")
+            target.frozen = False
+            now = trio.current_time()
+            self.assertFalse(any(target.owns(s, now) for s in range(16)))
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_and_target_killed(self):
+        async def scenario(cluster):
+            cluster.kill(cluster.coordinator_node())
+            cluster.targets["t3"].alive = False
+            await cluster.until_served(3.0, "t3")
+
+        self.run_cluster(scenario)
+
+    def test_target_leaving_with_notice(self):
+        async def scenario(cluster):
+            cluster.targets["t1"].draining = True
+            await cluster.until_served(3.0, "t1")
+
+        self.run_cluster(scenario)
+
+    def test_store_down_for_a_minute_stops_nothing(self):
+        async def scenario(cluster):
+            cluster.store.up = False
+            for _ in range(600):
+                await trio.sleep(0.1)
+                self.assertNotIn(None, cluster.owners().values())
+
+        self.run_cluster(scenario)
+
+    def test_store_down_while_the_coordinator_dies(self):
+        async def scenario(cluster):
+            cluster.store.up = False
+            cluster.kill(cluster.coordinator_node())
+            await trio.sleep(10.0)
+            cluster.store.up = True
+            await cluster.until_served(4.0)
+
+        self.run_cluster(scenario)
+
+    def test_slow_store_and_lost_response(self):
+        async def scenario(cluster):
+            cluster.store.delay = 2.0
+            cluster.store.lose_responses = 1
+            cluster.targets["t1"].alive = False
+            await cluster.until_served(20.0, "t1")
+
+        self.run_cluster(scenario)
+
+    def test_data_centre_taken_out_and_brought_back(self):
+        async def scenario(cluster):
+            cluster.set_data_centre("namur-b", "out")
+            await cluster.until_served(3.0, "t1")
+            await cluster.until_served(3.0, "t5")
+            cluster.set_data_centre("namur-b", "in")
+            await trio.sleep(4.0)
+            self.assertIn("t1", cluster.owners().values())
+
+        self.run_cluster(scenario)
+
+    def test_data_centre_cut_off_without_notice(self):
+        async def scenario(cluster):
+            centre = cluster.coordinator_node().data_centre
+            nodes = {n.name for n in cluster.nodes.values() if n.data_centre == centre}
+            settings = cluster.deployment.services_by_id["winkel"].targets_by_id
+            targets = {t.id for t in settings.values() if t.data_centre == centre}
+            rest = (set(cluster.nodes) | set(cluster.targets)) - nodes - targets
+            cluster.cut(nodes | targets, rest | {"store"})
+            await trio.sleep(0.6)
+            await cluster.until_served(3.0, next(iter(targets)))
+
+        self.run_cluster(scenario)
+
+    def test_planned_stop_hands_the_group_over(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            await node.host.close()
+            await cluster.until_served(1.0)
+            taker = cluster.coordinator_node()
+            self.assertIn(node.name, "".join(taker.events))
+
+        self.run_cluster(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/view.py
+++ b/packages/router/src/fireflystand_router/view.py
@@ -20,6 +20,7 @@
     epoch: int
     instance: str
     incarnation: str
+    witnesses: dict[str, str] = attrs.field(factory=dict)  # incarnations by instance
 
 
 @attrs.frozen
