--- a/packages/testing/src/fireflystand_testing/fuzz/ownership.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/ownership.py
@@ -167,6 +167,26 @@
         self.world.cuts |= {frozenset((a, b)) for a in inside for b in outside}
         self._pass_time()
 
+    @rule(name=TARGETS, number=st.integers(0, 4))
+    def lose_two_coordinators(self, name, number):
+        """Cut the coordinator off with a target; lose the next one at once."""
+        world = self.world
+        acting = [i for i in world.instances.values() if world.acts(i)]
+        others = [i for i in world.instances.values() if i not in acting and i.alive]
+        if not acting or len(others) < 3:
+            return
+        inside = {acting[0].id, name}
+        outside = (set(world.instances) | set(world.targets) | {"store"}) - inside
+        near = set(acting[0].coordinator.witnesses) - {others[number % 3].id}
+        self.world.cuts |= {
+            frozenset((a, b)) for a in inside for b in outside if b not in near
+        }
+        world.claim(others[number % 3])
+        world.advance(0.06)
+        others[number % 3].alive = False
+        world.claim(others[(number + 1) % 3])
+        self._pass_time()
+
     @rule()
     def heal_network(self):
         """End all partitions."""
--- a/packages/testing/src/fireflystand_testing/fuzz/ownership_world.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/ownership_world.py
@@ -455,6 +455,12 @@
                     result.add(shard)
         return result
 
+    def acts(self, instance: Instance) -> bool:
+        """Tell whether an instance has authority now."""
+        if not instance.alive or instance.paused or instance.coordinator is None:
+            return False
+        return instance.coordinator.has_authority(instance.clock.read(self.real))
+
     # Faults
 
     def resume(self, instance: Instance) -> None:
--- a/packages/testing/src/fireflystand_testing/fuzz/tests/test_ownership.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/tests/test_ownership.py
@@ -10,7 +10,7 @@
 
     def test_fixed_run(self):
         load_machines()
-        run_machine("ownership", examples=25, steps=30, number=None)
+        run_machine("ownership", examples=60, steps=40, number=None)
 
 
 if __name__ == "__main__":
