Split the modules of ownership by responsibility

Serving rules, record changes, target calls and the parts of the fuzz model have modules of their own; behaviour is the same.

--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -1,6 +1,6 @@
 """Decide for one group: authority, owners, grants and moves."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 from .actions import (
     Action,
@@ -16,7 +16,9 @@
 from .moves import MovePlan
 from .overrides import OverridePlan
 from .record import GroupRecord
+from .record_changes import RecordChanges
 from .release import PermitsPending, ReleaseRules
+from .serving import ServingRules
 from .target_grants import TargetGrants, TargetInfo
 from .targets import TargetSet
 from .timing import Timing
@@ -46,12 +48,22 @@
         self.predecessor_unjournaled = False
         self._targets = TargetSet(self.timing)
         self._rules = ReleaseRules(identity, self._targets, permits_pending)
-        self._permits_pending = permits_pending
         self._lease = AuthorityLease(self.timing)
         self._writes = RecordWrites(None, 0, identity.owner_name, self.timing)
         self._plan = MovePlan(identity.service, identity.shards, identity.policy)
         self._overrides = OverridePlan(identity, self.timing)
+        self._serving = ServingRules(
+            self._lease, self._targets, self._rules, self._plan, self._overrides
+        )
         self._choice = WitnessChoice(identity, self.timing)
+        self._changes = RecordChanges(
+            identity,
+            self._lease,
+            self._rules,
+            self._plan,
+            self._overrides,
+            self._choice,
+        )
         self._loads: dict[int, float] = {}
         self._asked_at: float | None = None
         self._sealed_at = 0.0
@@ -301,32 +313,7 @@
         if self.phase != "active":
             return Explanation(shard, None, 0, False, self.phase, 0.0, ())
         own = self.shard_for(key, shard)
-        owner = self.record.owners.get(own)
-        reason = self._refusal(own, owner, now)
-        moves = tuple(
-            (m.shard, m.source, m.destination, m.step)
-            for m in self._plan.moves_by_shard.values()
-        )
-        left = max(0.0, self._lease.valid_until() - now)
-        return Explanation(
-            own, owner, self.epoch, not reason, reason or "owned", left, moves
-        )
-
-    def _refusal(self, shard: int, owner: str | None, now: float) -> str:
-        if not self.has_authority(now):
-            return "no majority of witnesses"
-        if shard in self._plan.moves_by_shard or shard in self._overrides.held:
-            return "shard is moving"
-        known = self.targets_by_id.get(owner)
-        if known is None:
-            return "no owner"
-        if not known.info.checks_epoch:
-            ready = known.incarnation is not None and self._rules.earlier_permits_ended(
-                now
-            )
-            return "" if ready else "permits of an earlier epoch may be in use"
-        served = known.serves(shard, self.epoch, now)
-        return "" if served else "target has not confirmed its grant"
+        return self._serving.explain(self.record, own, self.has_authority(now), now)
 
     # Schedule
 
@@ -381,39 +368,9 @@
     def _write_due(self, now: float) -> list[Action]:
         if self._writes.busy:
             return []
-        record = self._next_record(now)
-        return [] if record is None else [self._writes.start(record, now)]
-
-    def _next_record(self, now: float) -> GroupRecord | None:
-        record = self.record
         op = self._writes.next_operation()
-        ready = {
-            move.shard: move.destination
-            for move in self._plan.moves_by_shard.values()
-            if move.step == "write"
-        }
-        if ready:
-            return record.move(ready, op)
-        changed = self._overrides.next_record(record, self._may_override(now), op)
-        if changed is not None:
-            return changed
-        witnesses = self._choice.replacement(self._lease, now)
-        if witnesses is not None:
-            name, incarnation = self.identity.instance, self.identity.incarnation
-            return record.claim(name, incarnation, witnesses, op)
-        end = self._rules.earlier.grants_end()
-        if record.predecessors and end is not None and now > end:
-            return record.settle(op)
-        return None
-
-    def _may_override(self, now: float) -> Callable[[int], bool]:
-        def free(shard: int) -> bool:
-            owner = self.record.owners.get(shard)
-            moving = shard in self._plan.moves_by_shard
-            pending = owner is not None and self._permits_pending(owner, shard, now)
-            return not moving and not pending and self._rules.is_free(owner, shard, now)
-
-        return free
+        record = self._changes.next_record(self.record, op, now)
+        return [] if record is None else [self._writes.start(record, now)]
 
     def _grants(self, now: float) -> list[Action]:
         wanted: dict[str, set[int]] = {name: set() for name in self.targets_by_id}
--- a/packages/core/src/fireflystand_core/groups/release.py
+++ b/packages/core/src/fireflystand_core/groups/release.py
@@ -20,7 +20,7 @@
     ) -> None:
         self._identity = identity
         self._targets = targets
-        self._pending = pending
+        self.permits_pending = pending
         self.earlier = EarlierEpochs((), None)
         self.epoch = 0
         self.handed = False
@@ -35,7 +35,7 @@
         known = self._targets.by_id.get(move.source)
         if known is not None and known.info.checks_epoch and known.silent(now):
             return True
-        return not self._pending(move.source, move.shard, now)
+        return not self.permits_pending(move.source, move.shard, now)
 
     def earlier_permits_ended(self, now: float) -> bool:
         """Tell whether no permit of an earlier coordinator can be in use."""
--- a/packages/router/src/fireflystand_router/group_host.py
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -1,9 +1,7 @@
 """Run the group coordinators of this instance."""
 
-import json
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from typing import Protocol
 
 import attrs
 import trio
@@ -33,9 +31,12 @@
 )
 from fireflystand_core.sharding import candidate_order, choose_witnesses
 
+from .claim_items import claim_item_key, claim_item_text, record_key
 from .claim_timing import ClaimTiming
+from .group_callbacks import GroupCallbacks, LiveInstance
 from .group_targets import group_names, group_shards, group_targets
-from .target_control import TargetAnswer, TargetControl, TargetDiedError
+from .target_calls import TargetCalls
+from .target_control import TargetControl
 from .view import ClusterView
 from .witness_host import WitnessHost
 
@@ -51,50 +52,12 @@
 GroupName = tuple[str, int]
 
 
-@attrs.frozen
-class LiveInstance:
-    """Describe an instance that is believed to live."""
-
-    incarnation: str
-    data_centre: str
-    reaches_store: bool = False
-
-
-class GroupCallbacks(Protocol):
-    """Take what the permit side needs to know of a group."""
-
-    def on_group_started(
-        self,
-        service: str,
-        group: int,
-        coordinator: GroupCoordinator,
-        handed_state: dict[str, bytes] | None,
-    ) -> None:
-        """Begin to issue permits."""
-
-    def on_group_stopped(self, service: str, group: int) -> None:
-        """Stop issuing permits."""
-
-    def on_target_changed(
-        self, service: str, group: int, target: str, reason: str
-    ) -> None:
-        """Take over that a target died, came back or is new."""
-
-    def collect_state(self, service: str, group: int) -> dict[str, bytes]:
-        """Return the volatile state for a hand-over; issue nothing any more."""
-
-    def permits_pending(
-        self, service: str, group: int, target: str, shard: int, now: float
-    ) -> bool:
-        """Tell whether a permit for the shard at the target is outstanding."""
-
-
 @attrs.define(eq=False)
 class _Held:
     coordinator: GroupCoordinator
     handed_state: dict[str, bytes] | None
     decided: trio.Event = attrs.field(factory=trio.Event)
-    asking: set[str] = attrs.field(factory=set)
+    asking: set[str] = attrs.field(factory=set)  # targets
 
 
 class GroupHost:
@@ -122,10 +85,9 @@
         self._callbacks = callbacks
         self._publish = publish
         self._live_instances = live_instances
-        self._make_control = make_control
+        self._calls = TargetCalls(view, make_control, clock)
         self._clock = clock
         self._held: dict[GroupName, _Held] = {}
-        self._controls: dict[tuple[str, str], TargetControl] = {}
         self._claiming: set[GroupName] = set()
         self._timing = ClaimTiming(network.hello.instance, witnesses.witness, view)
         self._leaving = False
@@ -146,8 +108,7 @@
             for name in list(self.active_coordinators()):
                 nursery.start_soon(self.hand_over, name)
         self._scope.cancel()
-        for control in self._controls.values():
-            await control.close()
+        await self._calls.close()
 
     def coordinator(self, service: str, group: int) -> GroupCoordinator | None:
         """Return the active coordinator of a group, if it is here."""
@@ -205,7 +166,7 @@
         state: dict[str, bytes] | None = None,
     ) -> _Held | None:
         try:
-            found = await self._store.get(_key(name))
+            found = await self._store.get(record_key(name))
         except FireflystandError:
             return None
         finally:
@@ -222,7 +183,7 @@
         claim = self._view.claims_by_group.get(name)
         if record is None or (claim is not None and claim.epoch >= record.epoch):
             return False
-        self._publish(_claim_key(name), version, _claim_text(name, record))
+        self._publish(claim_item_key(name), version, claim_item_text(name, record))
         return True
 
     def _begin(self, name, record, version, handed_epoch, state) -> _Held | None:
@@ -271,8 +232,8 @@
                 case Stopped():
                     self._stop(name, held)
                 case ClaimPublished(version=version):
-                    text = _claim_text(name, held.coordinator.record)
-                    self._publish(_claim_key(name), version, text)
+                    text = claim_item_text(name, held.coordinator.record)
+                    self._publish(claim_item_key(name), version, text)
                     self._witnesses.wake()
                 case TargetChanged(target=target, reason=reason):
                     self._callbacks.on_target_changed(*name, target, reason)
@@ -283,9 +244,19 @@
                 case RequestSeal():
                     self._nursery.start_soon(self._seal, name, held, action)
                 case AskStatus(target=target):
-                    self._call_target(name, held, target, None)
+                    if target not in held.asking:
+                        self._nursery.start_soon(self._call, name, held, target, None)
                 case SendGrant(target=target):
-                    self._call_target(name, held, target, action)
+                    self._nursery.start_soon(self._call, name, held, target, action)
+
+    async def _call(self, name, held: _Held, target, grant: SendGrant | None) -> None:
+        held.asking.add(target)
+        try:
+            call = self._calls.exchange
+            actions = await call(name, held.coordinator, target, grant)
+        finally:
+            held.asking.discard(target)
+        self._perform(name, held, actions)
 
     def _stop(self, name: GroupName, held: _Held) -> None:
         held.decided.set()
@@ -297,7 +268,9 @@
         operation = action.record.operation_id
         value = action.record.to_value()
         try:
-            version = await self._store.put(_key(name), value, action.expected_version)
+            version = await self._store.put(
+                record_key(name), value, action.expected_version
+            )
         except FireflystandError:
             actions = held.coordinator.write_failed(operation, self._clock())
         else:
@@ -306,7 +279,7 @@
 
     async def _read(self, name, held: _Held) -> None:
         try:
-            found = await self._store.get(_key(name))
+            found = await self._store.get(record_key(name))
         except FireflystandError:
             actions = held.coordinator.read_failed(self._clock())
         else:
@@ -334,63 +307,6 @@
             )
             self._perform(name, held, actions)
 
-    def _call_target(self, name, held, target: str, grant: SendGrant | None) -> None:
-        if grant is None and target in held.asking:
-            return
-        held.asking.add(target)
-        self._nursery.start_soon(self._exchange, name, held, target, grant)
-
-    async def _exchange(self, name, held: _Held, target, grant) -> None:
-        control = self._control(name[0], target)
-        if control is None:
-            held.asking.discard(target)
-            return
-        answer: TargetAnswer | None = None
-        actions: list[Action] = []
-        try:
-            if grant is None:
-                answer = await control.status()
-            else:
-                answer = await control.grant(*name, grant)
-        except TargetDiedError:
-            actions = held.coordinator.target_died(target, self._clock())
-        except FireflystandError:
-            pass
-        finally:
-            held.asking.discard(target)
-        if answer is not None:
-            actions = self._answered(held, target, grant, answer)
-        self._perform(name, held, actions)
-
-    def _answered(self, held, target, grant, answer: TargetAnswer) -> list[Action]:
-        now = self._clock()
-        coordinator = held.coordinator
-        if answer.higher_epoch:
-            return coordinator.higher_epoch(answer.higher_epoch, now)
-        actions = coordinator.target_status(
-            target,
-            answer.connection,
-            answer.incarnation,
-            answer.clock_ms,
-            answer.draining,
-            now,
-        )
-        if answer.kept:
-            actions += coordinator.grant_acknowledged(
-                target, grant.epoch, grant.sequence, answer.incarnation, now
-            )
-        return actions
-
-    def _control(self, service: str, target: str) -> TargetControl | None:
-        settings = self._view.deployment.services_by_id[service]
-        found = settings.targets_by_id.get(target)
-        if found is None:
-            return None
-        key = (service, target)
-        if key not in self._controls:
-            self._controls[key] = self._make_control(target, found.address)
-        return self._controls[key]
-
     # Witnesses
 
     def witness_answered(self, reply: WitnessReply, asked_at: float) -> None:
@@ -454,23 +370,3 @@
             await held.decided.wait()
         accepted = held.coordinator.phase == "active"
         return HandOverReply(accepted, held.coordinator.epoch)
-
-
-def _key(name: GroupName) -> str:
-    return f"groups/{name[0]}/{name[1]}"
-
-
-def _claim_key(name: GroupName) -> str:
-    return f"claims/{name[0]}/{name[1]}"
-
-
-def _claim_text(name: GroupName, record: GroupRecord) -> str:
-    value = {
-        "service": name[0],
-        "group": name[1],
-        "epoch": record.epoch,
-        "instance": record.coordinator,
-        "incarnation": record.incarnation,
-        "witnesses": dict(record.witnesses),
-    }
-    return json.dumps(value, separators=(",", ":"))
--- /dev/null
+++ b/packages/router/src/fireflystand_router/target_calls.py
@@ -0,0 +1,89 @@
+"""Exchange status and grants with targets for group coordinators."""
+
+from collections.abc import Callable
+
+from fireflystand_core.exceptions import FireflystandError
+from fireflystand_core.groups import Action, GroupCoordinator, SendGrant
+
+from .target_control import TargetAnswer, TargetControl, TargetDiedError
+from .view import ClusterView
+
+__all__ = ["TargetCalls"]
+
+
+class TargetCalls:
+    """Own the control connections to all targets."""
+
+    def __init__(
+        self,
+        view: ClusterView,
+        make_control: Callable[[str, str], TargetControl],
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._make_control = make_control
+        self._clock = clock
+        self._controls: dict[tuple[str, str, str], TargetControl] = {}
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for control in self._controls.values():
+            await control.close()
+
+    async def exchange(
+        self,
+        name: tuple[str, int],
+        coordinator: GroupCoordinator,
+        target: str,
+        grant: SendGrant | None,
+    ) -> list[Action]:
+        """Ask for the status, or send a grant, and tell the coordinator."""
+        control = self._control(name[0], target)
+        if control is None:
+            return []
+        try:
+            if grant is None:
+                answer = await control.status()
+            else:
+                answer = await control.grant(*name, grant)
+        except TargetDiedError:
+            return coordinator.target_died(target, self._clock())
+        except FireflystandError:
+            return []
+        if answer is None:
+            return []
+        return self._answered(coordinator, target, grant, answer)
+
+    def _answered(
+        self,
+        coordinator: GroupCoordinator,
+        target: str,
+        grant: SendGrant | None,
+        answer: TargetAnswer,
+    ) -> list[Action]:
+        now = self._clock()
+        if answer.higher_epoch:
+            return coordinator.higher_epoch(answer.higher_epoch, now)
+        actions = coordinator.target_status(
+            target,
+            answer.connection,
+            answer.incarnation,
+            answer.clock_ms,
+            answer.draining,
+            now,
+        )
+        if answer.kept:
+            actions += coordinator.grant_acknowledged(
+                target, grant.epoch, grant.sequence, answer.incarnation, now
+            )
+        return actions
+
+    def _control(self, service: str, target: str) -> TargetControl | None:
+        settings = self._view.deployment.services_by_id.get(service)
+        found = settings.targets_by_id.get(target) if settings else None
+        if found is None:
+            return None
+        key = (service, target, found.address)
+        if key not in self._controls:
+            self._controls[key] = self._make_control(target, found.address)
+        return self._controls[key]
--- a/packages/testing/src/fireflystand_testing/fuzz/ownership_parts.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/ownership_parts.py
@@ -1,12 +1,23 @@
 """Model clocks, targets and the store of a group as pure objects."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from fireflystand_core.groups import GroupRecord
+from fireflystand_core.groups import GroupCoordinator, GroupRecord
+from fireflystand_core.membership import Witness
 
-__all__ = ["ModelClock", "ModelStore", "ModelTarget"]
+__all__ = [
+    "GROUP",
+    "Instance",
+    "Message",
+    "ModelClock",
+    "ModelStore",
+    "ModelTarget",
+]
+
+GROUP = ("winkel", 0)
 
 
 @attrs.frozen
@@ -103,3 +114,38 @@
         if record.coordinator != before.coordinator:
             assert record.epoch > before.epoch, "two coordinators share an epoch"
             assert record.owners == before.owners, "a claim lost an assignment"
+
+
+@attrs.define(eq=False)
+class Instance:
+    """Model an instance: its clock, witness and coordinator."""
+
+    id: str
+    data_centre: str
+    clock: ModelClock
+    witness: Witness
+    incarnation: int = 1
+    alive: bool = True
+    paused: bool = False
+    coordinator: GroupCoordinator | None = None
+    permits: list[tuple[str, int, float]] = attrs.field(factory=list)
+    claim_after: float | None = None
+    connections: int = 0
+    ticked_at: float = 0.0
+    inbox: list[Callable[[], None]] = attrs.field(factory=list)
+
+    def pending(self, target: str, shard: int, now: float) -> bool:
+        """Tell whether a permit is outstanding."""
+        self.permits = [p for p in self.permits if p[2] > now]
+        return any(p[0] == target and p[1] == shard for p in self.permits)
+
+
+@attrs.define(order=True)
+class Message:
+    """Hold what is delivered at a real time unless the way is cut."""
+
+    due: float
+    number: int
+    source: str = attrs.field(order=False)
+    destination: str = attrs.field(order=False)
+    deliver: Callable[[], None] = attrs.field(order=False)
--- a/packages/testing/src/fireflystand_testing/fuzz/ownership_world.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/ownership_world.py
@@ -4,71 +4,36 @@
 from collections.abc import Callable
 from functools import partial
 
-import attrs
-
 from fireflystand_core.groups import (
-    AskStatus,
     GroupCoordinator,
     GroupIdentity,
     GroupRecord,
-    ReadRecord,
-    RequestConfirmation,
-    RequestSeal,
-    SendGrant,
     TargetInfo,
-    WriteRecord,
 )
 from fireflystand_core.membership import Witness
 from fireflystand_core.sharding import choose_witnesses
 
-from .ownership_parts import ModelClock, ModelStore, ModelTarget
+from .ownership_actions import ActionHandlers
+from .ownership_parts import (
+    GROUP,
+    Instance,
+    Message,
+    ModelClock,
+    ModelStore,
+    ModelTarget,
+)
 
 __all__ = ["Instance", "World"]
 
-GROUP = ("winkel", 0)
 SHARDS = tuple(range(8))
 STEP = 0.02  # seconds
 SLOW_DELAY = 1.0  # seconds
-STORE_WAIT = 0.4  # seconds until a missing answer counts as failure
 PERMIT_DEADLINE = 0.8  # seconds
 MAX_DEADLINE = 1.0  # seconds
 TICK = 0.05  # seconds
 
 
-@attrs.define(eq=False)
-class Instance:
-    """Model an instance: its clock, witness and coordinator."""
-
-    id: str
-    data_centre: str
-    clock: ModelClock
-    witness: Witness
-    incarnation: int = 1
-    alive: bool = True
-    paused: bool = False
-    coordinator: GroupCoordinator | None = None
-    permits: list[tuple[str, int, float]] = attrs.field(factory=list)
-    claim_after: float | None = None
-    connections: int = 0
-    ticked_at: float = 0.0
-    inbox: list[Callable[[], None]] = attrs.field(factory=list)
-
-    def pending(self, target: str, shard: int, now: float) -> bool:
-        """Tell whether a permit is outstanding."""
-        self.permits = [p for p in self.permits if p[2] > now]
-        return any(p[0] == target and p[1] == shard for p in self.permits)
-
-
-@attrs.define(order=True)
-class _Message:
-    due: float
-    number: int
-    source: str = attrs.field(order=False)
-    destination: str = attrs.field(order=False)
-    deliver: Callable[[], None] = attrs.field(order=False)
-
-
-class World:
+class World(ActionHandlers):
     """Hold all processes of one group and the messages between them."""
 
     def __init__(
@@ -84,7 +49,7 @@
         self.copy_rate = 0.0
         self.ran = 0
         self._numbers = 0
-        self._messages: list[_Message] = []
+        self._messages: list[Message] = []
         self.instances: dict[str, Instance] = {}
         for index in range(instances):
             name = f"i{index}"
@@ -113,13 +78,13 @@
             self._numbers += 1
             delay = max(self.delay, SLOW_DELAY if destination in self.slow else 0.0)
             due = self.real + self.random.uniform(0.0, delay)
-            message = _Message(due, self._numbers, source, destination, deliver)
+            message = Message(due, self._numbers, source, destination, deliver)
             self._messages.append(message)
 
-    def _cut(self, message: _Message) -> bool:
+    def _cut(self, message: Message) -> bool:
         return frozenset((message.source, message.destination)) in self.cuts
 
-    def _deliver(self, message: _Message) -> None:
+    def _deliver(self, message: Message) -> None:
         if self._cut(message):
             return
         instance = self.instances.get(message.destination)
@@ -253,147 +218,6 @@
         take = partial(self.claim, destination, epoch, tuple(source.permits))
         self.send(source.id, destination.id, take)
 
-    # Actions
-
-    def perform(self, instance: Instance, actions: list) -> None:
-        """Carry out what a coordinator asks for."""
-        for action in actions:
-            handler = getattr(self, f"_on_{type(action).__name__}", None)
-            if handler is not None:
-                handler(instance, instance.coordinator, action)
-
-    def _tell(self, instance, coordinator, method, *args) -> None:
-        if instance.coordinator is not coordinator:
-            return
-        now = instance.clock.read(self.real)
-        self.perform(instance, getattr(coordinator, method)(*args, now))
-
-    def _on_WriteRecord(self, instance, coordinator, action: WriteRecord) -> None:  # noqa: N802
-        operation = action.record.operation_id
-        tell = partial(self._tell, instance, coordinator)
-
-        def arrived() -> None:
-            if not self.store.available:
-                return
-            done = self.store.put(action.record, action.expected_version)
-            if self.store.lose_responses > 0:
-                self.store.lose_responses -= 1
-                return
-            if done:
-                answer = partial(tell, "written", operation, self.store.version)
-            else:
-                answer = partial(tell, "write_failed", operation)
-            self.send("store", instance.id, answer)
-
-        self.send(instance.id, "store", arrived)
-        self._later(instance, STORE_WAIT, partial(tell, "write_failed", operation))
-
-    def _on_ReadRecord(self, instance, coordinator, action: ReadRecord) -> None:  # noqa: N802
-        tell = partial(self._tell, instance, coordinator)
-
-        def arrived() -> None:
-            if self.store.available:
-                answer = partial(tell, "read", self.store.record, self.store.version)
-                self.send("store", instance.id, answer)
-
-        self.send(instance.id, "store", arrived)
-        self._later(instance, STORE_WAIT, partial(tell, "read_failed"))
-
-    def _later(self, instance: Instance, wait: float, deliver: Callable) -> None:
-        self._numbers += 1
-        message = _Message(
-            self.real + wait, self._numbers, instance.id, instance.id, deliver
-        )
-        self._messages.append(message)
-
-    def _on_RequestConfirmation(  # noqa: N802
-        self, instance, coordinator, action: RequestConfirmation
-    ) -> None:
-        asked_at = instance.clock.read(self.real)
-        tell = partial(self._tell, instance, coordinator)
-        peer = self.instances[action.witness]
-
-        def arrived() -> None:
-            now = peer.clock.read(self.real)
-            named, epoch = action.witness_incarnation, action.epoch
-            if peer.witness.confirm(GROUP, epoch, named, now):
-                answer = partial(
-                    tell, "confirmed", peer.id, named, action.epoch, asked_at
-                )
-            else:
-                answer = partial(tell, "higher_epoch", peer.witness.highest(GROUP))
-            self.send(peer.id, instance.id, answer)
-
-        self.send(instance.id, peer.id, arrived)
-
-    def _on_RequestSeal(self, instance, coordinator, action: RequestSeal) -> None:  # noqa: N802
-        tell = partial(self._tell, instance, coordinator)
-        peer = self.instances[action.witness]
-
-        def arrived() -> None:
-            now = peer.clock.read(self.real)
-            sealed = peer.witness.seal(GROUP, action.epoch, now)
-            fields = (
-                peer.id,
-                peer.witness.incarnation,
-                sealed.epoch,
-                sealed.confirmed_age,
-                sealed.unjournaled,
-            )
-            self.send(peer.id, instance.id, partial(tell, "sealed", *fields))
-
-        self.send(instance.id, peer.id, arrived)
-
-    def _on_AskStatus(self, instance, coordinator, action: AskStatus) -> None:  # noqa: N802
-        target = self.targets[action.target]
-        instance.connections += 1
-        self._ask_target(instance, coordinator, target, instance.connections, None)
-
-    def _on_SendGrant(self, instance, coordinator, action: SendGrant) -> None:  # noqa: N802
-        target = self.targets[action.target]
-        known = coordinator.targets_by_id[target.id]
-        self._ask_target(
-            instance, coordinator, target, action.connection, action, known
-        )
-
-    def _ask_target(self, instance, coordinator, target, number, grant, known=None):
-        tell = partial(self._tell, instance, coordinator)
-        meant = known.incarnation if known else None
-
-        def arrived() -> None:
-            if not target.alive:
-                self.send(
-                    target.id, instance.id, partial(tell, "target_died", target.id)
-                )
-                return
-            if target.frozen:
-                self._later_for(target, arrived)
-                return
-            name = str(target.incarnation)
-            if meant not in (None, name):
-                return
-            if grant is not None and not target.grant(grant):
-                answer = partial(tell, "higher_epoch", target.epoch)
-                self.send(target.id, instance.id, answer)
-                return
-            clock = target.clock_ms(self.real)
-            status = (target.id, number, name, clock, target.draining)
-            self.send(target.id, instance.id, partial(tell, "target_status", *status))
-            if grant is not None:
-                fields = (target.id, grant.epoch, grant.sequence, name)
-                self.send(
-                    target.id, instance.id, partial(tell, "grant_acknowledged", *fields)
-                )
-
-        self.send(instance.id, target.id, arrived)
-
-    def _later_for(self, target: ModelTarget, deliver: Callable) -> None:
-        self._numbers += 1
-        message = _Message(
-            self.real + 0.1, self._numbers, target.id, target.id, deliver
-        )
-        self._messages.append(message)
-
     # Requests
 
     def request(self, shard: int) -> None:
