--- a/packages/core/src/fireflystand_core/groups/serving.py
+++ b/packages/core/src/fireflystand_core/groups/serving.py
@@ -51,6 +51,8 @@
         known = self._targets.by_id.get(owner)
         if known is None:
             return "no owner"
+        if known.has_left(now):
+            return "target is leaving"
         if not known.info.checks_epoch:
             ended = self._rules.earlier_permits_ended(now)
             ready = known.incarnation is not None and ended
--- a/packages/core/src/fireflystand_core/groups/target_grants.py
+++ b/packages/core/src/fireflystand_core/groups/target_grants.py
@@ -46,6 +46,7 @@
         self.died_at: float | None = None
         self.silent_at: float | None = None
         self.draining = False
+        self._leaving_since: float | None = None
         self._timing = timing
         self._created_at = now
         self._connection = -1
@@ -89,6 +90,18 @@
         """Tell whether the process refuses everything below ``epoch``."""
         return self._acked is not None and self._acked.epoch == epoch
 
+    def note_leaving(self, now: float) -> None:
+        """Follow since when the target has been leaving."""
+        if self.info.admits and not self.draining:
+            self._leaving_since = None
+        elif self._leaving_since is None:
+            self._leaving_since = now
+
+    def has_left(self, now: float) -> bool:
+        """Tell whether the target has been leaving for too long to serve."""
+        since = self._leaving_since
+        return since is not None and now - since > self._timing.leave_limit
+
     def silent(self, now: float) -> bool:
         """Tell whether the target has answered nothing lately."""
         heard = self._created_at if self.heard_at is None else self.heard_at
--- a/packages/core/src/fireflystand_core/groups/targets.py
+++ b/packages/core/src/fireflystand_core/groups/targets.py
@@ -31,6 +31,7 @@
         for name, known in self.by_id.items():
             if name not in infos_by_id:
                 known.info = attrs.evolve(known.info, admits=False)
+            known.note_leaving(now)
 
     def heard(
         self,
@@ -49,6 +50,7 @@
         if change == "stale":
             return []
         known.draining = draining
+        known.note_leaving(now)
         return [TargetChanged(target, change)] if change else []
 
     def died(self, target: str, now: float) -> list[Action]:
--- a/packages/router/src/fireflystand_router/tests/test_group_host.py
+++ b/packages/router/src/fireflystand_router/tests/test_group_host.py
@@ -157,6 +157,18 @@
 
         self.run_cluster(scenario)
 
+    def test_data_centres_taken_out_while_the_store_is_down_get_no_work(self):
+        async def scenario(cluster):
+            cluster.store.up = False
+            # More shards than may move at once, so that some wait unmoved.
+            for name in ("namur-b", "gent-a", "gent-b"):
+                cluster.set_data_centre(name, "out")
+            await trio.sleep(3.0)
+            owners = cluster.owners()
+            self.assertEqual(set(owners.values()), {"t0", "t4", None})
+
+        self.run_cluster(scenario)
+
     def test_data_centre_cut_off_without_notice(self):
         async def scenario(cluster):
             centre = cluster.coordinator_node().data_centre
@@ -170,6 +182,41 @@
 
         self.run_cluster(scenario)
 
+    def test_coordinator_paused_while_a_target_freezes(self):
+        async def scenario(cluster):
+            cluster.pause(cluster.coordinator_node())
+            cluster.targets["t2"].frozen = True
+            await trio.sleep(0.6)
+            await cluster.until_served(3.0, "t2")
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_cut_from_peers_while_the_store_is_down(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.store.up = False
+            cluster.cut({node.name}, set(cluster.nodes) - {node.name})
+            await trio.sleep(0.6)
+            self.assertIsNone(cluster.coordinator_node())
+            cluster.store.up = True
+            await cluster.until_served(7.0)
+
+        self.run_cluster(scenario)
+
+    def test_witness_and_coordinator_killed_and_restarted(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            witnesses = list(node.host.coordinator("winkel", 0).witnesses)
+            for name in (node.name, *witnesses[:2]):
+                cluster.kill(cluster.nodes[name])
+            await cluster.until_served(3.0)
+            for name in (node.name, *witnesses[:2]):
+                cluster.restart(cluster.nodes[name])
+            await trio.sleep(5.0)
+            await cluster.until_served(0.5)
+
+        self.run_cluster(scenario)
+
     def test_planned_stop_hands_the_group_over(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
