--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -9,7 +9,6 @@
     RequestSeal,
     Started,
     Stopped,
-    WriteRecord,
 )
 from .identity import Explanation, GroupIdentity
 from .lease import AuthorityLease, EarlierEpochs
@@ -198,6 +197,11 @@
         """Tell whether a majority of the witnesses confirmed the epoch lately."""
         return self.phase == "active" and now < self._lease.valid_until()
 
+    def earlier_ended(self, now: float) -> bool:
+        """Tell whether no earlier coordinator of the group can act any more."""
+        end = self._rules.earlier.authority_end()
+        return self.phase == "active" and end is not None and now >= end
+
     def confirmed(
         self, witness: str, incarnation: str, epoch: int, asked_at: float, now: float
     ) -> list[Action]:
@@ -386,7 +390,4 @@
         if self.phase != "active" or self._writes.busy:
             return []
         op = self._writes.next_operation()
-        write: WriteRecord = self._writes.start(
-            self.record.suspect(fingerprints, op), now
-        )
-        return [write]
+        return [self._writes.start(self.record.suspect(fingerprints, op), now)]
--- a/packages/router/src/fireflystand_router/group_host.py
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -20,6 +20,7 @@
     Started,
     Stopped,
     TargetChanged,
+    TargetInfo,
     WriteRecord,
 )
 from fireflystand_core.messages import (
@@ -93,7 +94,9 @@
         self._leaving = False
         self._nursery: trio.Nursery | None = None
         self._scope = trio.CancelScope()
+        self._infos_by_group: dict[GroupName, list[TargetInfo]] = {}
         witnesses.holder = self
+        view.listeners.append(self._note_change)
         network.handle(HandOver, self._take_over)
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -122,6 +125,15 @@
             if held.coordinator.phase == "active"
         }
 
+    def _note_change(self, key: str) -> None:
+        if key.partition("/")[0] in ("config", "data-centres", "targets"):
+            self._infos_by_group.clear()
+
+    def _targets_of(self, name: GroupName) -> list[TargetInfo]:
+        if name not in self._infos_by_group:
+            self._infos_by_group[name] = group_targets(self._view, *name)
+        return self._infos_by_group[name]
+
     async def _run(self) -> None:
         with self._scope:
             while True:
@@ -134,7 +146,7 @@
         live = dict(self._live_instances())
         for name, held in list(self._held.items()):
             coordinator = held.coordinator
-            coordinator.set_targets(group_targets(self._view, *name), now)
+            coordinator.set_targets(self._targets_of(name), now)
             coordinator.set_instances(
                 {i: entry.incarnation for i, entry in live.items()},
                 {i: entry.data_centre for i, entry in live.items()},
@@ -212,7 +224,7 @@
             ),
         )
         held = self._held[name] = _Held(coordinator, state)
-        targets = group_targets(self._view, *name)
+        targets = self._targets_of(name)
         actions = coordinator.claim(
             record, version, witnesses, targets, now, handed_epoch
         )
--- a/packages/testing/src/fireflystand_testing/ownership_cluster.py
+++ b/packages/testing/src/fireflystand_testing/ownership_cluster.py
@@ -284,7 +284,7 @@
         """Take a data centre out or bring it back."""
         self.states[name] = state
         for node in self.nodes.values():
-            node.view.data_centre_states_by_id[name] = state
+            node.view.apply(f"data-centres/{name}", json.dumps({"state": state}))
 
     def coordinator_node(self) -> Node | None:
         """Return the node that acts for the group now."""
