Replace a witness list that has lost its majority

A test that killed the coordinator and three witnesses while the membership still named them was never served: the new list held dead instances and no full replacement existed. A refused connection counts as death only for the process known at that address before the request.

--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -239,6 +239,7 @@
     ) -> list[Action]:
         """Note that the process of an instance is known to be dead."""
         self._rules.earlier.died(instance, incarnation, now)
+        self._choice.note_dead(instance, incarnation, now)
         return self.tick(now)
 
     def set_instances(
--- a/packages/core/src/fireflystand_core/groups/lease.py
+++ b/packages/core/src/fireflystand_core/groups/lease.py
@@ -7,7 +7,7 @@
 from .record import Predecessor
 from .timing import Timing
 
-__all__ = ["AuthorityLease", "EarlierEpochs"]
+__all__ = ["AuthorityLease", "EarlierEpochs", "majority"]
 
 
 def majority(count: int) -> int:
--- a/packages/router/src/fireflystand_router/group_callbacks.py
+++ b/packages/router/src/fireflystand_router/group_callbacks.py
@@ -16,6 +16,7 @@
     incarnation: str
     data_centre: str
     reaches_store: bool = False
+    address: str = ""  # where this incarnation listens
 
 
 class GroupCallbacks(Protocol):
--- a/packages/router/src/fireflystand_router/group_host.py
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -302,11 +302,12 @@
 
     async def _seal(self, name, held: _Held, action: RequestSeal) -> None:
         request = Seal(*name, action.epoch)
+        incarnation = self.listening_incarnation(action.witness)
         try:
             answer = await self._network.request(action.witness, request, SEAL_TIMEOUT)
         except FireflystandError as error:
             if getattr(error, "refused", False):
-                self.instance_refused(action.witness)
+                self.instance_died(action.witness, incarnation)
             return
         if isinstance(answer, Sealed):
             actions = held.coordinator.sealed(
@@ -337,14 +338,21 @@
                 actions = held.coordinator.higher_epoch(claim.epoch, now)
                 self._perform((claim.service, claim.group), held, actions)
 
-    def instance_refused(self, instance: str) -> None:
-        """Take over that no process listens at an instance's address."""
+    def listening_incarnation(self, instance: str) -> str | None:
+        """Return the process known to listen at the address in use."""
         entry = self._live_instances().get(instance)
-        if entry is None:
+        address = self._network.addresses_by_id.get(instance)
+        if entry is None or not address or entry.address != address:
+            return None
+        return entry.incarnation
+
+    def instance_died(self, instance: str, incarnation: str | None) -> None:
+        """Take over that a process that listened refuses connections."""
+        if incarnation is None:
             return
         now = self._clock()
         for name, held in list(self._held.items()):
-            actions = held.coordinator.instance_died(instance, entry.incarnation, now)
+            actions = held.coordinator.instance_died(instance, incarnation, now)
             self._perform(name, held, actions)
 
     # Hand-over
--- a/packages/router/src/fireflystand_router/tests/test_group_host.py
+++ b/packages/router/src/fireflystand_router/tests/test_group_host.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import trio
 import trio.testing
 
@@ -217,6 +218,29 @@
 
         self.run_cluster(scenario)
 
+    def test_refusal_is_evidence_only_for_the_process_at_that_address(self):
+        async def scenario(cluster):
+            host = cluster.coordinator_node().host
+            self.assertEqual(host.listening_incarnation("i5"), "1")
+            live = dict(cluster.live_instances())
+            live["i5"] = attrs.evolve(live["i5"], incarnation="2", address="new")
+            host._live_instances = lambda: live
+            self.assertIsNone(host.listening_incarnation("i5"))
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_and_most_witnesses_killed(self):
+        async def scenario(cluster):
+            cluster.lagging = True
+            node = cluster.coordinator_node()
+            witnesses = list(node.host.coordinator("winkel", 0).witnesses)
+            for name in (node.name, *witnesses[:3]):
+                cluster.kill(cluster.nodes[name])
+            cluster.targets["t2"].alive = False
+            await cluster.until_served(6.0, "t2")
+
+        self.run_cluster(scenario)
+
     def test_planned_stop_hands_the_group_over(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
--- a/packages/router/src/fireflystand_router/witness_host.py
+++ b/packages/router/src/fireflystand_router/witness_host.py
@@ -34,8 +34,11 @@
     def witness_answered(self, reply: WitnessReply, asked_at: float) -> None:
         """Take over an answer."""
 
-    def instance_refused(self, instance: str) -> None:
-        """Take over that nothing listens at an instance's address."""
+    def listening_incarnation(self, instance: str) -> str | None:
+        """Return the process known to listen at the address in use."""
+
+    def instance_died(self, instance: str, incarnation: str | None) -> None:
+        """Take over that a process that listened refuses connections."""
 
 
 class WitnessHost:
@@ -97,11 +100,14 @@
 
     async def _ask(self, witness: str, request: WitnessRequest) -> None:
         asked_at = self._clock()
+        # Read before the request: a process that replaces this one meanwhile is
+        # not the one that refused.
+        incarnation = self.holder.listening_incarnation(witness)
         try:
             reply = await self._network.request(witness, request, REQUEST_TIMEOUT)
         except PeerUnavailableError as error:
             if error.refused:
-                self.holder.instance_refused(witness)
+                self.holder.instance_died(witness, incarnation)
             return
         if isinstance(reply, WitnessReply):
             self.holder.witness_answered(reply, asked_at)
--- a/packages/testing/src/fireflystand_testing/ownership_cluster.py
+++ b/packages/testing/src/fireflystand_testing/ownership_cluster.py
@@ -122,6 +122,11 @@
                 f"no answer within {timeout} s", step="request", peer=peer
             ) from None
 
+    @property
+    def addresses_by_id(self) -> dict[str, str]:
+        """Return the addresses of all nodes, which are their names."""
+        return {name: name for name in self.cluster.nodes}
+
     def link_from(self, node: "Node") -> PeerLink:
         """Return the stream from a node."""
         link = self.links.get(node.name)
@@ -194,6 +199,7 @@
             name = f"i{index}"
             self.nodes[name] = Node(self, name, CENTRES[index % 4])
         self.two_owners = 0
+        self.lagging = False  # the membership still names dead nodes
         self._nursery: trio.Nursery | None = None
         self._scopes: dict[str, trio.CancelScope] = {}
 
@@ -208,9 +214,10 @@
                 node.hello.incarnation,
                 node.data_centre,
                 self.store.up and self.reaches(node.name, "store"),
+                node.name,
             )
             for node in self.nodes.values()
-            if node.alive
+            if node.alive or self.lagging
         }
 
     async def travel(self, source: str, destination: str) -> None:
