--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -225,7 +225,8 @@
 
     ``outcome`` is ``answered``, ``not-run`` or ``unknown``; ``broken`` tells
     that the connection broke after the request was handed over; ``refused``
-    that the target refused the connection; ``latency`` is in seconds.
+    that the target refused the connection; ``latency`` is in seconds. The last
+    three fields let a coordinator judge a permit that its predecessor issued.
     """
 
     service: str
@@ -239,6 +240,9 @@
     shed: bool = False
     stale: bool = False
     answer: StoredAnswer | None = None
+    scope: str = ""  # scope of the idempotency key
+    fingerprint: int = 0
+    target: str = ""
 
 
 @message("permit-cancel")
@@ -308,6 +312,8 @@
     state: str  # "intent", "answered", "not-run" or "unknown"
     written_at: float  # seconds since 1970
     answer: StoredAnswer | None = None
+    sequence: int = 0  # counts the runs of one key
+    request_id: str = ""  # the request that ran
 
 
 @message("journal-append")
