--- a/packages/core/src/fireflystand_core/admission/desk.py
+++ b/packages/core/src/fireflystand_core/admission/desk.py
@@ -12,7 +12,7 @@
     StoredAnswer,
 )
 
-from .actions import Action, Reply, WriteIntent, WriteOutcome
+from .actions import Action, Reply, StoreSuspects, WriteIntent, WriteOutcome
 from .budgets import HedgePolicy, RetryBudget
 from .crashes import CrashHold
 from .desk_state import export_state, restore_state
@@ -25,7 +25,7 @@
 
 LONGEST_DEADLINE = 60.0  # seconds
 RETRY_AFTER = 1.0  # seconds
-MAX_FREE_RETRIES = 1000
+MAX_REMEMBERED = 1000  # request or permit ids
 
 
 class PermitDesk(TargetEvents):
@@ -72,6 +72,7 @@
         self._repeats_by_id: dict[str, WaitingRequest] = {}
         self._departed_by_id: dict[str, OutstandingPermit] = {}
         self._free_retries: dict[str, None] = {}
+        self._foreign_ids: dict[str, None] = {}
 
     def request(self, request: PermitRequest, entry: str, now: float) -> list[Action]:
         """Take in a request for a permit."""
@@ -211,8 +212,17 @@
         return actions
 
     def cancel(self, cancel: PermitCancel, now: float) -> list[Action]:
-        """Withdraw a request that still waits."""
+        """Withdraw a request that waits, or whose permit did not arrive."""
         actions = self._withdraw(cancel.request_id, "cancelled by its caller", now)
+        for permit in self.issuer.permits():
+            unused = (permit.request_id, permit.attempt) == (
+                cancel.request_id,
+                cancel.attempt,
+            )
+            if unused and permit.lost_at is None:
+                self.targets_by_id[permit.target].release(permit.permit_id)
+                sequence = permit.journal_sequence
+                actions += self._finish(permit.scope, sequence, "not-run", now)
         return actions + self._dispatch(now)
 
     def _withdraw(self, request_id: str, reason: str, now: float) -> list[Action]:
@@ -242,6 +252,8 @@
             now,
             returned.answer,
         )
+        if returned.broken:
+            actions.append(StoreSuspects(self.hold.store(now)))
         return actions + self._dispatch(now)
 
     def _judge(self, returned, permit, target: TargetAdmission | None, now) -> None:
@@ -261,7 +273,7 @@
             target.shed(now)
         elif returned.stale:
             self._free_retries[permit.request_id] = None
-            if len(self._free_retries) > MAX_FREE_RETRIES:
+            if len(self._free_retries) > MAX_REMEMBERED:
                 self._free_retries.pop(next(iter(self._free_retries)))
 
     def _judge_answer(self, returned, permit, target, now: float) -> None:
@@ -269,7 +281,7 @@
             self.hold.survived(permit.fingerprint)
         if target is None or returned.status >= 500:
             return
-        target.succeeded(returned.latency, now)
+        target.succeeded(returned.latency, now, permit.issued_at)
         self.issuer.note_service_time(returned.latency)
         if not permit.hedge:
             self.hedges.note_latency(returned.latency)
@@ -277,7 +289,8 @@
     def _foreign(self, returned: PermitReturn, now: float) -> list[Action]:
         """Take back a permit that an earlier coordinator issued."""
         if returned.broken and returned.fingerprint:
-            self.hold.broken(returned.target, returned.fingerprint, now)
+            self._foreign_broken(returned, now)
+            return [StoreSuspects(self.hold.store(now))]
         if returned.outcome != "answered" or not returned.scope:
             return []
         scope = returned.scope
@@ -288,16 +301,23 @@
         entry = self.journal.entry(scope, now)
         return [] if entry is None else [WriteOutcome(entry)]
 
+    def _foreign_broken(self, returned: PermitReturn, now: float) -> None:
+        """Count a crash at once: the target's earlier incarnation is not known."""
+        if returned.permit_id in self._foreign_ids:
+            return
+        self._foreign_ids[returned.permit_id] = None
+        if len(self._foreign_ids) > MAX_REMEMBERED:
+            self._foreign_ids.pop(next(iter(self._foreign_ids)))
+        self.hold.crashed(returned.target, {returned.fingerprint}, now)
+
     def entry_lost(self, entry: str, now: float) -> list[Action]:
         """Take in that an entry instance is gone; its permits keep their slots."""
         for target in self.targets_by_id.values():
             for permit in target.permits_by_id.values():
                 if permit.entry == entry:
                     target.mark_lost(permit.permit_id, now)
-        items = [*self._intents_by_id.values(), *self._repeats_by_id.values()]
-        items += self.issuer.waiting()
         actions: list[Action] = []
-        for item in items:
+        for item in self.waiting():
             if item.entry == entry:
                 reason = "entry instance was lost"
                 actions += self._withdraw(item.request.request_id, reason, now)
@@ -340,16 +360,23 @@
             actions.append(Reply(issued.item.entry, request_id, answer))
         return actions
 
+    def waiting(self) -> list[WaitingRequest]:
+        """Return every request that has no answer yet."""
+        items = [*self._intents_by_id.values(), *self._repeats_by_id.values()]
+        return items + self.issuer.waiting()
+
     def close(self, now: float, reason: str = "group moves") -> list[Action]:
         """Stop issuing and refuse everything that waits."""
         self.closed = True
-        items = [*self._repeats_by_id.values(), *self._intents_by_id.values()]
-        items += self.issuer.waiting()
         actions: list[Action] = []
-        for item in items:
+        for item in sorted(self.waiting(), key=self._is_first):
             actions += self._withdraw(item.request.request_id, reason, now)
         return actions
 
+    def _is_first(self, item: WaitingRequest) -> bool:
+        """Sort repeats before the requests whose end would admit them."""
+        return item.request.request_id not in self._repeats_by_id
+
     def export(self, now: float) -> dict[str, bytes]:
         """Return the state for a handover; call ``close`` first."""
         departed = list(self._departed_by_id.values())
--- a/packages/core/src/fireflystand_core/admission/desk_state.py
+++ b/packages/core/src/fireflystand_core/admission/desk_state.py
@@ -57,6 +57,7 @@
     fields = {name: getattr(target, name) for name in _TARGET_FIELDS + _LEARNED_FIELDS}
     fields["ready_after"] = target.ready_after - now
     fields["inherited_until"] = target.inherited_until - now
+    fields["cold_since"] = target.cold_since - now
     permits = target.permits_by_id.values()
     fields["permits"] = [_export_permit(permit, now) for permit in permits]
     return fields
@@ -77,6 +78,7 @@
     target.recent = target.baseline
     target.ready_after = now + fields["ready_after"]
     target.inherited_until = now + fields["inherited_until"]
+    target.cold_since = now + fields["cold_since"]
     for permit in fields["permits"]:
         target.issue(_permit(permit, now))
     return target
--- a/packages/core/src/fireflystand_core/admission/desk_targets.py
+++ b/packages/core/src/fireflystand_core/admission/desk_targets.py
@@ -63,7 +63,7 @@
 
     def target_granted(self, target: str, now: float) -> list[Action]:
         """Take in the first grant of a target's incarnation."""
-        self.targets_by_id[target].turn_cold()
+        self.targets_by_id[target].turn_cold(now)
         return self._dispatch(now)
 
     def target_status(
--- a/packages/core/src/fireflystand_core/admission/targets.py
+++ b/packages/core/src/fireflystand_core/admission/targets.py
@@ -58,6 +58,7 @@
     alive: bool = True
     incarnation: str | None = None
     sampled_at: float = float("-inf")
+    cold_since: float = float("-inf")
     inherited: int | None = 0
     ready_after: float = 0.0
     inherited_until: float = 0.0
@@ -126,10 +127,15 @@
         if permit is not None and permit.lost_at is None:
             permit.lost_at = now
 
-    def succeeded(self, latency: float, now: float) -> None:
-        """Take in a complete response; grow if it came in time."""
+    def succeeded(
+        self, latency: float, now: float, issued_at: float = float("inf")
+    ) -> None:
+        """Take in a complete response; grow if it came in time.
+
+        A request from before the cold turn says nothing about the warm-up.
+        """
         in_time = self._measure(latency, now)
-        if not in_time:
+        if not in_time or issued_at < self.cold_since:
             return
         self.warm_limit = min(float(self.slots), self.warm_limit + WARM_STEP)
         self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
@@ -138,8 +144,9 @@
         """Lower the limit because the target refused work."""
         self._decrease(now)
 
-    def turn_cold(self) -> None:
+    def turn_cold(self, now: float) -> None:
         """Start the warm-up again."""
+        self.cold_since = now
         self.warm_limit = COLD_LIMIT
         self._jumps = 0
 
@@ -157,7 +164,7 @@
         """
         self.sampled_at = sampled_at
         if self.incarnation is not None and self.incarnation != incarnation:
-            self.turn_cold()
+            self.turn_cold(sampled_at)
         self.incarnation = incarnation
         self.alive = True
         self.status_warm = min(1.0, max(0.0, warm))
@@ -179,7 +186,7 @@
         Nothing is issued until a status sampled ``wait`` seconds from now tells
         how many there are; after ``longest`` seconds none is left.
         """
-        self.turn_cold()
+        self.turn_cold(now)
         self.inherited = None
         self.ready_after = now + wait
         self.inherited_until = now + longest
@@ -192,7 +199,7 @@
         """
         self.alive = False
         self.sampled_at = now
-        self.turn_cold()
+        self.turn_cold(now)
         for permit in self.permits_by_id.values():
             self.mark_lost(permit.permit_id, now)
         return list(self.permits_by_id.values())
@@ -244,7 +251,7 @@
         self.recent += RECENT_WEIGHT * (latency - self.recent)
         self.recent_at = now
         if self._jumps >= JUMP_SAMPLES:
-            self.turn_cold()
+            self.turn_cold(now)
         if slow:
             self._decrease(now)
         return not slow
--- a/packages/core/src/fireflystand_core/admission/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/admission/tests/test_desk.py
@@ -234,6 +234,13 @@
         self.assertEqual(answers(desk.cancel(cancel, 0.2))["r1"].outcome, "not-run")
         self.assertEqual(answers(desk.returned(give_back(permit), 0.3)), {})
 
+    def test_permit_that_did_not_arrive_is_freed(self):
+        desk = make_desk(slots=1)
+        desk.request(ask("r0"), "e", 0.0)
+        desk.request(ask("r1"), "e", 0.1)
+        got = answers(desk.cancel(PermitCancel("winkel", 0, "r0"), 0.2))
+        self.assertIsInstance(got["r1"], Permit)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/core/src/fireflystand_core/journal/index.py
+++ b/packages/core/src/fireflystand_core/journal/index.py
@@ -127,7 +127,7 @@
         return self._run(record, request_id, now)
 
     def _begin_new(self, scope, fingerprint, request_id, idempotent, now) -> Begin:
-        if now < self.gap_until and not idempotent:
+        if self.has_gap(now) and not idempotent:
             return _unknown("journal has a gap after a store outage")
         if len(self._by_scope) >= self._max_records:
             return Begin(
@@ -274,6 +274,10 @@
         """Answer ``unknown`` for idempotency keys not in the index until retention."""
         self.gap_until = now + self.retention
 
+    def has_gap(self, now: float) -> bool:
+        """Tell whether a successor has to mark a gap as well."""
+        return now < self.gap_until
+
     def expire(self, now: float) -> None:
         """Forget records after the retention."""
         for scope, record in list(self._by_scope.items()):
--- a/packages/core/src/fireflystand_core/journal/segments.py
+++ b/packages/core/src/fireflystand_core/journal/segments.py
@@ -7,11 +7,17 @@
 
 from fireflystand_core.messages import JournalEntry, StoredAnswer
 
-__all__ = ["Segment", "decode_batch", "encode_batch", "is_expired", "segment_key"]
+__all__ = [
+    "MAX_BATCH_BYTES",
+    "Segment",
+    "decode_batch",
+    "encode_batch",
+    "is_expired",
+    "segment_key",
+]
 
-MAX_SEGMENT_BYTES = 900_000  # the store's limit is 1 MB with the JSON around
 ROLL_BYTES = 128 * 1024  # a full rewrite per commit stays short
-MAX_BATCH_BYTES = 512 * 1024
+MAX_BATCH_BYTES = 512 * 1024  # under the store's 1 MB once in base64
 
 
 def segment_key(writer: int, number: int) -> str:
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -248,11 +248,12 @@
 @message("permit-cancel")
 @attrs.frozen
 class PermitCancel:
-    """Withdraw a permit request that still waits."""
+    """Withdraw a permit request whose answer the sender will not use."""
 
     service: str
     group: int
     request_id: str
+    attempt: int = 0
 
 
 @message("quota-request")
--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzz the decision logic with stateful machines."""
