Measure admission, balancing and fairness, and adjust two rules

Change: the limit is lowered by the recent mean instead of by single slow requests; a request with under 3 mean service times left is refused while others wait; PermitReturn.ended frees the slot of an acknowledged cancellation.

--- a/packages/core/src/fireflystand_core/admission/balancing.py
+++ b/packages/core/src/fireflystand_core/admission/balancing.py
@@ -45,10 +45,14 @@
 
 @balancing_policy("latency_aware")
 def latency_aware(targets, random, now):
-    """Choose the target with the smallest expected completion time."""
+    """Choose the target with the smallest expected completion time.
+
+    Its lagging load report only breaks ties.
+    """
 
     def expected(target):
         latency = max(MIN_LATENCY, target.expected_latency(now))
-        return (latency * (target.in_use + 1) / target.slots, random.random())
+        time = latency * (target.in_use + 1) / target.slots
+        return (time, target.reported_in_flight, random.random())
 
     return min(targets, key=expected)
--- a/packages/core/src/fireflystand_core/admission/desk.py
+++ b/packages/core/src/fireflystand_core/admission/desk.py
@@ -261,7 +261,10 @@
             if returned.broken and not permit.crash_counted:
                 permit.crash_counted = True
                 self.hold.broken(permit.target, permit.fingerprint, now)
-            if target is not None:
+            if target is not None and returned.ended:
+                target.release(permit.permit_id)
+                target.cancelled(returned.latency, now)
+            elif target is not None:
                 target.mark_lost(permit.permit_id, now)
             return
         self._departed_by_id.pop(permit.permit_id, None)
--- a/packages/core/src/fireflystand_core/admission/issuing.py
+++ b/packages/core/src/fireflystand_core/admission/issuing.py
@@ -19,6 +19,7 @@
 PERMIT_GRACE = 0.5  # seconds for a return to arrive after the request's deadline
 RESERVE_TIME = 2.0  # seconds a target drains for a request that must run alone
 SERVICE_TIME_WEIGHT = 0.1
+SERVICE_MARGIN = 3.0  # times the mean; what ends past its deadline wastes a slot
 SERVICE_TIME_DECAY = 0.98  # on each refusal, so that an old slowdown is forgotten
 UNOWNED = ""
 
@@ -205,7 +206,7 @@
             return Issued(item)
         if self._hold.is_refused(fingerprint):
             return Issued(item, reason="request crashed targets")
-        if item.deadline - now < self.service_time and others_wait:
+        if item.deadline - now < SERVICE_MARGIN * self.service_time and others_wait:
             self.service_time *= SERVICE_TIME_DECAY
             return Issued(item, reason="cannot be served before its deadline")
         if self._hold.must_run_alone(fingerprint):
--- a/packages/core/src/fireflystand_core/admission/targets.py
+++ b/packages/core/src/fireflystand_core/admission/targets.py
@@ -140,6 +140,12 @@
         self.warm_limit = min(float(self.slots), self.warm_limit + WARM_STEP)
         self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
 
+    def cancelled(self, age: float, now: float) -> None:
+        """Take in how long a request ran in vain before its cancellation."""
+        if self.recent is not None and age > self.recent:
+            self.recent = age
+            self.recent_at = now
+
     def shed(self, now: float) -> None:
         """Lower the limit because the target refused work."""
         self._decrease(now)
@@ -252,7 +258,8 @@
         self.recent_at = now
         if self._jumps >= JUMP_SAMPLES:
             self.turn_cold(now)
-        if slow:
+        # Single slow requests are normal; they cost a third of a small target.
+        if self.recent > SLOW_FACTOR * self.baseline:
             self._decrease(now)
         return not slow
 
--- a/packages/core/src/fireflystand_core/admission/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/admission/tests/test_desk.py
@@ -213,6 +213,9 @@
         hedge = ask("h0", hedge_of="r0")
         second = answers(desk.request(hedge, "e", 5.1))["h0"]
         self.assertNotEqual(second.target, permit.target)
+        loser = give_back(permit, "unknown", ended=True, latency=0.5)
+        desk.returned(loser, 5.2)
+        self.assertEqual(desk.targets_by_id[permit.target].in_use, 0)
 
     def test_keyed_and_non_idempotent_requests_are_never_hedged(self):
         keyed = self.warm(make_desk(("t1", "t2"), keyed=True))
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -225,8 +225,9 @@
 
     ``outcome`` is ``answered``, ``not-run`` or ``unknown``; ``broken`` tells
     that the connection broke after the request was handed over; ``refused``
-    that the target refused the connection; ``latency`` is in seconds. The last
-    three fields let a coordinator judge a permit that its predecessor issued.
+    that the target refused the connection; ``latency`` is in seconds. ``scope``,
+    ``fingerprint`` and ``target`` let a coordinator judge a permit that its
+    predecessor issued.
     """
 
     service: str
@@ -243,6 +244,7 @@
     scope: str = ""  # scope of the idempotency key
     fingerprint: int = 0
     target: str = ""
+    ended: bool = False  # the target acknowledged the cancellation
 
 
 @message("permit-cancel")
--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the choices that the design page records."""
