--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -225,7 +225,9 @@
 
     ``outcome`` is ``answered``, ``not-run`` or ``unknown``; ``broken`` tells
     that the connection broke after the request was handed over; ``refused``
-    that the target refused the connection; ``latency`` is in seconds.
+    that the target refused the connection; ``latency`` is in seconds. ``scope``,
+    ``fingerprint`` and ``target`` let a coordinator judge a permit that its
+    predecessor issued.
     """
 
     service: str
@@ -239,16 +241,21 @@
     shed: bool = False
     stale: bool = False
     answer: StoredAnswer | None = None
+    scope: str = ""  # scope of the idempotency key
+    fingerprint: int = 0
+    target: str = ""
+    ended: bool = False  # the target acknowledged the cancellation
 
 
 @message("permit-cancel")
 @attrs.frozen
 class PermitCancel:
-    """Withdraw a permit request that still waits."""
+    """Withdraw a permit request whose answer the sender will not use."""
 
     service: str
     group: int
     request_id: str
+    attempt: int = 0
 
 
 @message("quota-request")
@@ -308,6 +315,8 @@
     state: str  # "intent", "answered", "not-run" or "unknown"
     written_at: float  # seconds since 1970
     answer: StoredAnswer | None = None
+    sequence: int = 0  # counts the runs of one key
+    request_id: str = ""  # the request that ran
 
 
 @message("journal-append")
