Add token buckets, quota leases and the API key registry

Accounts have one rate and burst over all instances. An entry instance spends tokens that the coordinator of the account's group lends to it for 1 s.

Lent, unspent tokens count against the burst, so that no window of time sees more than its rate and one burst. Without that rule an instance could hold a lease while the bucket fills up to the burst again. Instances report what they spent by lease, and the reports may be lost, repeated or overtaken. A coordinator without a handed-over state lends nothing for one time to live, because the leases of its predecessor may hold a whole burst until then; only starting empty was ruled out for that reason.

Each of six mutations of these rules was seen to fail a unit test: no pause after a takeover, refill beyond the burst while tokens are lent, repeated requests served, overtaken reports counted, the lease counted from its receipt, an abandoned answer taken.

QuotaRequest gains sequence and reports, QuotaLease gains sequence.

--- /dev/null
+++ b/packages/core/src/fireflystand_core/accounts/bucket.py
@@ -0,0 +1,60 @@
+"""Count tokens that accrue at a rate up to a burst."""
+
+import attrs
+
+__all__ = ["TokenBucket"]
+
+
+@attrs.define
+class TokenBucket:
+    """Hold the tokens of an account; ``rate`` is in tokens a second.
+
+    ``lent`` tokens are held elsewhere unspent. They count against the burst, so
+    that no window of time sees more than its rate and one burst.
+    """
+
+    rate: float
+    burst: float
+    updated_at: float  # seconds
+    level: float = 0.0
+    lent: float = 0.0
+
+    def refill(self, now: float) -> None:
+        """Add the tokens accrued since the last call."""
+        elapsed = max(0.0, now - self.updated_at)
+        self.updated_at = max(self.updated_at, now)
+        room = max(0.0, self.burst - self.lent)
+        self.level = min(room, self.level + elapsed * self.rate)
+
+    def lend(self, tokens: float) -> None:
+        """Move tokens from the bucket to a borrower."""
+        if tokens > self.level:
+            raise ValueError(f"{tokens} tokens lent out of {self.level}")
+        self.level -= tokens
+        self.lent += tokens
+
+    def spend(self, tokens: float) -> None:
+        """Note that lent tokens are gone."""
+        self.lent = max(0.0, self.lent - tokens)
+
+    def take_back(self, tokens: float) -> None:
+        """Return unspent lent tokens to the bucket."""
+        self.lent = max(0.0, self.lent - tokens)
+        room = max(0.0, self.burst - self.lent)
+        self.level = min(room, self.level + tokens)
+
+    def change(self, rate: float, burst: float, now: float) -> None:
+        """Apply new settings from ``now`` on."""
+        self.refill(now)
+        self.rate = rate
+        self.burst = burst
+        self.refill(now)
+
+    def time_until(self, tokens: float) -> float:
+        """Return the seconds until that many tokens are there."""
+        missing = tokens - self.level
+        if missing <= 0:
+            return 0.0
+        if self.rate <= 0:
+            return float("inf")
+        return missing / self.rate
--- /dev/null
+++ b/packages/core/src/fireflystand_core/accounts/keys.py
@@ -0,0 +1,63 @@
+"""Keep API keys by their hash and admit accounts to services."""
+
+import hashlib
+from enum import StrEnum
+
+import attrs
+
+from fireflystand_core.configuration import AccountSettings
+
+__all__ = ["KeyRegistry", "KeyState", "hash_api_key"]
+
+
+class KeyState(StrEnum):
+    """Tell whether an API key may be used."""
+
+    ACTIVE = "active"
+    WITHDRAWN = "withdrawn"
+
+
+@attrs.frozen
+class _Key:
+    account: str
+    state: KeyState
+
+
+def hash_api_key(api_key: str) -> str:
+    """Return the SHA-256 of an API key in hexadecimal."""
+    return hashlib.sha256(api_key.encode()).hexdigest()
+
+
+class KeyRegistry:
+    """Hold API keys by hash; a withdrawn one stays withdrawn."""
+
+    def __init__(self) -> None:
+        self._keys_by_hash: dict[str, _Key] = {}
+
+    def put(self, key_hash: str, account: str, state: KeyState) -> None:
+        """Take over an API key unless it was withdrawn before."""
+        known = self._keys_by_hash.get(key_hash)
+        if known is not None and known.state is KeyState.WITHDRAWN:
+            return
+        self._keys_by_hash[key_hash] = _Key(account, KeyState(state))
+
+    def remove(self, key_hash: str) -> None:
+        """Treat an API key whose object was deleted as withdrawn."""
+        known = self._keys_by_hash.get(key_hash)
+        if known is not None:
+            self.put(key_hash, known.account, KeyState.WITHDRAWN)
+
+    def account_of(self, api_key: str) -> str | None:
+        """Return the account of an active API key."""
+        return self.account_of_hash(hash_api_key(api_key))
+
+    def account_of_hash(self, key_hash: str) -> str | None:
+        """Return the account of an active API key by its hash."""
+        known = self._keys_by_hash.get(key_hash)
+        if known is None or known.state is not KeyState.ACTIVE:
+            return None
+        return known.account
+
+    def admits(self, account: AccountSettings | None, service: str) -> bool:
+        """Tell whether an account may call a service."""
+        return account is not None and service in account.services
--- /dev/null
+++ b/packages/core/src/fireflystand_core/accounts/tests/test_quota.py
@@ -0,0 +1,171 @@
+"""Test the lending of tokens."""
+
+import unittest
+
+from fireflystand_core.accounts import QuotaCoordinator, QuotaHolder, Refused
+from fireflystand_core.configuration import AccountSettings
+from fireflystand_core.messages import LeaseReport, QuotaRequest
+
+
+def settings(rate=100.0, burst=20.0) -> AccountSettings:
+    return AccountSettings("gent", rate, burst, ("winkel",))
+
+
+def ask(instance="a", tokens=0.0, sequence=1, wait=0.5, reports=()) -> QuotaRequest:
+    return QuotaRequest(
+        instance, "gent", tokens, wait=wait, sequence=sequence, reports=list(reports)
+    )
+
+
+def filled(**kwargs) -> QuotaCoordinator:
+    coordinator = QuotaCoordinator([settings(**kwargs)], 0.0)
+    coordinator.advance(60.0)
+    return coordinator
+
+
+def exchange(coordinator, holders, now):
+    """Pass requests and answers until nothing is due at ``now``."""
+    verdicts = []
+    for _ in range(10):
+        for holder in holders.values():
+            request = holder.next_request(now)
+            answers = coordinator.request(request, now) if request else []
+            for instance, lease in answers + coordinator.advance(now):
+                holders[instance].on_lease(lease, now)
+        for name, holder in holders.items():
+            verdicts.extend((name, *verdict) for verdict in holder.advance(now))
+    return verdicts
+
+
+class QuotaCoordinatorTests(unittest.TestCase):
+    """Guard against more tokens than the account's rate and burst."""
+
+    def test_takeover_lends_nothing_until_old_leases_have_expired(self):
+        coordinator = QuotaCoordinator([settings()], 10.0)
+        self.assertEqual(coordinator.request(ask(tokens=5), 10.0), [])
+        [(_, lease)] = coordinator.advance(10.5)
+        self.assertEqual(lease.tokens, 0)
+        self.assertGreater(lease.retry_after, 0.5)
+        coordinator.request(ask(tokens=5, sequence=2), 10.9)
+        [(_, lease)] = coordinator.advance(11.025)
+        self.assertEqual(lease.tokens, 2)
+
+    def test_lent_tokens_count_against_the_burst(self):
+        coordinator = filled()
+        [(_, lease)] = coordinator.request(ask(tokens=15), 60.0)
+        self.assertEqual(lease.tokens, 15)
+        coordinator.advance(60.9)
+        quota = coordinator.quotas_by_account["gent"]
+        self.assertEqual(quota.level + quota.lent, 20)
+
+    def test_late_and_repeated_reports_return_tokens_once(self):
+        coordinator = filled()
+        coordinator.request(ask(tokens=10), 60.0)
+        closed = LeaseReport(1, 4, closed=True)
+        late = LeaseReport(1, 2)
+        for sequence, report in enumerate((closed, late, closed), start=2):
+            coordinator.request(ask(sequence=sequence, reports=[report]), 60.0)
+        quota = coordinator.quotas_by_account["gent"]
+        self.assertEqual(quota.lent + quota.level, 16)
+
+    def test_overtaken_report_lends_no_spent_tokens_again(self):
+        coordinator = filled()
+        coordinator.request(ask(tokens=10), 60.0)
+        for sequence, spent in ((3, 4), (2, 2)):
+            reports = [LeaseReport(1, spent)]
+            coordinator.request(ask(sequence=sequence, reports=reports), 60.0)
+        self.assertEqual(coordinator.quotas_by_account["gent"].lent, 6)
+
+    def test_repeated_request_lends_nothing(self):
+        coordinator = filled()
+        coordinator.request(ask(tokens=10), 60.0)
+        self.assertEqual(coordinator.request(ask(tokens=10), 60.0), [])
+
+    def test_waiting_instances_share_what_arrives(self):
+        coordinator = filled()
+        coordinator.request(ask("a", 20), 60.0)
+        coordinator.request(ask("b", 8, reports=[]), 60.0)
+        coordinator.request(ask("c", 1), 60.0)
+        coordinator.request(ask("a", 0, 2, reports=[LeaseReport(1, 20)]), 60.0)
+        answers = dict(coordinator.advance(60.025))
+        self.assertEqual(
+            {name: x.tokens for name, x in answers.items()}, {"b": 1, "c": 1}
+        )
+
+    def test_handover_continues_with_the_same_bucket(self):
+        coordinator = filled()
+        coordinator.request(ask(tokens=5), 60.0)
+        state = coordinator.export(60.0)
+        successor = QuotaCoordinator([settings()], 500.0, state)
+        quota = successor.quotas_by_account["gent"]
+        self.assertEqual((quota.level, quota.lent), (15, 5))
+        returned = [LeaseReport(1, 1, closed=True)]
+        successor.request(ask(sequence=2, reports=returned), 500.0)
+        self.assertEqual((quota.level, quota.lent), (19, 0))
+
+    def test_lower_burst_applies_to_tokens_that_are_there(self):
+        coordinator = filled()
+        coordinator.configure([settings(burst=6.0)], 60.0)
+        self.assertEqual(coordinator.quotas_by_account["gent"].level, 6)
+
+
+class QuotaHolderTests(unittest.TestCase):
+    """Guard against spending expired leases and against early refusals."""
+
+    def setUp(self):
+        self.coordinator = filled()
+        self.holder = QuotaHolder("a", settings(), 60.0)
+
+    def exchange(self, now):
+        return exchange(self.coordinator, {"a": self.holder}, now)
+
+    def test_caller_waits_for_the_lease(self):
+        self.assertIs(self.holder.take(1, 61.0, 60.0), False)
+        self.assertEqual(self.exchange(60.0), [("a", 1, True)])
+
+    def test_lease_counts_from_the_sending(self):
+        self.holder.take(1, 65.0, 60.0)
+        request = self.holder.next_request(60.0)
+        [(_, lease)] = self.coordinator.request(request, 60.0)
+        self.holder.on_lease(lease, 60.99)
+        self.assertEqual(self.holder.advance(60.99), [])
+
+    def test_late_answer_to_an_abandoned_request_is_not_spent(self):
+        self.holder.take(1, 65.0, 60.0)
+        first = self.holder.next_request(60.0)
+        [(_, lease)] = self.coordinator.request(first, 60.0)
+        second = self.holder.next_request(60.9)
+        self.assertIn(LeaseReport(first.sequence, 0.0, True), second.reports)
+        self.holder.on_lease(lease, 60.9)
+        self.assertEqual(self.holder.advance(60.9), [])
+
+    def test_unspent_tokens_are_returned_before_the_expiry(self):
+        now = 60.0
+        for caller in range(200):
+            now += 0.01
+            self.holder.take(caller, now + 1, now)
+            self.exchange(now)
+        quota = self.coordinator.quotas_by_account["gent"]
+        self.assertGreater(self.holder.unspent(now), 0)
+        level = quota.level + quota.lent
+        for step in range(1, 5):
+            self.exchange(now + 0.75 * step)
+        self.assertEqual(quota.lent, 0)
+        self.assertGreaterEqual(quota.level, min(20, level))
+
+    def test_refusal_names_the_time_until_a_token(self):
+        self.coordinator = QuotaCoordinator([settings()], 60.0)
+        self.holder.take(1, 60.1, 60.0)
+        self.exchange(60.0)
+        [(_, _, verdict)] = self.exchange(60.1)
+        self.assertIsInstance(verdict, Refused)
+        self.assertGreater(verdict.retry_after, 0)
+
+    def test_callers_that_cannot_be_served_are_refused_at_once(self):
+        verdicts = [self.holder.take(n, 60.1, 60.0) for n in range(32)]
+        self.assertEqual(verdicts[:30], [False] * 30)
+        self.assertIsInstance(verdicts[31], Refused)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -20,6 +20,7 @@
     "JournalAppend",
     "JournalAppended",
     "JournalEntry",
+    "LeaseReport",
     "Permit",
     "PermitCancel",
     "PermitRefused",
@@ -251,16 +252,34 @@
     request_id: str
 
 
+@attrs.frozen
+class LeaseReport:
+    """Tell how many tokens of a lease are spent; ``closed`` returns the others.
+
+    ``sequence`` is that of the request which the lease answered.
+    """
+
+    sequence: int
+    spent: float
+    closed: bool = False
+
+
 @message("quota-request")
 @attrs.frozen
 class QuotaRequest:
-    """Ask for tokens of an account and return unspent ones."""
+    """Ask for the tokens that waiting callers need and report on earlier leases.
+
+    ``instance`` names one incarnation; ``sequence`` increases with each request
+    of an instance for the account.
+    """
 
     instance: str
     account: str
     tokens: float
     returned: float = 0.0
     wait: float = 0.0  # seconds
+    sequence: int = 0
+    reports: list[LeaseReport] = attrs.field(factory=list)
 
 
 @message("quota-lease")
@@ -273,6 +292,7 @@
     ttl: float
     retry_after: float = 0.0
     coordinator: str | None = None
+    sequence: int = 0
 
 
 @message("hand-over")
