--- a/packages/core/src/fireflystand_core/accounts/holder.py
+++ b/packages/core/src/fireflystand_core/accounts/holder.py
@@ -66,6 +66,11 @@
         """Return the number of callers that wait."""
         return len(self._deadlines_by_caller)
 
+    @property
+    def sequence(self) -> int:
+        """Return the number of the last request."""
+        return self._sequence
+
     def unspent(self, now: float) -> float:
         """Return the tokens that may be spent at ``now``."""
         return sum(
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -92,17 +92,22 @@
 @message("feed-pull")
 @attrs.frozen
 class FeedPull:
-    """Ask for the feed items newer than the versions the sender has."""
+    """Ask for the feed items newer than the versions the sender has.
+
+    With ``since``, ask instead for all items with a higher version than that.
+    """
 
     versions: dict[str, int]
+    since: int | None = None
 
 
 @message("feed-items")
 @attrs.frozen
 class FeedItems:
-    """Push or return feed items."""
+    """Push or return feed items; ``more`` tells that an answer was cut short."""
 
     items: list[FeedItem]
+    more: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/router/src/fireflystand_router/gossip.py
@@ -0,0 +1,164 @@
+"""Spread feed items between instances and tell whether this one is up to date."""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from fireflystand_core.feed import (
+    FeedState,
+    answer_pull,
+    batches,
+    next_pull,
+    pull_after,
+)
+from fireflystand_core.membership import PeerEntry, PeerTable, Probe
+from fireflystand_core.messages import (
+    FeedItem,
+    FeedItems,
+    FeedPull,
+    Heartbeat,
+    HeartbeatReply,
+)
+
+from .peers import PeerLink, PeerNetwork, PeerUnavailableError
+from .view import ClusterView
+
+__all__ = ["Gossip"]
+
+HEARTBEAT_INTERVAL = 0.5  # seconds
+FANOUT = 3  # peers that a push or a round of heartbeats goes to
+ANSWER_TIMEOUT = 0.4  # seconds
+PULL_TIMEOUT = 2.0  # seconds
+FRESH_FOR = 3.0  # seconds without store and majority before admission stops
+NEVER = 1e9  # seconds, sent as the age of a store that was never heard
+
+
+class Gossip:
+    """Own the feed state of this instance.
+
+    ``store_heard`` returns when a watch or list last succeeded, on trio's clock.
+    Other calls to the store don't count, since they tell nothing of API keys.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        view: ClusterView,
+        table: PeerTable,
+        random: Random,
+        store_heard: Callable[[], float | None] = lambda: None,
+    ) -> None:
+        self.state = FeedState()
+        self.table = table
+        self.store_heard = store_heard
+        self._network = network
+        self._view = view
+        self._random = random
+        self._scope = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
+        self._pulling: set[str] = set()
+        network.handle(Heartbeat, self._on_heartbeat)
+        network.handle(FeedItems, self._on_items)
+        network.handle(FeedPull, self._on_pull)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the heartbeats."""
+        await nursery.start(self._run)
+
+    async def close(self) -> None:
+        """Stop the heartbeats."""
+        self._scope.cancel()
+
+    def may_admit(self) -> bool:
+        """Tell whether a withdrawn API key would have been heard of."""
+        now = trio.current_time()
+        age = min(self.store_age(now), self.table.majority_age(now))
+        return age < FRESH_FOR
+
+    def store_age(self, now: float) -> float:
+        """Return the seconds since the store told its changes to this instance."""
+        heard = self.store_heard()
+        return NEVER if heard is None else now - heard
+
+    def publish(self, items: list[FeedItem]) -> None:
+        """Take over items and push those that are newer to random peers."""
+        changed = self.state.accept(items)
+        for item in changed:
+            self._view.apply(item.key, item.value)
+        if not changed:
+            return
+        peers = [id for id in self.table.live_ids() if id != self.table.own.id]
+        chosen = self._random.sample(peers, min(FANOUT, len(peers)))
+        for batch in batches(changed):
+            for peer in chosen:
+                self._send(peer, FeedItems(batch))
+
+    def _send(self, peer: str, message: object) -> None:
+        try:
+            self._network.send(peer, message)
+        except PeerUnavailableError:
+            return  # the peer pulls after the next heartbeat
+
+    async def _run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                task_status.started()
+                while True:
+                    now = trio.current_time()
+                    for probe in self.table.next_probes(FANOUT, now):
+                        nursery.start_soon(self._probe, probe)
+                    await trio.sleep(HEARTBEAT_INTERVAL)
+
+    async def _probe(self, probe: Probe) -> None:
+        beat = Heartbeat(*self._own_state())
+        try:
+            reply = await self._network.request(probe.peer, beat, ANSWER_TIMEOUT)
+        except PeerUnavailableError:
+            self.table.failed(probe)
+            return
+        if not isinstance(reply, HeartbeatReply):
+            self.table.failed(probe)
+            return
+        self.table.answered(probe, reply.incarnation, trio.current_time())
+        await self._pull(probe.peer, reply.revision, reply.digest)
+
+    async def _on_heartbeat(self, beat: Heartbeat, link: PeerLink) -> HeartbeatReply:
+        hello = link.hello
+        entry = PeerEntry(hello.instance, hello.address, hello.data_centre)
+        self.table.heard(entry, hello.incarnation, trio.current_time())
+        if self._nursery is not None:
+            self._nursery.start_soon(
+                self._pull, beat.instance, beat.revision, beat.digest
+            )
+        return HeartbeatReply(*self._own_state())
+
+    def _own_state(self) -> tuple[str, str, int, int, float]:
+        hello = self._network.hello
+        age = self.store_age(trio.current_time())
+        state = self.state
+        return hello.instance, hello.incarnation, state.revision, state.digest, age
+
+    async def _pull(self, peer: str, revision: int, digest: int) -> None:
+        pull = next_pull(self.state, revision, digest)
+        if pull is None or peer in self._pulling:
+            return
+        self._pulling.add(peer)
+        try:
+            while pull is not None:
+                answer = await self._network.request(peer, pull, PULL_TIMEOUT)
+                if not isinstance(answer, FeedItems):
+                    return
+                self.publish(answer.items)
+                pull = pull_after(self.state, pull, answer)
+        except PeerUnavailableError:
+            return  # the next heartbeat compares again
+        finally:
+            self._pulling.discard(peer)
+
+    async def _on_items(self, message: FeedItems, link: PeerLink) -> None:
+        self.publish(message.items)
+
+    async def _on_pull(self, pull: FeedPull, link: PeerLink) -> FeedItems:
+        return answer_pull(self.state, pull)
--- a/packages/router/src/fireflystand_router/view.py
+++ b/packages/router/src/fireflystand_router/view.py
@@ -52,7 +52,7 @@
             self.operation_id = value["operation_id"]
             self.deployment = cattrs.structure(value["deployment"], Deployment)
         elif kind == "keys":
-            _set(self.keys_by_hash, name, value and cattrs.structure(value, KeyInfo))
+            self._apply_key(name, value and cattrs.structure(value, KeyInfo))
         elif kind == "data-centres":
             _set(self.data_centre_states_by_id, name, value and value["state"])
         elif kind == "targets":
@@ -64,6 +64,14 @@
         for listener in self.listeners:
             listener(key)
 
+    def _apply_key(self, name: str, key: KeyInfo | None) -> None:
+        # A withdrawal is final; a deleted API key counts as withdrawn.
+        known = self.keys_by_hash.get(name)
+        if known is not None and (key is None or known.state == "withdrawn"):
+            key = attrs.evolve(known, state="withdrawn")
+        if key is not None:
+            self.keys_by_hash[name] = key
+
     def admits_target(self, target: str) -> bool:
         """Tell whether new work may go to a target of the deployment."""
         if self.target_states_by_id.get(target, "in") != "in":
