--- a/packages/core/src/fireflystand_core/groups/tests/test_groups.py
+++ b/packages/core/src/fireflystand_core/groups/tests/test_groups.py
@@ -10,8 +10,10 @@
     ReadRecord,
     Stopped,
     TargetInfo,
+    Timing,
     spread_hot_keys,
 )
+from fireflystand_core.groups.lease import EarlierEpochs
 
 WITNESSES = {"w1": "1", "w2": "1", "w3": "1"}
 
@@ -69,6 +71,20 @@
         self.assertFalse(self.coordinator.has_authority(10.61))
 
 
+class EarlierEpochsTests(unittest.TestCase):
+    """Guard against an epoch that nobody sealed but that can still act."""
+
+    def test_every_earlier_epoch_has_to_be_sealed(self):
+        record = GroupRecord.first("a", "1", {"w1": "1"}, "op1")
+        record = record.claim("b", "1", {"w2": "1"}, "op2")
+        record = record.claim("c", "1", {"w3": "1"}, "op3")
+        earlier = EarlierEpochs(record.predecessors, Timing())
+        earlier.sealed("w2", "1", 5.0, 20.0)
+        self.assertIsNone(earlier.authority_end())
+        earlier.sealed("w1", "1", 0.0, 21.0)
+        self.assertAlmostEqual(earlier.authority_end(), 21.505)
+
+
 class HotKeyTests(unittest.TestCase):
     """Guard against several hot keys on one target."""
 
