--- a/packages/core/src/fireflystand_core/accounts/keys.py
+++ b/packages/core/src/fireflystand_core/accounts/keys.py
@@ -44,8 +44,8 @@
     def remove(self, key_hash: str) -> None:
         """Treat an API key whose object was deleted as withdrawn."""
         known = self._keys_by_hash.get(key_hash)
-        if known is not None:
-            self.put(key_hash, known.account, KeyState.WITHDRAWN)
+        account = "" if known is None else known.account
+        self.put(key_hash, account, KeyState.WITHDRAWN)
 
     def account_of(self, api_key: str) -> str | None:
         """Return the account of an active API key."""
--- a/packages/core/src/fireflystand_core/accounts/tests/test_keys.py
+++ b/packages/core/src/fireflystand_core/accounts/tests/test_keys.py
@@ -28,6 +28,12 @@
         self.registry.put(self.hash, "gent", KeyState.ACTIVE)
         self.assertIsNone(self.registry.account_of("secret"))
 
+    def test_deletion_heard_before_the_key_is_final_too(self):
+        other = hash_api_key("other")
+        self.registry.remove(other)
+        self.registry.put(other, "gent", KeyState.ACTIVE)
+        self.assertIsNone(self.registry.account_of("other"))
+
     def test_service_outside_the_account_is_not_admitted(self):
         account = AccountSettings("gent", 1.0, 1.0, ("winkel",))
         self.assertTrue(self.registry.admits(account, "winkel"))
--- a/packages/router/src/fireflystand_router/view.py
+++ b/packages/router/src/fireflystand_router/view.py
@@ -66,11 +66,10 @@
 
     def _apply_key(self, name: str, key: KeyInfo | None) -> None:
         # A withdrawal is final; a deleted API key counts as withdrawn.
-        known = self.keys_by_hash.get(name)
-        if known is not None and (key is None or known.state == "withdrawn"):
+        known = self.keys_by_hash.get(name, key or KeyInfo("", "withdrawn"))
+        if key is None or known.state == "withdrawn":
             key = attrs.evolve(known, state="withdrawn")
-        if key is not None:
-            self.keys_by_hash[name] = key
+        self.keys_by_hash[name] = key
 
     def admits_target(self, target: str) -> bool:
         """Tell whether new work may go to a target of the deployment."""
