--- a/packages/testing/src/fireflystand_testing/bench/__init__.py
+++ b/packages/testing/src/fireflystand_testing/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure parts of the system."""
+"""Measure parts of the system on the loopback interface."""
