Skip store objects that cannot be read in the watcher

An object of an unexpected form ended the watcher's task with a TypeError, and with it the instance; the new test showed that first.

--- a/packages/router/src/fireflystand_router/tests/test_feed.py
+++ b/packages/router/src/fireflystand_router/tests/test_feed.py
@@ -94,6 +94,17 @@
 
         run_world(scenario)
 
+    def test_unreadable_object_does_not_stop_the_watchers(self):
+        async def scenario(world):
+            await world.write("targets/t1", "draining")
+            await world.write("groups/winkel/0", {"epoch": 1})
+            await world.write_key("withdrawn")
+            rest = list(world.instances.values())
+            states = lambda: {i.key_state() for i in rest}  # noqa: E731
+            self.assertLess(await world.until(lambda: states() == {"withdrawn"}), 5.0)
+
+        run_world(scenario)
+
     def test_killed_watchers_are_replaced(self):
         async def scenario(world):
             for data_centre in ("namur-a", "gent-a"):
--- a/packages/router/src/fireflystand_router/watch.py
+++ b/packages/router/src/fireflystand_router/watch.py
@@ -34,7 +34,7 @@
         self._gossip = gossip
         self._scope = trio.CancelScope()
         self._since: int | None = None
-        self._pointer: StoredObject | None = None
+        self.unreadable_keys: set[str] = set()
         self.last_heard: float | None = None  # seconds on trio's clock
         gossip.store_heard = lambda: self.last_heard
 
@@ -114,7 +114,10 @@
                 deployment = await self._read_deployment(item)
                 published.extend([] if deployment is None else [deployment])
             elif item.key.startswith(PREFIXES) and not item.key.startswith("config/"):
-                published.append(_feed_item(item))
+                try:
+                    published.append(_feed_item(item))
+                except (KeyError, TypeError, ValueError):
+                    self.unreadable_keys.add(item.key)
         self._gossip.publish(published)
 
     async def _read_deployment(self, pointer: StoredObject) -> FeedItem | None:
