Assemble the parts into one node and run it as a fleet

Cause: the parts were built against interfaces; nothing ran them together. Permits name the shard of the grant, since a hot key has a shard of its own, and requests of services not divided by key carry none. A hello no longer replaces a listed address that still listens.

--- a/packages/core/src/fireflystand_core/admission/desk.py
+++ b/packages/core/src/fireflystand_core/admission/desk.py
@@ -17,7 +17,7 @@
 from .crashes import CrashHold
 from .desk_state import export_state, restore_state
 from .desk_targets import TargetEvents
-from .issuing import Issuer, OwnerOf
+from .issuing import Issuer, OwnerOf, ShardOf
 from .queues import WaitingRequest
 from .targets import OutstandingPermit, TargetAdmission
 
@@ -48,6 +48,7 @@
         hedging: bool = True,
         longest_deadline: float = LONGEST_DEADLINE,
         seed: int = 0,
+        shard_of: ShardOf | None = None,
     ) -> None:
         self.service = service
         self.group = group
@@ -64,6 +65,7 @@
             self.hold,
             self.hedges,
             seed,
+            shard_of,
         )
         self.closed = False
         self._may_issue = may_issue
@@ -363,6 +365,15 @@
             actions.append(Reply(issued.item.entry, request_id, answer))
         return actions
 
+    def set_epoch(self, epoch: int) -> None:
+        """Issue permits at an epoch that the same coordinator has raised."""
+        self.epoch = self.issuer.epoch = epoch
+
+    def permits_pending(self, target: str, shard: int) -> bool:
+        """Tell whether a request for the shard may still run on the target."""
+        permits = [*self.issuer.permits(), *self._departed_by_id.values()]
+        return any((p.target, p.shard) == (target, shard) for p in permits)
+
     def waiting(self) -> list[WaitingRequest]:
         """Return every request that has no answer yet."""
         items = [*self._intents_by_id.values(), *self._repeats_by_id.values()]
--- a/packages/core/src/fireflystand_core/admission/issuing.py
+++ b/packages/core/src/fireflystand_core/admission/issuing.py
@@ -14,7 +14,7 @@
 from .queues import FairQueue, WaitingRequest
 from .targets import SEND_WITHIN, OutstandingPermit, TargetAdmission
 
-__all__ = ["Issued", "Issuer", "Owner", "OwnerOf"]
+__all__ = ["Issued", "Issuer", "Owner", "OwnerOf", "ShardOf"]
 
 PERMIT_GRACE = 0.5  # seconds for a return to arrive after the request's deadline
 RESERVE_TIME = 2.0  # seconds a target drains for a request that must run alone
@@ -24,6 +24,7 @@
 UNOWNED = ""
 
 Owner = tuple[str, int]
+ShardOf = Callable[[int, int], int]
 OwnerOf = Callable[[int, int, float], Owner | None]
 
 
@@ -48,11 +49,14 @@
         hold: CrashHold,
         hedges: HedgePolicy,
         seed: int = 0,
+        shard_of: ShardOf | None = None,
     ) -> None:
+        self.epoch = epoch
         self.targets_by_id: dict[str, TargetAdmission] = {}
         self.service_time = 0.0  # seconds
         self._name = name
-        self._epoch = epoch
+        self._first_epoch = epoch
+        self._shard_of = shard_of or (lambda key, shard: shard)
         self._owner_of = owner_of
         self._choose = balancing_policies_by_name[balancing]
         self._hold = hold
@@ -153,7 +157,7 @@
         if held or not targets or not self._hedges.allow(item.request.idempotent):
             return None
         target = self._choose(targets, self._random, now)
-        return self._issue(item, target, self._epoch, now, hedge=True)
+        return self._issue(item, target, self.epoch, now, hedge=True)
 
     def requeue(self, now: float) -> None:
         """Move requests whose key has another owner by now."""
@@ -177,7 +181,7 @@
                 self._queue_of(item, now).push(item)
             elif target.in_use == 0 and target.free > 0:
                 del self._reserved_by_target[target_id]
-                epoch = owner[1] if owner else self._epoch
+                epoch = owner[1] if owner else self.epoch
                 permit = self._issue(item, target, epoch, now, alone=True)
                 results.append(Issued(item, permit))
         return results
@@ -215,7 +219,7 @@
         if not targets:
             return None
         target = self._choose(targets, self._random, now)
-        epoch = owner[1] if owner else self._epoch
+        epoch = owner[1] if owner else self.epoch
         return Issued(item, self._issue(item, target, epoch, now))
 
     def _try_alone(self, item, place: str, now: float) -> Issued | None:
@@ -237,7 +241,7 @@
             self._reserved_by_target[target.id] = (item, now)
             return Issued(item)
         owner = self._owner(item, now)
-        epoch = owner[1] if owner else self._epoch
+        epoch = owner[1] if owner else self.epoch
         return Issued(item, self._issue(item, target, epoch, now, alone=True))
 
     def _runs(self, fingerprint: int) -> bool:
@@ -251,7 +255,7 @@
         self, item, target, epoch: int, now: float, alone=False, hedge=False
     ) -> Permit:
         request = item.request
-        permit_id = f"{self._name}.{self._epoch}.{next(self._numbers)}"
+        permit_id = f"{self._name}.{self._first_epoch}.{next(self._numbers)}"
         outstanding = OutstandingPermit(
             permit_id,
             request.request_id,
@@ -260,7 +264,7 @@
             target.id,
             request.fingerprint,
             request.idempotent,
-            request.shard,
+            self._shard_of(request.key_hash, request.shard),
             epoch,
             now,
             item.deadline + PERMIT_GRACE,
@@ -287,6 +291,7 @@
             outstanding.epoch,
             max(0.0, min(SEND_WITHIN, left)),
             hedge_after,
+            outstanding.shard,
         )
 
     def _candidates(self, place: str, item, now: float) -> list[TargetAdmission]:
--- a/packages/core/src/fireflystand_core/groups/target_grants.py
+++ b/packages/core/src/fireflystand_core/groups/target_grants.py
@@ -128,8 +128,12 @@
 
     def serves(self, shard: int, epoch: int, now: float) -> bool:
         """Tell whether the target confirmed a grant that is still in force."""
+        return self.granted(epoch, now) and shard in self._acked.shards
+
+    def granted(self, epoch: int, now: float) -> bool:
+        """Tell whether the target confirmed a grant of the epoch still in force."""
         acked = self._acked
-        if acked is None or acked.epoch != epoch or shard not in acked.shards:
+        if acked is None or acked.epoch != epoch:
             return False
         margin = self._timing.grant_ttl * self._timing.drift * 3
         return now < acked.sent_at + self._timing.grant_ttl - margin
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -205,6 +205,7 @@
     epoch: int
     send_within: float
     hedge_after: float | None = None
+    shard: int = -1  # of the grant; a hot key has a shard of its own
 
 
 @message("permit-refused")
--- a/packages/operator/src/fireflystand_operator/instances.py
+++ b/packages/operator/src/fireflystand_operator/instances.py
@@ -127,17 +127,29 @@
         )
 
     async def explain(self, service: str, key: str) -> dict:
-        """Return what the first instance that responds says of a key."""
+        """Return what a key's coordinator says of it, or else another instance."""
         query = urlencode({"service": service, "key": key})
         problem = "no live instance is listed"
         for item in await self.live():
             try:
                 value = await self._get(item.health_address, f"{EXPLAIN_PATH}?{query}")
-                return {"instance": item.id, **value}
+                return await self._explained(item.id, value, query)
             except FireflystandError as error:
                 problem = str(error)
         raise ProtocolError(f"no instance explained the key: {problem}", step="explain")
 
+    async def _explained(self, instance: str, value: dict, query: str) -> dict:
+        coordinator = value.get("coordinator")
+        for item in await self.live():
+            if item.id == coordinator != instance:
+                try:
+                    path = f"{EXPLAIN_PATH}?{query}"
+                    told = await self._get(item.health_address, path)
+                except FireflystandError:
+                    break
+                return {"instance": item.id, **told}
+        return {"instance": instance, **value}
+
     async def _get(self, address: str, path: str):
         client = ControlClient(address, CALL_TIMEOUT)
         try:
--- a/packages/router/src/fireflystand_router/entry/attempts.py
+++ b/packages/router/src/fireflystand_router/entry/attempts.py
@@ -3,6 +3,7 @@
 import attrs
 import trio
 
+from fireflystand_core.journal import scope_of
 from fireflystand_core.messages import (
     Permit,
     PermitRefused,
@@ -79,11 +80,12 @@
         values = {
             b"Fireflystand-Service": self.request.service.id,
             b"Fireflystand-Group": str(self.location.group),
-            b"Fireflystand-Shard": str(self.location.shard),
             b"Fireflystand-Epoch": str(permit.epoch),
             b"Fireflystand-Request-Id": request_id,
             b"Fireflystand-Client-Account": self.request.account,
         }
+        if self.request.service.keyed:
+            values[b"Fireflystand-Shard"] = str(permit.shard)
         return [(name, value.encode()) for name, value in values.items()]
 
 
@@ -91,13 +93,19 @@
     """Own one permit and the request sent under it."""
 
     def __init__(
-        self, permits: Permits, job: Job, permit: Permit, request_id: str
+        self,
+        permits: Permits,
+        job: Job,
+        permit: Permit,
+        request_id: str,
+        asked: PermitRequest,
     ) -> None:
         self.permit = permit
         self._permits = permits
         self._job = job
         self._taken_at = trio.current_time()
         self._settled = False
+        self._scope = scope_of(asked)
         send_before = self._taken_at + permit.send_within
         self.request = job.forward_request(request_id, permit, send_before)
 
@@ -118,6 +126,9 @@
             status=status,
             latency=trio.current_time() - self._taken_at,
             answer=answer,
+            scope=self._scope,
+            fingerprint=self._job.fingerprint,
+            target=self.permit.target,
             **flags,
         )
         self._permits.give_back(returned)
@@ -155,11 +166,11 @@
         # Each attempt has its own id, so that the cancellation of one attempt can
         # not reach the next one on the same target.
         request_id = f"{job.request.id}-{job.attempt}{suffix}"
-        asked = job.permit_request(request_id, hedge_of)
+        asked = job.permit_request(f"{job.request.id}{suffix}", hedge_of)
         permit = await self._permits.acquire(asked)
         if isinstance(permit, PermitRefused):
             return permit
-        return Hold(self._permits, job, permit, request_id)
+        return Hold(self._permits, job, permit, request_id, asked)
 
     async def send(self, job: Job, hold: Hold) -> tuple[Hold, Exchange | Failure]:
         """Return the first response head, or the failure of the attempt.
@@ -229,8 +240,7 @@
         await self._run_hold(self._primary)
 
     async def _run_hedge(self) -> None:
-        primary_id = self._primary.request.request_id
-        hold = await self._sender.acquire(self._job, "-h", primary_id)
+        hold = await self._sender.acquire(self._job, "-h", self._job.request.id)
         if isinstance(hold, Hold):
             self._sender._metrics.count(HEDGES)
             await self._run_hold(hold)
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -95,3 +95,17 @@
 CANCEL_FAILED = define_event(
     1030, "INFO", "cancellation did not reach the target", "request_id"
 )
+GROUP_STARTED = define_event(
+    2001, "INFO", "instance coordinates a group", "service", "group", "epoch"
+)
+GROUP_STOPPED = define_event(
+    2002, "INFO", "instance coordinates a group no more", "service", "group"
+)
+TARGET_CHANGED = define_event(
+    2010, "INFO", "target changed", "service", "group", "target", "reason"
+)
+INSTANCE_STARTED = define_event(
+    3001, "INFO", "instance started", "instance", "incarnation", "data_centre"
+)
+INSTANCE_STOPPING = define_event(3002, "INFO", "instance stops", "groups")
+INSTANCE_STOPPED = define_event(3003, "INFO", "instance stopped", "instance")
--- a/packages/router/src/fireflystand_router/gossip.py
+++ b/packages/router/src/fireflystand_router/gossip.py
@@ -58,6 +58,8 @@
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
         self._pulling: set[str] = set()
+        self._store_heard_by_peer: dict[str, float] = {}
+        self._listening_by_peer: dict[str, tuple[str, str]] = {}
         network.handle(Heartbeat, self._on_heartbeat)
         network.handle(FeedItems, self._on_items)
         network.handle(FeedPull, self._on_pull)
@@ -81,6 +83,20 @@
         heard = self.store_heard()
         return NEVER if heard is None else now - heard
 
+    def peer_reaches_store(self, peer: str) -> bool:
+        """Tell whether a peer has heard the store lately."""
+        heard = self._store_heard_by_peer.get(peer)
+        return heard is not None and trio.current_time() - heard < FRESH_FOR
+
+    def listening_address(self, peer: str, incarnation: str) -> str:
+        """Return the address at which an incarnation answered a heartbeat."""
+        known, address = self._listening_by_peer.get(peer, ("", ""))
+        return address if known == incarnation else ""
+
+    def publish_item(self, key: str, version: int, text: str | None) -> None:
+        """Take over and push one item that this instance wrote."""
+        self.publish([FeedItem(key, version, text)])
+
     def publish(self, items: list[FeedItem]) -> None:
         """Take over items and push those that are newer to random peers."""
         changed = self.state.accept(items)
@@ -113,6 +129,7 @@
 
     async def _probe(self, probe: Probe) -> None:
         beat = Heartbeat(*self._own_state())
+        address = self._network.addresses_by_id.get(probe.peer, "")
         try:
             reply = await self._network.request(probe.peer, beat, ANSWER_TIMEOUT)
         except PeerUnavailableError:
@@ -122,18 +139,24 @@
             self.table.failed(probe)
             return
         self.table.answered(probe, reply.incarnation, trio.current_time())
+        self._listening_by_peer[probe.peer] = (reply.incarnation, address)
+        self._note_store_age(probe.peer, reply.store_age)
         await self._pull(probe.peer, reply.revision, reply.digest)
 
     async def _on_heartbeat(self, beat: Heartbeat, link: PeerLink) -> HeartbeatReply:
         hello = link.hello
         entry = PeerEntry(hello.instance, hello.address, hello.data_centre)
         self.table.heard(entry, hello.incarnation, trio.current_time())
+        self._note_store_age(beat.instance, beat.store_age)
         if self._nursery is not None:
             self._nursery.start_soon(
                 self._pull, beat.instance, beat.revision, beat.digest
             )
         return HeartbeatReply(*self._own_state())
 
+    def _note_store_age(self, peer: str, age: float) -> None:
+        self._store_heard_by_peer[peer] = trio.current_time() - age
+
     def _own_state(self) -> tuple[str, str, int, int, float]:
         hello = self._network.hello
         age = self.store_age(trio.current_time())
--- a/packages/router/src/fireflystand_router/group_callbacks.py
+++ b/packages/router/src/fireflystand_router/group_callbacks.py
@@ -6,6 +6,8 @@
 
 from fireflystand_core.groups import GroupCoordinator
 
+from .target_control import TargetAnswer
+
 __all__ = ["GroupCallbacks", "LiveInstance"]
 
 
@@ -39,6 +41,11 @@
     ) -> None:
         """Take over that a target died, came back or is new."""
 
+    def on_target_status(
+        self, service: str, group: int, target: str, answer: TargetAnswer, at: float
+    ) -> None:
+        """Take over a status that was asked for at a time."""
+
     def collect_state(self, service: str, group: int) -> dict[str, bytes]:
         """Return the volatile state for a hand-over; issue nothing any more."""
 
--- a/packages/router/src/fireflystand_router/group_host.py
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -86,7 +86,7 @@
         self._callbacks = callbacks
         self._publish = publish
         self._live_instances = live_instances
-        self._calls = TargetCalls(view, make_control, clock)
+        self._calls = TargetCalls(view, make_control, clock, callbacks)
         self._clock = clock
         self._held: dict[GroupName, _Held] = {}
         self._claiming: set[GroupName] = set()
@@ -270,6 +270,12 @@
             held.asking.discard(target)
         self._perform(name, held, actions)
 
+    def perform(self, service: str, group: int, actions: list[Action]) -> None:
+        """Carry out what a coordinator of this host asks for."""
+        held = self._held.get((service, group))
+        if held is not None:
+            self._perform((service, group), held, actions)
+
     def _stop(self, name: GroupName, held: _Held) -> None:
         held.decided.set()
         if self._held.get(name) is held:
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -277,9 +277,16 @@
             raise ProtocolError("stream does not start with hello", step="hello")
         link = PeerLink(message)
         self.links_by_id[message.instance] = link
-        self.set_address(message.instance, message.address)
+        self._note_hello(message)
         return link
 
+    def _note_hello(self, hello: Hello) -> None:
+        """Use the address of a hello if none is known that still listens."""
+        sender = self._senders.get(hello.instance)
+        refused = sender is not None and sender.error and sender.error.refused
+        if refused or hello.instance not in self.addresses_by_id:
+            self.set_address(hello.instance, hello.address)
+
     async def _answer(self, envelope, link: PeerLink, answers) -> None:
         handler = self._handlers.get(type(envelope.message))
         answer = Accepted() if handler is None else None
--- a/packages/router/src/fireflystand_router/permit_host.py
+++ b/packages/router/src/fireflystand_router/permit_host.py
@@ -56,12 +56,16 @@
 
     epoch: int
     owner_of: Callable[[int, int, float], tuple[str, int] | None] | None
+    shard_of: Callable[[int, int], int]
     suspects: list[tuple[int, int, float]]
     predecessor_unjournaled: bool
 
     def may_issue(self, now: float) -> bool:
         """Tell whether the claim is confirmed by a majority now."""
 
+    def note_request(self, key_hash: int, shard: int) -> None:
+        """Count a request for the choice of hot keys."""
+
     async def mark_unjournaled(self) -> bool:
         """Return whether a majority of witnesses holds the marker."""
 
@@ -117,7 +121,7 @@
     async def close(self) -> None:
         """Stop all groups."""
         for service, group in list(self._groups):
-            await self.stop_group(service, group)
+            self.stop_group(service, group)
 
     async def start_group(
         self,
@@ -138,6 +142,7 @@
             journal,
             owner_of=authority.owner_of,
             may_issue=authority.may_issue,
+            shard_of=authority.shard_of,
         )
         running = _Group(desk, authority, trio.CancelScope())
         if state is not None:
@@ -155,7 +160,7 @@
         await self._nursery.start(self._run_group, running)
         return desk
 
-    async def stop_group(self, service: str, group: int) -> dict[str, bytes]:
+    def stop_group(self, service: str, group: int) -> dict[str, bytes]:
         """Stop a group and return its state for a handover."""
         running = self._groups.pop((service, group))
         now = self._clock()
@@ -206,6 +211,7 @@
         left = deadline - self._clock()
         if left <= 0:
             return PermitRefused("unknown", "journal could not be loaded", 504)
+        running.authority.note_request(message.key_hash, message.shard)
         send, receive = trio.open_memory_channel(1)
         # A request that is asked again replaces the first one's waiter.
         running.answers[(entry, message.request_id)] = send
@@ -263,6 +269,7 @@
                 nursery.start_soon(self._flush, running)
                 task_status.started()
                 while True:
+                    running.desk.set_epoch(running.authority.epoch)
                     self._act(running, running.desk.tick(self._clock()))
                     await trio.sleep(TICK)
         for answer in running.answers.values():
--- a/packages/router/src/fireflystand_router/platform_list.py
+++ b/packages/router/src/fireflystand_router/platform_list.py
@@ -21,6 +21,7 @@
         self._network = network
         self._table = table
         self._scope = trio.CancelScope()
+        self._listed_by_id: dict[str, str] = {}
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start polling."""
@@ -63,7 +64,8 @@
         for instance in gone:
             self._network.forget(instance)
         for entry in entries:
-            # The hello of a stream is newer than the list.
-            known = entry.id in self._network.links_by_id
-            if entry.id != self._table.own.id and not known:
+            # An entry that did not change is older than what a stream's hello told.
+            listed = self._listed_by_id.get(entry.id)
+            if entry.id != self._table.own.id and listed != entry.address:
                 self._network.set_address(entry.id, entry.address)
+        self._listed_by_id = {entry.id: entry.address for entry in entries}
--- a/packages/router/src/fireflystand_router/target_calls.py
+++ b/packages/router/src/fireflystand_router/target_calls.py
@@ -5,6 +5,7 @@
 from fireflystand_core.exceptions import FireflystandError
 from fireflystand_core.groups import Action, GroupCoordinator, SendGrant
 
+from .group_callbacks import GroupCallbacks
 from .target_control import TargetAnswer, TargetControl, TargetDiedError
 from .view import ClusterView
 
@@ -19,7 +20,9 @@
         view: ClusterView,
         make_control: Callable[[str, str], TargetControl],
         clock: Callable[[], float],
+        callbacks: GroupCallbacks,
     ) -> None:
+        self._callbacks = callbacks
         self._view = view
         self._make_control = make_control
         self._clock = clock
@@ -41,6 +44,7 @@
         control = self._control(name[0], target)
         if control is None:
             return []
+        asked_at = self._clock()
         try:
             if grant is None:
                 answer = await control.status()
@@ -52,7 +56,10 @@
             return []
         if answer is None:
             return []
-        return self._answered(coordinator, target, grant, answer)
+        actions = self._answered(coordinator, target, grant, answer)
+        if not answer.higher_epoch:
+            self._callbacks.on_target_status(*name, target, answer, asked_at)
+        return actions
 
     def _answered(
         self,
--- a/packages/router/src/fireflystand_router/watch.py
+++ b/packages/router/src/fireflystand_router/watch.py
@@ -6,9 +6,11 @@
 import trio
 
 from fireflystand_core.exceptions import FireflystandError, StoreUnavailableError
+from fireflystand_core.groups import GroupRecord
 from fireflystand_core.messages import FeedItem
 
-from .gossip import Gossip
+from .claim_items import claim_item_value
+from .gossip import FRESH_FOR, Gossip
 from .store import StoreClient, StoredObject
 
 __all__ = ["StoreWatcher"]
@@ -46,6 +48,11 @@
         """Stop watching."""
         self._scope.cancel()
 
+    def reaches_store(self) -> bool:
+        """Tell whether the store has answered a watch or list lately."""
+        heard = self.last_heard
+        return heard is not None and trio.current_time() - heard < FRESH_FOR
+
     @property
     def active(self) -> bool:
         """Tell whether this instance should watch."""
@@ -159,12 +166,5 @@
         return {"account": value["account"], "state": value["state"]}
     if kind == "groups":
         service, _, group = name.rpartition("/")
-        coordinator = value["coordinator"]
-        return {
-            "service": service,
-            "group": int(group),
-            "epoch": value["epoch"],
-            "instance": coordinator["id"],
-            "incarnation": coordinator["incarnation"],
-        }
+        return claim_item_value((service, int(group)), GroupRecord.from_value(value))
     return {"state": value["state"]}
--- a/packages/testing/src/fireflystand_testing/bench/edge.py
+++ b/packages/testing/src/fireflystand_testing/bench/edge.py
@@ -12,7 +12,8 @@
 import h11
 import trio
 
-from fireflystand_router.entry import EntryServer, HashPlacement, RequestFlow
+from fireflystand_router.adapters import GroupPlacement
+from fireflystand_router.entry import EntryServer, RequestFlow
 from fireflystand_router.forward import Forwarder
 from fireflystand_router.metrics import Metrics
 from fireflystand_testing.edge import (
@@ -111,7 +112,7 @@
         accounts=FakeAccounts(deployment),
         quotas=FakeQuotas(),
         permits=_BenchPermits([f"127.0.0.1:{port}"]),
-        placement=HashPlacement(),
+        placement=GroupPlacement(),
         forwarder=forwarder,
         metrics=metrics,
     )
--- a/packages/testing/src/fireflystand_testing/edge.py
+++ b/packages/testing/src/fireflystand_testing/edge.py
@@ -20,7 +20,8 @@
     PermitRequest,
     PermitReturn,
 )
-from fireflystand_router.entry import EntryServer, HashPlacement, RequestFlow
+from fireflystand_router.adapters import GroupPlacement
+from fireflystand_router.entry import EntryServer, RequestFlow
 from fireflystand_router.entry.interfaces import QuotaRefused
 from fireflystand_router.events import configure_log
 from fireflystand_router.forward import Forwarder
@@ -267,7 +268,7 @@
             accounts=self.accounts,
             quotas=self.quotas,
             permits=self.permits,
-            placement=HashPlacement(),
+            placement=GroupPlacement(),
             forwarder=self.forwarder,
             metrics=self.metrics,
         )
--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -244,13 +244,13 @@
         return self._process(
             place.id,
             "fireflystand_router.daemon",
-            f"--instance={place.id}",
-            f"--data-centre={place.data_centre}",
-            f"--listen={place.listen}",
-            f"--peer={place.peer}",
-            f"--health={place.health}",
-            f"--store={place.store_proxy.address}",
-            f"--instance-list={list_address}",
+            f"--instance_id={place.id}",
+            f"--data_centre={place.data_centre}",
+            f"--listen_address={place.listen}",
+            f"--peer_address={place.peer}",
+            f"--health_address={place.health}",
+            f"--store_address={place.store_proxy.address}",
+            f"--instance_list_address={list_address}",
         )
 
     def _process(self, name: str, module: str, *flags: str) -> ProcessHandle:
@@ -290,7 +290,7 @@
 
     async def is_ready(self, router: str) -> bool:
         """Tell whether a router answers its readiness check with 200."""
-        return await self._get_status(router, "/readyz") == 200
+        return await self._get_status(router, "/fireflystand/v1/ready") == 200
 
     async def state(self, router: str) -> dict[str, Any]:
         """Return what a router tells of itself."""
