--- a/packages/core/src/fireflystand_core/journal/index.py
+++ b/packages/core/src/fireflystand_core/journal/index.py
@@ -59,6 +59,7 @@
     answer: StoredAnswer | None = None
     may_have_run: bool = False
     durable: bool = True
+    loaded: bool = False
     from_intent: bool = False
     waiting: list[str] = attrs.field(factory=list)
 
@@ -121,6 +122,8 @@
             return Begin("wait")
         if record.state == "answered":
             return self._replay(record)
+        if record.loaded and self.has_gap(now) and not idempotent:
+            return _unknown("journal may lack a later run of the request")
         asks_again = record.from_intent and record.runner == request_id
         if record.state == "unknown" and not idempotent and not asks_again:
             return _unknown("outcome of the first request is unknown")
@@ -143,7 +146,7 @@
 
     def _run(self, record: JournalRecord, request_id: str, now: float) -> Begin:
         record.state = "in-progress"
-        record.from_intent = False
+        record.from_intent = record.loaded = False
         record.runner = request_id
         record.epoch = self.epoch
         record.sequence += 1
@@ -264,6 +267,7 @@
             entry.key, entry.fingerprint, state, entry.epoch, entry.sequence, until
         )
         record.may_have_run = state == "unknown"
+        record.loaded = True
         record.from_intent = entry.state == "intent"
         record.runner = entry.request_id
         self._by_scope[entry.key] = record
--- a/packages/core/src/fireflystand_core/journal/tests/test_journal.py
+++ b/packages/core/src/fireflystand_core/journal/tests/test_journal.py
@@ -67,6 +67,15 @@
         self.assertEqual(index.begin("k", 1, "r", False, 59.0).outcome, "unknown")
         self.assertEqual(index.begin("k", 1, "r", False, 61.0).action, "run")
 
+    def test_gap_may_hide_a_later_run_of_a_known_request(self):
+        old = make_index()
+        old.begin("k", 1, "r0", False, 0.0)
+        old.finish("k", 1, "not-run", None, 1.0)
+        new = make_index(2)
+        new.load([old.entry("k", 1.0)], 2.0)
+        new.mark_gap(2.0)
+        self.assertEqual(new.begin("k", 1, "r1", False, 3.0).outcome, "unknown")
+
     def test_large_body_is_not_kept(self):
         index = make_index()
         index.begin("k", 1, "r0", False, 0.0)
--- a/packages/testing/src/fireflystand_testing/fuzz/request_world.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/request_world.py
@@ -16,6 +16,7 @@
 from fireflystand_core.messages import (
     JournalEntry,
     Permit,
+    PermitCancel,
     PermitRequest,
     PermitReturn,
     StoredAnswer,
@@ -34,7 +35,7 @@
 TICK = 0.1  # seconds
 STATUS_TICKS = 3  # a status comes with each renewal of a grant
 RETURN_GRACE = 1.0  # seconds beyond the deadline
-LOSABLE = {"ask", "reply", "return", "return-ack", "status", "intent-ack"}
+LOSABLE = {"ask", "reply", "return", "return-ack", "status", "intent-ack", "cancel"}
 
 
 @attrs.define(eq=False)
@@ -253,6 +254,17 @@
         request = attrs.evolve(call.request, attempt=call.attempt, deadline=left)
         self.send("ask", call, request, self.desk)
 
+    def leave(self, call: Call) -> None:
+        """Let a caller leave whose request still waits for a permit."""
+        if call.state == "asking" and call.entry not in self.killed:
+            call.state = "done"
+            request = call.request
+            cancel = PermitCancel("winkel", 0, request.request_id, call.attempt)
+            self.send("cancel", cancel, self.desk)
+
+    def _on_cancel(self, cancel: PermitCancel, desk: PermitDesk) -> None:
+        self.act(desk, desk.cancel(cancel, self.now))
+
     def _on_ask(self, call: Call, request: PermitRequest, desk: PermitDesk) -> None:
         desk = desk if self.authority[desk.epoch] else self.desk
         self.act(desk, desk.request(request, call.entry, self.now))
--- a/packages/testing/src/fireflystand_testing/fuzz/requests.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/requests.py
@@ -132,6 +132,13 @@
         else:
             state.frozen = True
 
+    @rule(index=numbers)
+    def leave(self, index):
+        """Let a caller leave."""
+        waiting = [c for c in self.world.calls if c.state == "asking"]
+        if waiting:
+            self.world.leave(waiting[index % len(waiting)])
+
     @rule(entry=numbers)
     def kill_entry(self, entry):
         """Replace an entry instance."""
