--- a/packages/testing/src/fireflystand_testing/fuzz/requests.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/requests.py
@@ -55,6 +55,9 @@
     @rule(entry=numbers, key=numbers, account=st.sampled_from("ab"), count=numbers)
     def read(self, entry, key, account, count):
         """Send idempotent requests."""
+        self._read(entry, key, account, count)
+
+    def _read(self, entry, key, account, count):
         for _ in range(count):
             self._call(
                 entry,
@@ -152,6 +155,19 @@
         if self.world.store_up:
             self.world.takeover()
 
+    @rule(entry=numbers)
+    def takeover_of_busy_targets(self, entry):
+        """Let another instance claim the group while all targets are busy."""
+        if not self.world.store_up:
+            return
+        for key in range(2 * TARGETS):
+            self._read(entry, key, "a", 2)
+        self.world.advance(0.05)
+        self.world.takeover()
+        for key in range(TARGETS):
+            self._read(entry, key, "b", 1)
+        self.world.advance(0.05)
+
     @rule()
     def handover(self):
         """Move the group in a planned way."""
