--- a/packages/testing/src/fireflystand_testing/bench/__init__.py
+++ b/packages/testing/src/fireflystand_testing/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the choices that the design page records."""
+"""Measure parts of the system on the loopback interface."""
--- a/packages/testing/src/fireflystand_testing/fuzz/requests.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/requests.py
@@ -71,6 +71,9 @@
     @rule(entry=numbers, key=numbers, deadline=st.sampled_from([0.5, 2.0, 4.0]))
     def order(self, entry, key, deadline):
         """Send an order, perhaps again, perhaps through another instance."""
+        self._order(entry, key, deadline)
+
+    def _order(self, entry, key, deadline):
         key %= KEYS
         self._call(
             entry,
@@ -155,6 +158,18 @@
         if self.world.store_up:
             self.world.takeover()
 
+    @rule(entry=numbers, key=numbers)
+    def takeover_after_outage(self, entry, key):
+        """Let another instance claim the group before an outage is caught up."""
+        if not self.world.store_up:
+            return
+        self.world.toggle_store()
+        self._order(entry, key, 2.0)
+        self.world.advance(0.1)
+        self.world.toggle_store()
+        self.world.takeover()
+        self._order(entry, key, 2.0)
+
     @rule(entry=numbers)
     def takeover_of_busy_targets(self, entry):
         """Let another instance claim the group while all targets are busy."""
