Fit the permit client to the entry's interface

Cause: the entry's Permits interface returns a permit without a deadline and without the fields that a later coordinator needs. Change: PermitClient remembers the request of each permit and fills in scope, fingerprint, target and deadline. The test of a repeat at the same moment named the instance that is first, which trio leaves open; it now uses the one that got the permit, with the same checks. Conclusion: the client can be wired into the entry as it is.

--- a/packages/router/src/fireflystand_router/permits.py
+++ b/packages/router/src/fireflystand_router/permits.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from fireflystand_core.journal import scope_of
 from fireflystand_core.messages import (
     Accepted,
     Permit,
@@ -47,6 +48,7 @@
         self._view = view
         self._host = host
         self._clock = clock
+        self._held: dict[str, tuple[PermitRequest, str, float]] = {}
         self._nursery: trio.Nursery | None = None
         self._scope: trio.CancelScope | None = None
 
@@ -82,7 +84,11 @@
         finally:
             if not finished:
                 self._cancel(request, asked)
-        return answer if finished else _too_late(request)
+        if not finished:
+            return _too_late(request)
+        if isinstance(answer, Permit):
+            self._held[answer.permit_id] = (request, answer.target, deadline)
+        return answer
 
     async def _ask_until(
         self, request: PermitRequest, deadline: float, asked: set[str]
@@ -143,11 +149,18 @@
             with suppress(PeerUnavailableError):
                 self._network.send(instance, cancel)
 
-    def give_back(self, returned: PermitReturn, deadline: float) -> None:
-        """Return a permit, again until acknowledged or ``deadline`` has passed.
+    def give_back(self, returned: PermitReturn) -> None:
+        """Return a permit, again until acknowledged or its request's deadline.
 
-        ``deadline`` is the end of the request on the client's clock.
+        What a later coordinator needs to judge the return is added here.
         """
+        request, target, deadline = self._held.pop(returned.permit_id)
+        returned = attrs.evolve(
+            returned,
+            scope=scope_of(request),
+            fingerprint=request.fingerprint,
+            target=target,
+        )
         self.unacknowledged += 1
         self._nursery.start_soon(self._give_back, returned, deadline)
 
--- a/packages/router/src/fireflystand_router/tests/test_permits.py
+++ b/packages/router/src/fireflystand_router/tests/test_permits.py
@@ -195,7 +195,6 @@
 
 
 def give_back(permit, request, outcome="answered", **fields):
-    scope = f"gent\0drukwerk\0{1:x}\0{request.idempotency_key}"
     return PermitReturn(
         "drukwerk",
         0,
@@ -204,9 +203,6 @@
         201,
         0.01,
         answer=ANSWER if outcome == "answered" else None,
-        scope=scope,
-        fingerprint=7,
-        target="t1",
         **fields,
     )
 
@@ -233,8 +229,7 @@
         client = cluster.clients[name]
         permit = await client.acquire(request)
         self.assertIsInstance(permit, Permit)
-        deadline = trio.current_time() + 1
-        client.give_back(give_back(permit, request), deadline)
+        client.give_back(give_back(permit, request))
         while client.unacknowledged:
             await trio.sleep(0.05)
 
@@ -255,17 +250,17 @@
             answers = []
 
             async def send(name, request):
-                answers.append(await cluster.clients[name].acquire(request))
+                client = cluster.clients[name]
+                answers.append((client, request, await client.acquire(request)))
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(send, "a", order("r0"))
                 nursery.start_soon(send, "c", order("r1"))
                 await trio.sleep(0.5)
                 self.assertEqual(len(answers), 1)
-                returned = give_back(answers[0], order("r0"))
-                deadline = trio.current_time() + 1
-                cluster.clients["a"].give_back(returned, deadline)
-            self.assertEqual(answers[1].replay, ANSWER)
+                client, request, permit = answers[0]
+                client.give_back(give_back(permit, request))
+            self.assertEqual(answers[1][2].replay, ANSWER)
 
         self.run_cluster(scenario)
 
@@ -288,8 +283,7 @@
             await cluster.coordinate("c")
             again = await cluster.clients["c"].acquire(order("r1"))
             self.assertEqual(again.outcome, "unknown")
-            deadline = trio.current_time() + 1
-            cluster.clients["a"].give_back(give_back(permit, request), deadline)
+            cluster.clients["a"].give_back(give_back(permit, request))
             await trio.sleep(0.5)
             again = await cluster.clients["c"].acquire(order("r2"))
             self.assertEqual(again.replay, ANSWER)
@@ -354,8 +348,7 @@
             permit = await cluster.clients["a"].acquire(request)
             state = await cluster.hosts["b"].stop_group("drukwerk", 0)
             await cluster.coordinate("c", state)
-            deadline = trio.current_time() + 1
-            cluster.clients["a"].give_back(give_back(permit, request), deadline)
+            cluster.clients["a"].give_back(give_back(permit, request))
             again = await cluster.clients["b"].acquire(order("r1"))
             self.assertEqual(again.replay, ANSWER)
             refused = await cluster.hosts["b"].request(order("r2"), "a")
