--- a/packages/testing/src/fireflystand_testing/fuzz/requests.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/requests.py
@@ -55,6 +55,9 @@
     @rule(entry=numbers, key=numbers, account=st.sampled_from("ab"), count=numbers)
     def read(self, entry, key, account, count):
         """Send idempotent requests."""
+        self._read(entry, key, account, count)
+
+    def _read(self, entry, key, account, count):
         for _ in range(count):
             self._call(
                 entry,
@@ -68,6 +71,9 @@
     @rule(entry=numbers, key=numbers, deadline=st.sampled_from([0.5, 2.0, 4.0]))
     def order(self, entry, key, deadline):
         """Send an order, perhaps again, perhaps through another instance."""
+        self._order(entry, key, deadline)
+
+    def _order(self, entry, key, deadline):
         key %= KEYS
         self._call(
             entry,
@@ -132,6 +138,13 @@
         else:
             state.frozen = True
 
+    @rule(index=numbers)
+    def leave(self, index):
+        """Let a caller leave."""
+        waiting = [c for c in self.world.calls if c.state == "asking"]
+        if waiting:
+            self.world.leave(waiting[index % len(waiting)])
+
     @rule(entry=numbers)
     def kill_entry(self, entry):
         """Replace an entry instance."""
@@ -145,6 +158,31 @@
         if self.world.store_up:
             self.world.takeover()
 
+    @rule(entry=numbers, key=numbers)
+    def takeover_after_outage(self, entry, key):
+        """Let another instance claim the group before an outage is caught up."""
+        if not self.world.store_up:
+            return
+        self.world.toggle_store()
+        self._order(entry, key, 2.0)
+        self.world.advance(0.1)
+        self.world.toggle_store()
+        self.world.takeover()
+        self._order(entry, key, 2.0)
+
+    @rule(entry=numbers)
+    def takeover_of_busy_targets(self, entry):
+        """Let another instance claim the group while all targets are busy."""
+        if not self.world.store_up:
+            return
+        for key in range(2 * TARGETS):
+            self._read(entry, key, "a", 2)
+        self.world.advance(0.05)
+        self.world.takeover()
+        for key in range(TARGETS):
+            self._read(entry, key, "b", 1)
+        self.world.advance(0.05)
+
     @rule()
     def handover(self):
         """Move the group in a planned way."""
