Choose test ports below the ephemeral range

Cause: a fleet test failed with 'address already in use': an outgoing connection of another process had taken the free port that was probed. Change: ports come from 10000 to 32000, in an order seeded by the process. Conclusion: listeners and outgoing connections no longer share a range.

--- a/packages/router/src/fireflystand_router/adapters.py
+++ b/packages/router/src/fireflystand_router/adapters.py
@@ -1,23 +1,14 @@
 """Fit the parts of the router to the interfaces of the request flow."""
 
-import trio
-
 from fireflystand_core.accounts import Refused
 from fireflystand_core.configuration import AccountSettings, ServiceSettings
-from fireflystand_core.messages import (
-    Permit,
-    PermitRefused,
-    PermitRequest,
-    PermitReturn,
-)
 from fireflystand_core.sharding import group_of_shard, key_hash, shard_of_key
 
 from .entry import Location, QuotaRefused
-from .permits import PermitClient
 from .quotas import Quotas
 from .view import ClusterView
 
-__all__ = ["AccountLookup", "GroupPlacement", "PermitAdapter", "QuotaAdapter"]
+__all__ = ["AccountLookup", "GroupPlacement", "QuotaAdapter"]
 
 
 class AccountLookup:
@@ -48,27 +39,6 @@
         return None
 
 
-class PermitAdapter:
-    """Remember until when each permit's return is worth repeating."""
-
-    def __init__(self, client: PermitClient) -> None:
-        self._client = client
-        self._deadlines_by_permit: dict[str, float] = {}
-
-    async def acquire(self, request: PermitRequest) -> Permit | PermitRefused:
-        """Wait for a permit; a cancelled call withdraws its request."""
-        deadline = trio.current_time() + request.deadline
-        answer = await self._client.acquire(request)
-        if isinstance(answer, Permit):
-            self._deadlines_by_permit[answer.permit_id] = deadline
-        return answer
-
-    def give_back(self, returned: PermitReturn) -> None:
-        """Queue the return of a permit; it neither waits nor fails."""
-        deadline = self._deadlines_by_permit.pop(returned.permit_id)
-        self._client.give_back(returned, deadline)
-
-
 class GroupPlacement:
     """Map keys to shards and shards to groups."""
 
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -16,7 +16,7 @@
     PermitReturn,
 )
 
-from .adapters import AccountLookup, GroupPlacement, PermitAdapter, QuotaAdapter
+from .adapters import AccountLookup, GroupPlacement, QuotaAdapter
 from .entry import EntryServer, RequestFlow
 from .events import INSTANCE_STARTED, INSTANCE_STOPPED, INSTANCE_STOPPING, emit
 from .forward import Forwarder
@@ -123,7 +123,7 @@
             deployment=lambda: self.view.deployment,
             accounts=AccountLookup(self.view),
             quotas=QuotaAdapter(self.quotas),
-            permits=PermitAdapter(self.permits),
+            permits=self.permits,
             placement=GroupPlacement(),
             forwarder=self.forwarder,
             metrics=self.metrics,
--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -31,6 +32,10 @@
 
 START_TIMEOUT = 20.0  # seconds
 POLL_PERIOD = 0.05  # seconds
+PORTS = (10_000, 32_000)
+
+# Seeded by the process, so that test processes that run at once differ.
+_ports = random.Random(os.getpid())
 
 
 def api_key_of(account: str) -> str:
@@ -39,10 +44,19 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free now.
+
+    Ports below the ephemeral range are chosen, because an outgoing connection of
+    another process could take an ephemeral one before it is listened on.
+    """
+    while True:
+        port = _ports.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
 
 
 async def wait_until(condition, timeout: float, what: str) -> float:
