--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -28,7 +28,7 @@
 from .proxy import FaultProxy
 from .store import StoreServer
 
-__all__ = ["Fleet", "ProcessHandle", "api_key_of", "wait_until"]
+__all__ = ["Fleet", "ProcessHandle", "api_key_of", "free_address", "wait_until"]
 
 START_TIMEOUT = 20.0  # seconds
 POLL_PERIOD = 0.05  # seconds
