Test the command line against real routers and correct status

'status' and 'explain' looked for the coordinator of a group record under a name that the routers do not write and printed the whole entry; the stand-in of the tests used the same wrong name. Both use 'id' now, and the state of an instance is read with the fields that it has (lease_left, targets by name).

FleetTestCase names its fleet class so that a test can use another one.

--- a/packages/operator/src/fireflystand_operator/instances.py
+++ b/packages/operator/src/fireflystand_operator/instances.py
@@ -22,14 +22,14 @@
 
 @attrs.frozen
 class GroupState:
-    """Describe a group that an instance coordinates; ``lease_age`` in seconds."""
+    """Describe a group that an instance coordinates; ``lease_left`` in seconds."""
 
     service: str
     group: int
     epoch: int = 0
-    lease_age: float = 0.0
+    lease_left: float = 0.0
     pending_moves: int = 0
-    targets: list = attrs.field(factory=list)
+    targets: dict[str, str] = attrs.field(factory=dict)  # dead or alive, by name
 
 
 @attrs.frozen
--- a/packages/operator/src/fireflystand_operator/reports.py
+++ b/packages/operator/src/fireflystand_operator/reports.py
@@ -73,7 +73,7 @@
 
 def _instance_of(coordinator: object) -> object:
     if isinstance(coordinator, dict):
-        return coordinator.get("instance")
+        return coordinator.get("id")
     return coordinator
 
 
--- a/packages/operator/src/fireflystand_operator/tests/test_operators.py
+++ b/packages/operator/src/fireflystand_operator/tests/test_operators.py
@@ -336,7 +336,7 @@
             await world.instances.add("i2", generation=0, admitting=False)
             await self.change(world, "north", "out", "a")
             store = world.context().store
-            record = {"epoch": 4, "coordinator": {"instance": "i1", "incarnation": "x"}}
+            record = {"epoch": 4, "coordinator": {"id": "i1", "incarnation": "x"}}
             await store.put("groups/stock/0", record, 0)
             data = (await reports.status(world.context())).data
             self.assertEqual((data["in_effect_on"], data["instances"]), (1, 2))
--- a/packages/testing/src/fireflystand_testing/scenarios.py
+++ b/packages/testing/src/fireflystand_testing/scenarios.py
@@ -174,6 +174,8 @@
 class FleetTestCase(unittest.TestCase):
     """Run one scenario against a fleet of real processes."""
 
+    fleet_class = Fleet
+
     def run_fleet(
         self,
         scenario,
@@ -190,7 +192,7 @@
         flags = ("--slots", str(slots), *target_flags)
         if not checks_epoch:
             flags = (*flags, "--no-epoch-check")
-        fleet = Fleet(
+        fleet = self.fleet_class(
             declare_shop(targets, slots, checks_epoch),
             targets,
             spread("router", routers),
