Complete the fakes of the group host

GroupCallbacks gained on_target_status; the in-process cluster lacked it, so all 22 tests of test_group_host ended with AttributeError. Fleet scenarios now show the routers' logs with a failure.

make unit ONLY=group_host: 22 failed before, 0 after.

--- a/packages/testing/src/fireflystand_testing/ownership_cluster.py
+++ b/packages/testing/src/fireflystand_testing/ownership_cluster.py
@@ -83,6 +83,9 @@
         """Note a change of a target."""
         self.events.append(f"{reason} {target}")
 
+    def on_target_status(self, service, group, target, answer, at) -> None:
+        """Ignore what a target reports; no permits are issued here."""
+
     def collect_state(self, service, group) -> dict[str, bytes]:
         """Return a state that tests recognise."""
         return {"from": self.name.encode()}
--- a/packages/testing/src/fireflystand_testing/scenarios.py
+++ b/packages/testing/src/fireflystand_testing/scenarios.py
@@ -204,6 +204,10 @@
                         await fleet.start(nursery)
                         await wait_served(fleet)
                         await scenario(fleet)
+                except Exception as error:
+                    for place in fleet.routers_by_id.values():
+                        error.add_note(f"{place.id}: {fleet.log_of(place.handle)}")
+                    raise
                 finally:
                     with trio.CancelScope(shield=True):
                         await fleet.close()
