Make the coordinator a witness of its own claim

A fleet of 3 had witness lists of 2, so the loss of one instance ended the majority: after a killed coordinator the successor waited for a witness list that the store had to write, and during a store outage it never came. Requests to the own instance also failed, because it has no peer address.

The list now starts with the coordinator and is odd. With 2 instances left of 3 the lost one stays on it. A coordinator that is cut off does not make itself the only witness; only dead processes are left out that far. Epochs of the same coordinator no longer start the wait for an earlier coordinator's permits, which kept targets without epoch check unserved for the longest deadline after the witness list first grew.

--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -188,7 +188,7 @@
     def _rebuild_earlier(self, own_epoch: int, now: float) -> EarlierEpochs:
         earlier = EarlierEpochs(self.record.predecessors, self.timing)
         earlier.take_over(self._rules.earlier)
-        earlier.given_up(own_epoch, now)
+        earlier.given_up(own_epoch, now, own=True)
         return earlier
 
     # Authority
--- a/packages/core/src/fireflystand_core/groups/lease.py
+++ b/packages/core/src/fireflystand_core/groups/lease.py
@@ -64,6 +64,7 @@
     witnesses: Mapping[str, str]
     confirmed_before: dict[str, float] = attrs.field(factory=dict)
     ended_at: float | None = None
+    own: bool = False
 
 
 class EarlierEpochs:
@@ -107,10 +108,14 @@
                 epoch.confirmed_before.setdefault(witness, now)
                 self._bound(epoch)
 
-    def given_up(self, epoch: int, now: float) -> None:
-        """Note that the coordinator of an epoch has given it up by itself."""
+    def given_up(self, epoch: int, now: float, own: bool = False) -> None:
+        """Note that the coordinator of an epoch has given it up by itself.
+
+        ``own`` tells that it is this coordinator, which knows its permits.
+        """
         if epoch in self._epochs:
             self._epochs[epoch].ended_at = now
+            self._epochs[epoch].own = own
 
     def _bound(self, epoch: _Epoch) -> None:
         # Any majority of sealed witnesses gives a valid bound; the earliest wins.
@@ -128,6 +133,14 @@
         ends = [epoch.ended_at for epoch in self._epochs.values()]
         return None if None in ends else max(ends, default=0.0)
 
+    def permits_known_from(self) -> float | None:
+        """Return when the last authority of another coordinator ended.
+
+        Return ``None`` if that is unknown, 0 if there was no other coordinator.
+        """
+        ends = [epoch.ended_at for epoch in self._epochs.values() if not epoch.own]
+        return None if None in ends else max(ends, default=0.0)
+
     def grants_end(self) -> float | None:
         """Return when the last earlier grant expires, ``None`` if unknown."""
         end = self.authority_end()
--- a/packages/core/src/fireflystand_core/groups/release.py
+++ b/packages/core/src/fireflystand_core/groups/release.py
@@ -39,7 +39,7 @@
 
     def earlier_permits_ended(self, now: float) -> bool:
         """Tell whether no permit of an earlier coordinator can be in use."""
-        end = self.earlier.authority_end()
+        end = self.earlier.permits_known_from()
         if end == 0.0:
             return True
         if end is None or now <= end:
--- a/packages/core/src/fireflystand_core/groups/tests/test_groups.py
+++ b/packages/core/src/fireflystand_core/groups/tests/test_groups.py
@@ -7,6 +7,7 @@
     GroupIdentity,
     GroupRecord,
     HotKeyCounter,
+    Predecessor,
     ReadRecord,
     Stopped,
     TargetInfo,
@@ -85,6 +86,38 @@
         self.assertAlmostEqual(earlier.authority_end(), 21.505)
 
 
+class WitnessListTests(unittest.TestCase):
+    """Guard against a cut-off coordinator that keeps its group for itself."""
+
+    def setUp(self):
+        identity = GroupIdentity("winkel", 0, (0,), "a", "1", 1)
+        self.coordinator = GroupCoordinator(identity)
+        targets = [TargetInfo("t1", checks_epoch=False)]
+        witnesses = {"a": "1", "b": "1", "c": "1"}
+        record = self.coordinator.claim(None, 0, witnesses, targets, 10.0)[0].record
+        self.coordinator.written(record.operation_id, 1, 10.0)
+
+    def next_witnesses(self, now):
+        self.coordinator.set_instances({"a": "1"}, {"a": "namur-a"})
+        actions = self.coordinator.confirmed("a", "1", 1, now, now)
+        return [dict(a.record.witnesses) for a in actions if hasattr(a, "record")]
+
+    def test_silent_witnesses_are_not_left_out(self):
+        self.assertEqual(self.next_witnesses(13.0), [])
+
+    def test_dead_witnesses_are_left_out(self):
+        self.coordinator.instance_died("b", "1", 12.9)
+        self.coordinator.instance_died("c", "1", 12.9)
+        self.assertEqual(self.next_witnesses(13.0), [{"a": "1"}])
+
+    def test_permits_of_own_earlier_epochs_are_known(self):
+        earlier = EarlierEpochs([Predecessor(1, {"a": "1"})], Timing())
+        earlier.given_up(1, 12.0, own=True)
+        self.assertEqual(earlier.permits_known_from(), 0.0)
+        earlier.given_up(1, 12.0)
+        self.assertEqual(earlier.permits_known_from(), 12.0)
+
+
 class HotKeyTests(unittest.TestCase):
     """Guard against several hot keys on one target."""
 
--- a/packages/core/src/fireflystand_core/groups/witnesses.py
+++ b/packages/core/src/fireflystand_core/groups/witnesses.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from fireflystand_core.sharding import WITNESS_COUNT, choose_witnesses
+from fireflystand_core.sharding import coordinator_witnesses, witness_list_size
 
 from .lease import AuthorityLease, majority
 from .timing import Timing
@@ -22,6 +22,7 @@
         self._data_centres: dict[str, str] = {}
         self._not_before = 0.0
         self._avoided: dict[tuple[str, str], float] = {}  # until
+        self._dead: dict[tuple[str, str], float] = {}  # remembered until
 
     def set_instances(
         self, incarnations: Mapping[str, str], data_centres: Mapping[str, str]
@@ -35,43 +36,54 @@
         if (instance, incarnation) not in self._avoided:
             self._not_before = 0.0
         self._avoided[instance, incarnation] = now + AVOID
+        self._dead[instance, incarnation] = now + AVOID
 
     def replacement(self, lease: AuthorityLease, now: float) -> dict[str, str] | None:
         """Return a new list if a witness is lost and another can replace it.
 
         A list that has lost its majority is replaced by a shorter one if need be,
-        because it can never confirm anything again.
+        because it can never confirm anything again. The coordinator alone is a list
+        only if the others are known dead: one that is cut off must be replaceable.
         """
         if now < self._not_before or not self._incarnations:
             return None
         for witness in lease.silent_witnesses(now):
             self._avoided[witness, lease.witnesses[witness]] = now + AVOID
         self._avoided = {w: t for w, t in self._avoided.items() if t > now}
+        self._dead = {w: t for w, t in self._dead.items() if t > now}
         keep = {
             w: i
             for w, i in lease.witnesses.items()
             if (w, i) not in self._avoided and self._incarnations.get(w, i) == i
         }
-        if len(keep) == len(lease.witnesses) >= min(WITNESS_COUNT, self._others()):
+        centres = self._available(keep)
+        enough = len(lease.witnesses) >= witness_list_size(len(centres))
+        if len(keep) == len(lease.witnesses) and enough:
             return None
-        chosen = self._choose(keep)
-        whole = len(chosen) >= len(lease.witnesses) and len(chosen) > len(keep)
-        lost = len(keep) < majority(len(lease.witnesses)) and chosen
-        if not whole and not lost:
+        identity = self._identity
+        name = (identity.service, identity.group, identity.instance)
+        chosen = coordinator_witnesses(*name, centres, keep, lease.witnesses)
+        live = sum(w in centres for w in chosen)
+        whole = len(chosen) >= len(lease.witnesses) and live > len(keep)
+        lost = len(keep) < majority(len(lease.witnesses))
+        if not whole and not (lost and self._may_shrink(lease, live)):
             return None
         self._not_before = now + self._timing.witness_silence
-        return {w: keep.get(w) or self._incarnations[w] for w in chosen}
+        known = {**lease.witnesses, **self._incarnations, **keep}
+        return {w: known[w] for w in chosen}
 
-    def _choose(self, keep: Mapping[str, str]) -> list[str]:
+    def _available(self, keep: Mapping[str, str]) -> dict[str, str]:
         centres = {
             i: dc
             for i, dc in self._data_centres.items()
-            if i != self._identity.instance
-            and (i, self._incarnations[i]) not in self._avoided
+            if (i, self._incarnations[i]) not in self._avoided
+        }
+        own = self._identity.instance
+        return {
+            **centres,
+            **{w: self._data_centres.get(w, "") for w in (own, *keep)},
         }
-        centres |= {w: self._data_centres.get(w, "") for w in keep}
-        name, group = self._identity.service, self._identity.group
-        return choose_witnesses(name, group, centres, keep=keep)
 
-    def _others(self) -> int:
-        return sum(i != self._identity.instance for i in self._incarnations)
+    def _may_shrink(self, lease: AuthorityLease, live: int) -> bool:
+        others = [w for w in lease.witnesses.items() if w[0] != self._identity.instance]
+        return live > 1 or all(other in self._dead for other in others)
--- a/packages/core/src/fireflystand_core/sharding/ranking.py
+++ b/packages/core/src/fireflystand_core/sharding/ranking.py
@@ -9,8 +9,10 @@
     "WITNESS_COUNT",
     "candidate_order",
     "choose_witnesses",
+    "coordinator_witnesses",
     "home_groups",
     "rendezvous_order",
+    "witness_list_size",
 ]
 
 WITNESS_COUNT = 5
@@ -57,3 +59,37 @@
         chosen.append(best)
         used[data_centres_by_instance[best]] += 1
     return chosen
+
+
+def witness_list_size(available: int) -> int:
+    """Return the odd number of witnesses that so many instances allow."""
+    count = min(WITNESS_COUNT, available)
+    return count if count % 2 else max(1, count - 1)
+
+
+def coordinator_witnesses(
+    service: str,
+    group: int,
+    coordinator: str,
+    data_centres_by_instance: Mapping[str, str],
+    keep: Iterable[str] = (),
+    spare: Iterable[str] = (),
+) -> list[str]:
+    """Return an odd number of witnesses that starts with the coordinator.
+
+    If there is only one other instance, the first of ``spare`` makes the third. It
+    may be dead: a list of the coordinator alone could not be taken over while the
+    coordinator is paused.
+    """
+    kept = [coordinator, *(i for i in keep if i != coordinator)]
+    available = len(data_centres_by_instance)
+    chosen = choose_witnesses(
+        service, group, data_centres_by_instance, witness_list_size(available), kept
+    )
+    third = next((i for i in spare if i not in data_centres_by_instance), None)
+    if available == 2 and third is not None:
+        return [
+            *choose_witnesses(service, group, data_centres_by_instance, 2, kept),
+            third,
+        ]
+    return chosen
--- a/packages/router/src/fireflystand_router/claim_timing.py
+++ b/packages/router/src/fireflystand_router/claim_timing.py
@@ -58,7 +58,7 @@
         if claim.witnesses.get(self._instance) == self._witness.incarnation:
             self._witness.expect(name, claim.epoch, now)
             if name in self._witness.suspected(now):
-                rank = self._rank(name, claim.witnesses)
+                rank = self._takeover_rank(name, claim)
                 return f"takeover {claim.epoch}", rank * TAKEOVER_STEP
             return "", 0.0
         self._witness.forget(name)
@@ -68,6 +68,13 @@
         rank = self._rank(name, incarnations)
         return f"orphan {claim.epoch}", ORPHAN_WAIT + rank * FIRST_CLAIM_STEP
 
+    def _takeover_rank(self, name: GroupName, claim: ClaimInfo) -> int:
+        # The coordinator of the claim is its witness, and the last to take over.
+        others = [w for w in claim.witnesses if w != claim.instance]
+        if claim.instance == self._instance:
+            return len(others)
+        return self._rank(name, others)
+
     def _rank(self, name: GroupName, candidates) -> int:
         order = candidate_order(*name, {*candidates, self._instance})
         return order.index(self._instance)
--- a/packages/router/src/fireflystand_router/group_host.py
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -30,7 +30,7 @@
     Sealed,
     WitnessReply,
 )
-from fireflystand_core.sharding import candidate_order, choose_witnesses
+from fireflystand_core.sharding import candidate_order, coordinator_witnesses
 
 from .claim_items import claim_item_key, claim_item_text, record_key
 from .claim_timing import ClaimTiming
@@ -165,7 +165,8 @@
         blocked = coordinator.store_blocked_for(now) > STORE_PATIENCE
         if coordinator.phase != "active" or not blocked:
             return
-        witnesses = coordinator.witnesses
+        own = self._network.hello.instance
+        witnesses = [w for w in coordinator.witnesses if w != own]
         if any(w in live and live[w].reaches_store for w in witnesses):
             self._nursery.start_soon(self.hand_over, name)
 
@@ -201,12 +202,7 @@
     def _begin(self, name, record, version, handed_epoch, state) -> _Held | None:
         now = self._clock()
         hello = self._network.hello
-        live = self._live_instances()
-        others = {i: e.data_centre for i, e in live.items() if i != hello.instance}
-        chosen = choose_witnesses(*name, others)
-        witnesses = {i: live[i].incarnation for i in chosen}
-        if not witnesses:
-            witnesses = {hello.instance: self._witnesses.witness.incarnation}
+        witnesses = self._choose_witnesses(name, record, handed_epoch is not None)
         settings = self._view.deployment.services_by_id.get(name[0])
         identity = GroupIdentity(
             *name,
@@ -231,6 +227,20 @@
         self._perform(name, held, actions)
         return held
 
+    def _choose_witnesses(
+        self, name: GroupName, record: GroupRecord | None, handed: bool
+    ) -> dict[str, str]:
+        own = self._network.hello.instance
+        live = self._live_instances()
+        known = dict(record.witnesses) if record else {}
+        known |= {i: entry.incarnation for i, entry in live.items()}
+        centres = {i: entry.data_centre for i, entry in live.items()}
+        if record and not handed and record.coordinator != own:
+            centres.pop(record.coordinator, None)
+        spare = record.witnesses if record else ()
+        chosen = coordinator_witnesses(*name, own, centres, spare=spare)
+        return {i: known[i] for i in chosen}
+
     # Actions
 
     def _perform(self, name: GroupName, held: _Held, actions: list[Action]) -> None:
@@ -310,7 +320,9 @@
         request = Seal(*name, action.epoch)
         incarnation = self.listening_incarnation(action.witness)
         try:
-            answer = await self._network.request(action.witness, request, SEAL_TIMEOUT)
+            answer = await self._witnesses.request(
+                action.witness, request, SEAL_TIMEOUT
+            )
         except FireflystandError as error:
             if getattr(error, "refused", False):
                 self.instance_died(action.witness, incarnation)
@@ -370,7 +382,8 @@
             return False
         epoch = held.coordinator.epoch
         live = self._live_instances()
-        reachable = [w for w in held.coordinator.witnesses if w in live]
+        own = self._network.hello.instance
+        reachable = [w for w in held.coordinator.witnesses if w in live and w != own]
         reaching = [w for w in reachable if live[w].reaches_store] or reachable
         actions = held.coordinator.give_up()
         state = self._callbacks.collect_state(*name)
--- a/packages/router/src/fireflystand_router/tests/test_group_host.py
+++ b/packages/router/src/fireflystand_router/tests/test_group_host.py
@@ -9,12 +9,18 @@
 from fireflystand_testing.ownership_cluster import Cluster
 
 
+def other_witnesses(node):
+    """Return the witnesses of a node's group without the node."""
+    witnesses = node.host.coordinator("winkel", 0).witnesses
+    return [w for w in witnesses if w != node.name]
+
+
 class GroupHostTests(unittest.TestCase):
     """Guard against two owners and keys that stay unserved after a fault."""
 
-    def run_cluster(self, scenario):
+    def run_cluster(self, scenario, nodes=8):
         async def main():
-            cluster = Cluster()
+            cluster = Cluster(nodes)
             async with trio.open_nursery() as nursery:
                 await cluster.start(nursery)
                 await cluster.until_served(3.0)
@@ -207,7 +213,7 @@
     def test_witness_and_coordinator_killed_and_restarted(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
-            witnesses = list(node.host.coordinator("winkel", 0).witnesses)
+            witnesses = other_witnesses(node)
             for name in (node.name, *witnesses[:2]):
                 cluster.kill(cluster.nodes[name])
             await cluster.until_served(3.0)
@@ -233,7 +239,7 @@
         async def scenario(cluster):
             cluster.lagging = True
             node = cluster.coordinator_node()
-            witnesses = list(node.host.coordinator("winkel", 0).witnesses)
+            witnesses = other_witnesses(node)
             for name in (node.name, *witnesses[:3]):
                 cluster.kill(cluster.nodes[name])
             cluster.targets["t2"].alive = False
@@ -241,6 +247,49 @@
 
         self.run_cluster(scenario)
 
+    def test_loss_of_any_other_instance_never_stops_a_coordinator(self):
+        for nodes in (2, 3, 4, 5, 8):
+            for lost in range(1, min(nodes, 5)):
+                with self.subTest(nodes=nodes, lost=lost):
+                    self.run_cluster(self.lose_other(lost), nodes)
+
+    def lose_other(self, index):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            witnesses = node.host.coordinator("winkel", 0).witnesses
+            self.assertIn(node.name, witnesses)
+            self.assertEqual(len(witnesses) % 2, 1)
+            cluster.store.up = False
+            others = [n for n in cluster.nodes.values() if n is not node]
+            cluster.pause(others[index - 1])
+            for _ in range(300):
+                await trio.sleep(0.01)
+                self.assertIs(cluster.coordinator_node(), node)
+
+        return scenario
+
+    def test_paused_coordinator_of_three_is_taken_over_twice(self):
+        async def scenario(cluster):
+            for _ in range(2):
+                node = cluster.coordinator_node()
+                cluster.pause(node)
+                await cluster.until_served(2.0)
+                cluster.resume(node)
+                await trio.sleep(3.0)
+
+        self.run_cluster(scenario, 3)
+
+    def test_kills_of_three_in_turn_are_taken_over_by_witnesses(self):
+        async def scenario(cluster):
+            for _ in range(6):
+                node = cluster.coordinator_node()
+                cluster.kill(node)
+                await cluster.until_served(2.0)
+                cluster.restart(node)
+                await cluster.until_served(2.0)
+
+        self.run_cluster(scenario, 3)
+
     def test_planned_stop_hands_the_group_over(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
--- a/packages/router/src/fireflystand_router/witness_host.py
+++ b/packages/router/src/fireflystand_router/witness_host.py
@@ -104,7 +104,7 @@
         # not the one that refused.
         incarnation = self.holder.listening_incarnation(witness)
         try:
-            reply = await self._network.request(witness, request, REQUEST_TIMEOUT)
+            reply = await self.request(witness, request, REQUEST_TIMEOUT)
         except PeerUnavailableError as error:
             if error.refused:
                 self.holder.instance_died(witness, incarnation)
@@ -112,6 +112,16 @@
         if isinstance(reply, WitnessReply):
             self.holder.witness_answered(reply, asked_at)
 
+    async def request(
+        self, witness: str, request: WitnessRequest | Seal, timeout: float
+    ) -> object:
+        """Ask a witness, which may be the one of this instance."""
+        if witness != self._network.hello.instance:
+            return await self._network.request(witness, request, timeout)
+        if isinstance(request, Seal):
+            return await self._seal(request, None)
+        return await self._confirm(request, None)
+
     async def _confirm(self, request: WitnessRequest, link) -> WitnessReply:
         confirmed: list[GroupClaim] = []
         higher: list[GroupClaim] = []
--- a/packages/testing/src/fireflystand_testing/fuzz/ownership_world.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/ownership_world.py
@@ -11,7 +11,7 @@
     TargetInfo,
 )
 from fireflystand_core.membership import Witness
-from fireflystand_core.sharding import choose_witnesses
+from fireflystand_core.sharding import coordinator_witnesses
 
 from .ownership_actions import ActionHandlers
 from .ownership_parts import (
@@ -176,15 +176,11 @@
         current = instance.coordinator
         if current is not None and current.phase in ("claiming", "active"):
             return
-        live = {
-            i.id: i.data_centre
-            for i in self.instances.values()
-            if i.alive and i is not instance
-        }
-        chosen = choose_witnesses(*GROUP, live)
-        witnesses = {w: self.instances[w].witness.incarnation for w in chosen}
-        if not witnesses:
-            return
+        live = {i.id: i.data_centre for i in self.instances.values() if i.alive}
+        spare = record.witnesses if record else {}
+        chosen = coordinator_witnesses(*GROUP, instance.id, live, spare=spare)
+        incarnations = {w: i.witness.incarnation for w, i in self.instances.items()}
+        witnesses = {w: incarnations[w] if w in live else spare[w] for w in chosen}
         identity = GroupIdentity(
             *GROUP,
             SHARDS,
