Bring the in-memory network of the feed and quota tests up to date

The gossip reads addresses_by_id of the network since the assembly, and the watcher reads claims through GroupRecord. The fake network knew no addresses, so that all 11 feed tests failed, and the fake claims were not readable, so that all 7 quota tests failed.

The fake network now keeps addresses as PeerNetwork does: a peer without an address is not reachable, the instance list sets and forgets addresses, and a peer that connects makes its address known. Claims are written as complete records. No assertion changed.

--- a/packages/router/src/fireflystand_router/tests/limits_support.py
+++ b/packages/router/src/fireflystand_router/tests/limits_support.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from fireflystand_core.exceptions import StoreUnavailableError
+from fireflystand_core.groups import GroupRecord
 from fireflystand_core.membership import PeerEntry, PeerTable
 from fireflystand_core.messages import Accepted, Hello
 from fireflystand_router.gossip import Gossip
@@ -31,6 +32,7 @@
     def __init__(self, world, hello: Hello) -> None:
         self.world = world
         self.hello = hello
+        self.addresses_by_id: dict[str, str] = {}
         self.links_by_id = {}
         self.handlers = {}
 
@@ -38,12 +40,13 @@
         self.handlers[message_class] = handler
 
     def set_address(self, instance, address):
-        pass
+        self.addresses_by_id[instance] = address
 
     def forget(self, instance):
-        pass
+        self.addresses_by_id.pop(instance, None)
 
     def send(self, instance, message):
+        self._check_address(instance)
         self.world.nursery.start_soon(self._deliver, instance, message)
 
     async def _deliver(self, instance, message):
@@ -51,6 +54,7 @@
         peer = self.world.networks.get(instance)
         if not self.world.connected(self.hello.instance, instance):
             return None
+        peer.addresses_by_id.setdefault(self.hello.instance, self.hello.address)
         handler = peer.handlers.get(type(message))
         if handler is None:
             return Accepted()
@@ -58,7 +62,12 @@
         await trio.sleep(DELAY)
         return answer if self.world.connected(self.hello.instance, instance) else None
 
+    def _check_address(self, instance):
+        if instance not in self.addresses_by_id:
+            raise PeerUnavailableError("no address", step="connect", peer=instance)
+
     async def request(self, instance, message, timeout=1.0):
+        self._check_address(instance)
         with trio.move_on_after(timeout):
             answer = await self._deliver(instance, message)
             if answer is not None:
@@ -157,10 +166,18 @@
             self.instances[f"i{number}"] = instance
             self.networks[f"i{number}"] = instance.network
         for instance in self.instances.values():
-            instance.table.seed(self.entries(), trio.current_time())
+            self.seed(instance, self.entries())
             self.nursery.start_soon(instance.run)
         await self.until(lambda: all(i.key_state() for i in self.instances.values()))
 
+    def seed(self, instance: Instance, entries: list[PeerEntry]) -> None:
+        """Pass the platform's list to an instance as ``PlatformList`` does."""
+        for entry in entries:
+            if entry.id != instance.table.own.id:
+                instance.network.set_address(entry.id, entry.address)
+        for peer in instance.table.seed(entries, trio.current_time()):
+            instance.network.forget(peer)
+
     def kill(self, name: str) -> None:
         self.networks.pop(name)
         self.instances.pop(name).scope.cancel()
@@ -184,9 +201,8 @@
         await self.write(f"keys/{HASH}", {"account": "gent", "state": state})
 
     async def claim(self, name: str, epoch: int) -> None:
-        coordinator = {"id": name, "incarnation": "1"}
-        value = {"epoch": epoch, "coordinator": coordinator}
-        await self.write("groups/accounts/0", value)
+        record = GroupRecord(epoch, name, "1", {name: "1"})
+        await self.write("groups/accounts/0", record.to_value())
 
     async def write(self, key: str, value) -> None:
         found = await self.operator.get(key)
--- a/packages/router/src/fireflystand_router/tests/test_feed.py
+++ b/packages/router/src/fireflystand_router/tests/test_feed.py
@@ -124,7 +124,7 @@
             ghost = PeerEntry("ghost", "ghost", "namur-a")
             for instance in world.instances.values():
                 entries = [*world.entries(["i0", "i1"]), ghost]
-                instance.table.seed(entries, trio.current_time())
+                world.seed(instance, entries)
             await trio.sleep(15)
             await world.write_key("withdrawn")
             rest = list(world.instances.values())
