Fit the permit and outcome tests to the assembled interfaces

The fake authority lacked shard_of and note_request, stop_group no longer is a coroutine, and each attempt has an id of its own at the target. The expectations stay equally strict: the cancelled id is compared whole, and the noted requests are compared too.

make unit ONLY=permits: 12 of 16 failed before, 16 pass. make unit ONLY=outcomes: 1 of 20 failed before, 20 pass.

--- a/packages/router/src/fireflystand_router/entry/tests/test_outcomes.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_outcomes.py
@@ -222,8 +222,9 @@
             answer = await edge.ask(post(b"Fireflystand-Deadline-Ms: 200\r\n"))
             self.assertEqual(self.status_and_outcome(answer), (504, "unknown"))
             await edge.targets[0].cancel_seen.wait()
-            wire_id = edge.permits.requests[0].request_id
-            self.assertEqual(edge.targets[0].cancelled, [wire_id])
+            # Each attempt has an id of its own at the target.
+            attempt_id = f"{edge.permits.requests[0].request_id}-0"
+            self.assertEqual(edge.targets[0].cancelled, [attempt_id])
 
         async def waiting(edge):
             edge.permits.acquire = lambda request: trio.sleep_forever()
--- a/packages/router/src/fireflystand_router/tests/test_permits.py
+++ b/packages/router/src/fireflystand_router/tests/test_permits.py
@@ -91,6 +91,12 @@
     def may_issue(self, now):
         return self.valid
 
+    def shard_of(self, key_hash, shard):
+        return shard
+
+    def note_request(self, key_hash, shard):
+        self.cluster.noted.append((key_hash, shard))
+
     async def mark_unjournaled(self):
         self.cluster.marked = True
         return True
@@ -107,7 +113,7 @@
 
     def __init__(self, nursery):
         self.nursery, self.store, self.view = nursery, FakeStore(), ClusterView()
-        self.marked, self.suspects = False, []
+        self.marked, self.suspects, self.noted = False, [], []
         self.hosts, self.clients, self.links = {}, {}, {}
         self.dead, self.lose_returns, self.epoch, self.authority = set(), 0, 0, None
 
@@ -242,6 +248,7 @@
             await self.run_order(cluster)
             again = await cluster.clients["c"].acquire(order("r1"))
             self.assertEqual(again.replay, ANSWER)
+            self.assertEqual(cluster.noted, [(1, 0), (1, 0)])
 
         self.run_cluster(scenario)
 
@@ -346,7 +353,7 @@
         async def scenario(cluster):
             request = order("r0")
             permit = await cluster.clients["a"].acquire(request)
-            state = await cluster.hosts["b"].stop_group("drukwerk", 0)
+            state = cluster.hosts["b"].stop_group("drukwerk", 0)
             await cluster.coordinate("c", state)
             cluster.clients["a"].give_back(give_back(permit, request))
             again = await cluster.clients["b"].acquire(order("r1"))
