Suspect no group that was handed over before its stream ended

A planned stop hands its groups over and then closes its streams. A witness that had confirmed the leaving coordinator took the broken stream as the loss of the successor too, and claimed the group from it at once.

The witness remembers which epoch it confirmed on a stream and ignores the end of the stream once a higher epoch is known or expected. Seen failing with the comparison of epochs taken out: test_witness_host.

--- a/packages/core/src/fireflystand_core/membership/witness.py
+++ b/packages/core/src/fireflystand_core/membership/witness.py
@@ -98,10 +98,16 @@
             if seen.highest < epoch or seen.heard_at is None:
                 seen.heard_at = now
 
-    def lose(self, group: GroupName) -> None:
-        """Suspect a group at once because the stream of its coordinator broke."""
+    def lose(self, group: GroupName, epoch: int) -> None:
+        """Suspect a group at once because the stream of its coordinator broke.
+
+        ``epoch`` was confirmed last on the stream; a coordinator that handed the
+        group over before it ended leaves a higher one in force.
+        """
         seen = self._seen_by_group.get(group)
-        if seen is not None and seen.heard_at is not None:
+        if seen is None or max(seen.highest, seen.expected) > epoch:
+            return
+        if seen.heard_at is not None:
             seen.heard_at = float("-inf")
 
     def forget(self, group: GroupName) -> None:
--- a/packages/router/src/fireflystand_router/tests/test_witness_host.py
+++ b/packages/router/src/fireflystand_router/tests/test_witness_host.py
@@ -65,6 +65,25 @@
 
         self.run_pair(scenario)
 
+    def test_handed_over_group_is_not_suspected_when_its_old_stream_ends(self):
+        async def scenario(network, witness):
+            await self.ask(network, 4)
+            lost, lose = [], witness.lose
+
+            def note(*group):
+                lose(*group)
+                lost.append(group)
+
+            witness.lose = note
+            # The successor's claim arrives before the leaving instance ends.
+            witness.expect(GROUP, 5, trio.current_time())
+            await network.close()
+            while not lost:
+                await trio.sleep(0.005)
+            self.assertEqual(witness.suspected(trio.current_time()), [])
+
+        self.run_pair(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/witness_host.py
+++ b/packages/router/src/fireflystand_router/witness_host.py
@@ -57,7 +57,7 @@
         self._nursery: trio.Nursery | None = None
         self._scope = trio.CancelScope()
         self._wake = trio.Event()
-        self._groups_by_link: dict[object, set[GroupName]] = {}
+        self._epochs_by_link: dict[object, dict[GroupName, int]] = {}
         network.handle(WitnessRequest, self._confirm)
         network.handle(Seal, self._seal)
 
@@ -121,25 +121,25 @@
             named = request.witness_incarnation
             if self.witness.confirm(name, claim.epoch, named, now, claim.unjournaled):
                 confirmed.append(claim)
-                self._follow(link, name)
+                self._follow(link, name, claim.epoch)
             elif self.witness.highest(name) > claim.epoch:
                 highest = self.witness.highest(name)
                 higher.append(GroupClaim(claim.service, claim.group, highest))
         name = self._network.hello.instance
         return WitnessReply(name, self.witness.incarnation, confirmed, higher)
 
-    def _follow(self, link, name: GroupName) -> None:
+    def _follow(self, link, name: GroupName, epoch: int) -> None:
         if link is None:
             return
-        if link not in self._groups_by_link:
-            self._groups_by_link[link] = set()
+        if link not in self._epochs_by_link:
+            self._epochs_by_link[link] = {}
             self._nursery.start_soon(self._await_loss, link)
-        self._groups_by_link[link].add(name)
+        self._epochs_by_link[link][name] = epoch
 
     async def _await_loss(self, link) -> None:
         await link.lost.wait()
-        for name in self._groups_by_link.pop(link):
-            self.witness.lose(name)
+        for name, epoch in self._epochs_by_link.pop(link).items():
+            self.witness.lose(name, epoch)
 
     async def _seal(self, request: Seal, link) -> Sealed:
         answer = self.witness.seal(
