--- a/packages/core/src/fireflystand_core/journal/segments.py
+++ b/packages/core/src/fireflystand_core/journal/segments.py
@@ -8,16 +8,24 @@
 from fireflystand_core.messages import JournalEntry, StoredAnswer
 
 __all__ = [
+    "BUCKET",
     "MAX_BATCH_BYTES",
     "Segment",
+    "bucket_prefixes",
     "decode_batch",
     "encode_batch",
+    "first_number",
     "is_expired",
     "segment_key",
 ]
 
 ROLL_BYTES = 128 * 1024  # a full rewrite per commit stays short
 MAX_BATCH_BYTES = 512 * 1024  # under the store's 1 MB once in base64
+# The number of a segment begins with the time of its first entry, so that a reader
+# lists the segments within the retention only.
+BUCKET = 120  # seconds
+SEGMENTS_PER_BUCKET = 10_000
+CLOCK_SLACK = 60.0  # seconds between the wall clocks of two instances
 
 
 def segment_key(writer: int, number: int) -> str:
@@ -25,6 +33,24 @@
     return f"journal/{writer}/{number:012d}"
 
 
+def first_number(wall: float) -> int:
+    """Return the lowest number of a segment that begins now."""
+    return int(wall // BUCKET) * SEGMENTS_PER_BUCKET
+
+
+def bucket_prefixes(writer: int, wall: float, retention: float) -> list[str]:
+    """Return the prefixes of all keys that hold entries within the retention.
+
+    A segment takes entries for one bucket, and its writer's clock may differ.
+    """
+    first = int((wall - retention - CLOCK_SLACK) // BUCKET) - 1
+    last = int((wall + CLOCK_SLACK) // BUCKET)
+    keys = [
+        segment_key(writer, n * SEGMENTS_PER_BUCKET) for n in range(first, last + 1)
+    ]
+    return [key[: -len(str(SEGMENTS_PER_BUCKET)) + 1] for key in keys]
+
+
 def encode_batch(entries: list[JournalEntry]) -> str:
     """Return entries as text for a JSON value."""
     packed = msgpack.packb([attrs.asdict(entry) for entry in entries])
@@ -55,8 +81,10 @@
     operation_id: str = ""
     size: int = 0
 
-    def fits(self, batch: str) -> bool:
-        """Tell whether a batch may still be added."""
+    def fits(self, batch: str, wall: float) -> bool:
+        """Tell whether a batch may still be added now."""
+        if self.number < first_number(wall):
+            return False
         if not self.batches:
             return True
         return self.size + len(batch) <= ROLL_BYTES
--- a/packages/core/src/fireflystand_core/journal/tests/test_journal.py
+++ b/packages/core/src/fireflystand_core/journal/tests/test_journal.py
@@ -5,11 +5,15 @@
 import attrs
 
 from fireflystand_core.journal import (
+    BUCKET,
     JournalIndex,
     Segment,
+    bucket_prefixes,
     decode_batch,
     encode_batch,
+    first_number,
     is_expired,
+    segment_key,
 )
 from fireflystand_core.messages import StoredAnswer
 
@@ -104,10 +108,23 @@
 
     def test_segment_rolls_and_expires(self):
         segment = Segment(1).added("x" * 100_000, "op", 50.0)
-        self.assertFalse(segment.fits("x" * 100_000))
+        self.assertTrue(segment.fits("x", 50.0))
+        self.assertFalse(segment.fits("x" * 100_000, 50.0))
+        self.assertFalse(segment.fits("x", 50.0 + BUCKET))
         self.assertFalse(is_expired(segment.value(), 100.0, 60.0))
         self.assertTrue(is_expired(segment.value(), 111.0, 60.0))
 
+    def test_prefixes_cover_the_retention_and_little_more(self):
+        now, retention = 1_764_800_000.0, 600.0
+        prefixes = bucket_prefixes(3, now, retention)
+        self.assertLessEqual(len(prefixes), 9)
+        for begun in range(-60, 601, 30):
+            key = segment_key(3, first_number(now - begun) + 7)
+            found = [p for p in prefixes if key.startswith(p)]
+            self.assertEqual(len(found), 1, begun)
+        old = segment_key(3, first_number(now - 1200))
+        self.assertFalse([p for p in prefixes if old.startswith(p)])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/journal_writer.py
+++ b/packages/router/src/fireflystand_router/journal_writer.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 from uuid import uuid4
 
@@ -17,8 +17,10 @@
 from fireflystand_core.journal import (
     MAX_BATCH_BYTES,
     Segment,
+    bucket_prefixes,
     decode_batch,
     encode_batch,
+    first_number,
     is_expired,
     segment_key,
 )
@@ -27,7 +29,13 @@
 from .peers import PeerLink, PeerUnavailableError
 from .view import ClusterView
 
-__all__ = ["JOURNAL_SERVICE", "JournalClient", "JournalWriter", "load_journal"]
+__all__ = [
+    "JOURNAL_SERVICE",
+    "JournalClient",
+    "JournalReader",
+    "JournalWriter",
+    "journal_numbers",
+]
 
 JOURNAL_SERVICE = "journal"
 MAX_WAITING = 2000  # appends
@@ -35,6 +43,10 @@
 ENTRY_OVERHEAD = 400  # bytes of an entry without its body
 ASK_TIMEOUT = 1.0  # seconds
 RETRY_PAUSE = 0.1  # seconds
+READS_AT_ONCE = 4  # half of the store client's connections
+
+GroupName = tuple[str, int]
+FAILED: GroupName = ("", -1)  # marks a shared read that failed
 
 
 class Store(Protocol):
@@ -141,8 +153,9 @@
     async def _write(self, batch: str) -> None:
         if self._segment is None:
             self._segment = await self._next_segment()
-        if not self._segment.fits(batch):
-            self._segment = Segment(self._segment.number + 1)
+        if not self._segment.fits(batch, self._wall()):
+            number = max(self._segment.number + 1, first_number(self._wall()))
+            self._segment = Segment(number)
         segment = self._segment.added(batch, uuid4().hex, self._wall())
         key = segment_key(self.number, segment.number)
         self.writes += 1
@@ -157,9 +170,11 @@
         self._segment = attrs.evolve(segment, version=version)
 
     async def _next_segment(self) -> Segment:
-        snapshot = await self._store.list(f"journal/{self.number}/")
-        numbers = [int(item.key.rsplit("/", 1)[1]) for item in snapshot.items]
-        return Segment(max(numbers, default=0) + 1)
+        number = first_number(self._wall())
+        prefix = bucket_prefixes(self.number, self._wall(), 0.0)[-1]
+        snapshot = await self._store.list(prefix)
+        numbers = [int(item.key.rsplit("/", 1)[1]) + 1 for item in snapshot.items]
+        return Segment(max([number, *numbers]))
 
     async def _expire_regularly(self) -> None:
         while True:
@@ -179,14 +194,96 @@
                 await self._store.delete(item.key, item.version)
 
 
-async def load_journal(store: Store, service: str, group: int) -> list[JournalEntry]:
-    """Return all entries of a group; raise StoreUnavailableError without a store."""
-    snapshot = await store.list("journal/")
-    entries = []
-    for item in snapshot.items:
-        for batch in item.value["batches"]:
-            entries += decode_batch(batch)
-    return [e for e in entries if (e.service, e.group) == (service, group)]
+class JournalReader:
+    """Read the journal for groups that this instance has taken over.
+
+    Groups that ask while a read is under way share the next one, so the store sees
+    at most one read of an instance at a time, however many groups it takes over.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        numbers: Callable[[], Iterable[int]],
+        retention: Callable[[], float],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._numbers = numbers
+        self._retention = retention  # seconds
+        self._wall = wall
+        self._lock = trio.Lock()
+        self._waiting: dict[GroupName, list[JournalEntry]] = {}
+
+    async def load(self, service: str, group: int) -> list[JournalEntry]:
+        """Return the entries of a group within the retention.
+
+        Raise StoreUnavailableError without a store.
+        """
+        name = (service, group)
+        # Shared by all that wait for the lock; the first to get it reads for them.
+        wanted = self._waiting
+        wanted.setdefault(name, [])
+        async with self._lock:
+            if self._waiting is wanted:
+                self._waiting = {}
+                try:
+                    await self._read(wanted)
+                except BaseException:
+                    wanted[FAILED] = []
+                    raise
+            if FAILED in wanted:
+                raise StoreUnavailableError("journal could not be read")
+            return wanted[name]
+
+    async def _read(self, wanted: dict[GroupName, list[JournalEntry]]) -> None:
+        prefixes = [
+            prefix
+            for number in sorted(self._numbers())
+            for prefix in bucket_prefixes(number, self._wall(), self._retention())
+        ]
+        errors: list[StoreUnavailableError] = []
+
+        async def read_next(nursery: trio.Nursery) -> None:
+            try:
+                while prefixes:
+                    await self._read_bucket(prefixes.pop(), wanted)
+            except StoreUnavailableError as error:
+                errors.append(error)
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(READS_AT_ONCE):
+                nursery.start_soon(read_next, nursery)
+        if errors:
+            raise errors[0]
+
+    async def _read_bucket(self, prefix: str, wanted) -> None:
+        snapshot = await self._store.list(prefix)
+        for item in snapshot.items:
+            _sort_out(item.value, wanted)
+            # Requests without a key are served between two segments.
+            await trio.lowlevel.checkpoint()
+
+
+def _sort_out(value: dict, wanted: dict[GroupName, list[JournalEntry]]) -> None:
+    for batch in value["batches"]:
+        for entry in decode_batch(batch):
+            found = wanted.get((entry.service, entry.group))
+            if found is not None:
+                found.append(entry)
+
+
+def _order_for(entry: JournalEntry, numbers: Iterable[int]) -> list[int]:
+    """Return writers' numbers, beginning with the one for the entry's group."""
+    ordered = sorted(numbers)
+    first = entry.group % len(ordered) if ordered else 0
+    return ordered[first:] + ordered[:first]
+
+
+def journal_numbers(view: ClusterView) -> set[int]:
+    """Return the numbers of all journal groups that were ever claimed."""
+    return {n for service, n in view.claims_by_group if service == JOURNAL_SERVICE}
 
 
 class Network(Protocol):
@@ -206,10 +303,11 @@
 
     async def handle_append(self, message: JournalAppend, link: PeerLink):
         """Serve an append of another instance."""
-        if not self.writers_by_number:
-            return JournalAppended(False, "no journal writer here")
-        numbers = sorted(self.writers_by_number)
-        return await self.writers_by_number[numbers[0]].append(message)
+        for number in _order_for(message.entries[0], self._numbers()):
+            writer = self.writers_by_number.get(number)
+            if writer is not None:
+                return await writer.append(message)
+        return JournalAppended(False, "no journal writer here")
 
     async def append(self, entries: list[JournalEntry], timeout: float) -> bool:
         """Tell whether the entries became durable within ``timeout`` seconds."""
@@ -225,12 +323,12 @@
     def _writers(self, entry: JournalEntry) -> list[str]:
         """Return the writers' instances, beginning with the one for the group."""
         claims = self._view.claims_by_group
-        numbers = sorted(n for service, n in claims if service == JOURNAL_SERVICE)
-        if not numbers:
-            return []
-        first = entry.group % len(numbers)
-        ordered = numbers[first:] + numbers[:first]
-        return [claims[(JOURNAL_SERVICE, number)].instance for number in ordered]
+        numbers = _order_for(entry, journal_numbers(self._view))
+        instances = [claims[(JOURNAL_SERVICE, number)].instance for number in numbers]
+        return list(dict.fromkeys(instances))
+
+    def _numbers(self) -> set[int]:
+        return journal_numbers(self._view) | set(self.writers_by_number)
 
     async def _append_at(self, instance: str, message: JournalAppend) -> bool:
         if instance == self._instance:
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -25,7 +25,7 @@
 from .group_services import GroupServices
 from .health import HealthServer, Readiness
 from .http_client import split_address
-from .journal_writer import JournalClient, load_journal
+from .journal_writer import JournalClient, JournalReader, journal_numbers
 from .metrics import Metrics
 from .peers import PeerNetwork
 from .permit_host import PermitHost
@@ -82,8 +82,13 @@
 
     def _build_groups(self, hello: Hello) -> None:
         self.journals = JournalClient(hello.instance, self.network, self.view)
+        reader = JournalReader(
+            self.store,
+            lambda: journal_numbers(self.view),
+            lambda: self.view.deployment.journal.retention,
+        )
         self.permit_host = PermitHost(
-            hello.instance, self.view, self.journals.append, self._load_journal
+            hello.instance, self.view, self.journals.append, reader.load
         )
         self.quota_host = QuotaHost(self.network, self.view)
         self.services = GroupServices(
@@ -147,9 +152,6 @@
             port=port,
         )
 
-    async def _load_journal(self, service: str, group: int):
-        return await load_journal(self.store, service, group)
-
     def _live_instances(self) -> Mapping[str, LiveInstance]:
         hello = self.network.hello
         live = {
--- a/packages/router/src/fireflystand_router/permit_host.py
+++ b/packages/router/src/fireflystand_router/permit_host.py
@@ -85,9 +85,39 @@
     loaded: trio.Event = attrs.field(factory=trio.Event)
     answers: dict[tuple[str, str], trio.MemorySendChannel] = attrs.field(factory=dict)
     unwritten: list[JournalEntry] = attrs.field(factory=list)
+    added: int = 0  # entries ever put into ``unwritten``
+    written: int = 0  # of these, entries that are durable
+    changed: trio.Event = attrs.field(factory=trio.Event)  # of the two counts
     marked: bool = False  # a successor must mark a gap
     outage: bool = False
 
+    def add(self, entries: list[JournalEntry]) -> None:
+        """Take entries that the flush writes."""
+        self.unwritten += entries
+        self.added += len(entries)
+        self._note_change()
+
+    def remove_written(self, count: int) -> None:
+        """Drop the first entries, which are durable now."""
+        del self.unwritten[:count]
+        self.written += count
+        self.outage = False
+        self._note_change()
+
+    def _note_change(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def release_waiting(self) -> None:
+        """Let nobody wait any more; a successor takes over what is not written."""
+        self.outage = True
+        self._note_change()
+
+    async def wait_written(self, number: int) -> None:
+        """Wait until so many entries are durable, or an outage keeps them back."""
+        while self.written < number and not self.outage:
+            await self.changed.wait()
+
 
 class PermitHost:
     """Run one permit desk for each group and answer entry instances."""
@@ -147,7 +177,7 @@
         running = _Group(desk, authority, trio.CancelScope())
         if state is not None:
             desk.restore(state, now)
-            running.unwritten = decode_batch(msgpack.unpackb(state["unwritten"]))
+            running.add(decode_batch(msgpack.unpackb(state["unwritten"])))
             gap = journal.has_gap(now)
             running.marked = gap or bool(running.unwritten)
             running.loaded.set()
@@ -170,6 +200,7 @@
         state = running.desk.export(now)
         state["unwritten"] = msgpack.packb(encode_batch(running.unwritten))
         running.scope.cancel()
+        running.release_waiting()
         return state
 
     def desk_of(self, service: str, group: int) -> PermitDesk | None:
@@ -189,8 +220,16 @@
         return await self.request(message, link.hello.instance)
 
     async def handle_return(self, message: PermitReturn, link: PeerLink):
-        """Take a permit back; refuse it if the group is not served here."""
-        return self.returned(message)
+        """Take a permit back; refuse it if the group is not served here.
+
+        An answer to a request with an idempotency key is acknowledged once it is
+        durable. Until then its entry instance returns the permit to a successor.
+        """
+        running = self._groups.get((message.service, message.group))
+        accepted = self.returned(message)
+        if running is not None and message.scope and message.outcome == "answered":
+            await running.wait_written(running.added)
+        return accepted
 
     async def handle_cancel(self, message: PermitCancel, link: PeerLink) -> Accepted:
         """Withdraw a permit request."""
@@ -293,7 +332,7 @@
             elif isinstance(action, WriteIntent):
                 running.nursery.start_soon(self._write_intent, running, action)
             elif isinstance(action, WriteOutcome):
-                running.unwritten.append(action.entry)
+                running.add([action.entry])
             elif isinstance(action, StoreSuspects):
                 store = running.authority.store_suspects
                 running.nursery.start_soon(store, action.suspects)
@@ -311,7 +350,7 @@
             durable = await self._append([action.entry], INTENT_TIMEOUT)
         if not durable:
             running.outage = True
-            running.unwritten.append(action.entry)
+            running.add([action.entry])
             running.marked = True
             durable = await running.authority.mark_unjournaled()
         actions = running.desk.journaled(
@@ -322,11 +361,13 @@
     async def _flush(self, running: _Group) -> None:
         """Write outcomes, and intents that an outage kept back."""
         while True:
-            await trio.sleep(FLUSH_PAUSE if running.outage else TICK)
+            pause = FLUSH_PAUSE if running.outage else TICK
+            with trio.move_on_after(pause):
+                while running.outage or not running.unwritten:
+                    await running.changed.wait()
             entries = running.unwritten[:FLUSH_SIZE]
             if entries and await self._append(entries, INTENT_TIMEOUT):
-                del running.unwritten[: len(entries)]
-                running.outage = False
+                running.remove_written(len(entries))
             gap = running.desk.journal.has_gap(self._clock())
             if running.marked and not running.unwritten and not gap:
                 running.marked = False
--- a/packages/router/src/fireflystand_router/tests/test_permits.py
+++ b/packages/router/src/fireflystand_router/tests/test_permits.py
@@ -7,6 +7,7 @@
 from trio.testing import MockClock
 
 from fireflystand_core.exceptions import StoreConflictError, StoreUnavailableError
+from fireflystand_core.journal import decode_batch
 from fireflystand_core.messages import (
     Hello,
     JournalAppend,
@@ -20,8 +21,8 @@
 )
 from fireflystand_router.journal_writer import (
     JournalClient,
+    JournalReader,
     JournalWriter,
-    load_journal,
 )
 from fireflystand_router.peers import PeerLink, PeerUnavailableError
 from fireflystand_router.permit_host import PermitHost
@@ -37,7 +38,7 @@
 
     def __init__(self):
         self.objects, self.revision, self.down, self.lose = {}, 0, False, 0
-        self.in_flight = self.most_in_flight = 0
+        self.in_flight = self.most_in_flight = self.lists = 0
 
     async def _call(self):
         await trio.sleep(0.005)
@@ -70,11 +71,16 @@
         del self.objects[key]
 
     async def list(self, prefix):
+        self.lists += 1
         await self._call()
         found = [o for k, o in sorted(self.objects.items()) if k.startswith(prefix)]
         return StoreSnapshot(self.revision, found)
 
 
+def reader_of(store, wall=1000.0):
+    return JournalReader(store, lambda: [0, 1], lambda: 600.0, lambda: wall)
+
+
 class Authority:
     """Stand in for the group's coordinator."""
 
@@ -128,9 +134,7 @@
             self.view.claims_by_group[("journal", 0)] = claim
             self.journal = journal
 
-        async def load(service, group):
-            return await load_journal(self.store, service, group)
-
+        load = reader_of(self.store).load
         host = PermitHost(name, self.view, journal.append, load, wall=lambda: 1000.0)
         await host.start(self.nursery)
         client = PermitClient(name, network, self.view, host)
@@ -152,6 +156,8 @@
             now = trio.current_time()
             status = desk.target_status("t1", "i", 1.0, 0, now, now)
             host.act("drukwerk", 0, status)
+        if not self.store.down:
+            await host._groups["drukwerk", 0].loaded.wait()
         claim = ClaimInfo("drukwerk", 0, self.epoch, name, "1")
         self.view.claims_by_group[("drukwerk", 0)] = claim
         return desk
@@ -349,6 +355,23 @@
 class HostTests(ClusterTestCase):
     """Guard against lost slots, lost state and wrong refusals."""
 
+    def test_answer_is_durable_before_its_return_is_acknowledged(self):
+        async def scenario(cluster):
+            request, client = order("r0"), cluster.clients["a"]
+            permit = await client.acquire(request)
+            client.give_back(give_back(permit, request))
+            while client.unacknowledged:
+                await trio.sleep(0.0005)
+            states = [
+                entry.state
+                for stored in cluster.store.objects.values()
+                for batch in stored.value["batches"]
+                for entry in decode_batch(batch)
+            ]
+            self.assertEqual(states, ["intent", "answered"])
+
+        self.run_cluster(scenario)
+
     def test_hint_leads_to_the_coordinator_after_a_handover(self):
         async def scenario(cluster):
             request = order("r0")
@@ -434,7 +457,7 @@
                     nursery.start_soon(writer.append, append)
             self.assertLessEqual(writer.writes, 3)
             self.assertEqual(store.most_in_flight, 1)
-            loaded = await load_journal(store, "winkel", 0)
+            loaded = await reader_of(store).load("winkel", 0)
             self.assertEqual(len(loaded), 50)
 
         self.run_writer(scenario)
@@ -445,7 +468,8 @@
             first = await writer.append(JournalAppend([self.entry(0)]))
             second = await writer.append(JournalAppend([self.entry(1)]))
             self.assertTrue(first.durable and second.durable)
-            self.assertEqual(len(await load_journal(store, "winkel", 0)), 2)
+            loaded = await reader_of(store).load("winkel", 0)
+            self.assertEqual(len(loaded), 2)
 
         self.run_writer(scenario)
 
@@ -460,7 +484,8 @@
                     answer = await (other if i % 2 else writer).append(append)
                     self.assertTrue(answer.durable)
                 await other.close()
-            self.assertEqual(len(await load_journal(store, "winkel", 0)), 5)
+            loaded = await reader_of(store).load("winkel", 0)
+            self.assertEqual(len(loaded), 5)
 
         self.run_writer(scenario)
 
@@ -477,6 +502,45 @@
 
         self.run_writer(scenario)
 
+    def test_read_leaves_out_what_is_past_the_retention_and_is_shared(self):
+        async def scenario(store, writer):
+            await writer.append(JournalAppend([self.entry(0)]))
+            writer._wall = lambda: 1900.0
+            other = attrs.evolve(self.entry(1), group=7)
+            await writer.append(JournalAppend([self.entry(2), other]))
+            self.assertEqual(len(store.objects), 2)
+            reader, found = reader_of(store, 1900.0), {}
+            store.lists = 0
+
+            async def load(group):
+                found[group] = await reader.load("winkel", group)
+
+            async with trio.open_nursery() as nursery:
+                for group in range(20):
+                    nursery.start_soon(load, group)
+            self.assertEqual([e.key for e in found[0]], ["k2"])
+            self.assertEqual([e.key for e in found[7]], ["k1"])
+            # Two reads at most: for the first to ask, and for all others.
+            self.assertLessEqual(store.lists, 2 * 2 * 9)
+
+        self.run_writer(scenario)
+
+    def test_append_goes_to_the_writer_of_the_group(self):
+        async def scenario(store, writer):
+            view = ClusterView()
+            client = JournalClient("a", None, view)
+            second = JournalWriter(1, store, 600.0, lambda: 1000.0)
+            client.writers_by_number.update({0: writer, 1: second})
+            async with trio.open_nursery() as nursery:
+                await second.start(nursery)
+                for group in (0, 1, 2, 3):
+                    entry = attrs.evolve(self.entry(group), group=group)
+                    await client.handle_append(JournalAppend([entry]), None)
+                await second.close()
+            self.assertEqual((writer.writes, second.writes), (2, 2))
+
+        self.run_writer(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
