Bound waves of 421 by the deadline and return cancelled permits as ended

- A 421 refusal draws neither on the entry's nor on the coordinator's retry budget.
The coordinator used to learn of it from the permit's return, which may arrive after the new request or at another coordinator; the request says it itself now (after_stale).
- The return of a cancelled request waits for the target's answer to the cancellation and frees the slot if it was acknowledged.
- Fireflystand-Routing-Key reaches the target.
- The scope of an idempotency key includes the routing key in services not divided by key; before, two routing keys got 422.
- A request with an idempotency key whose deadline passes while it waits for a permit is told unknown: an earlier one may be running.
It was told not-run.

--- a/packages/core/src/fireflystand_core/admission/desk.py
+++ b/packages/core/src/fireflystand_core/admission/desk.py
@@ -73,7 +73,6 @@
         self._intents_by_id: dict[str, WaitingRequest] = {}
         self._repeats_by_id: dict[str, WaitingRequest] = {}
         self._departed_by_id: dict[str, OutstandingPermit] = {}
-        self._free_retries: dict[str, None] = {}
         self._foreign_ids: dict[str, None] = {}
 
     def request(self, request: PermitRequest, entry: str, now: float) -> list[Action]:
@@ -128,10 +127,8 @@
             self.retries.note_request()
             self.hedges.note_request()
             return True
-        if request.request_id in self._free_retries:
-            del self._free_retries[request.request_id]
-            return True
-        return self.retries.spend()
+        # A handover or a move makes a wave of these, which ends by itself.
+        return request.after_stale or self.retries.spend()
 
     def _admit(self, item: WaitingRequest, now: float) -> list[Action]:
         """Pass a request through the journal into the queue."""
@@ -276,10 +273,6 @@
             self._judge_answer(returned, permit, target, now)
         elif returned.shed and target is not None:
             target.shed(now)
-        elif returned.stale:
-            self._free_retries[permit.request_id] = None
-            if len(self._free_retries) > MAX_REMEMBERED:
-                self._free_retries.pop(next(iter(self._free_retries)))
 
     def _judge_answer(self, returned, permit, target, now: float) -> None:
         if permit.alone:
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -192,6 +192,7 @@
     idempotency_key: str | None = None
     hedge_of: str | None = None
     attempt: int = 0
+    after_stale: bool = False  # the previous attempt was refused with 421
 
 
 @message("permit")
--- a/packages/router/src/fireflystand_router/entry/attempts.py
+++ b/packages/router/src/fireflystand_router/entry/attempts.py
@@ -26,7 +26,8 @@
 class Job:
     """Hold a request while it is attempted; ``deadline`` is on trio's clock.
 
-    ``unsure`` tells that a target may have run an attempt.
+    ``unsure`` tells that a target may have run an attempt. ``attempt`` numbers all
+    attempts, ``retries`` counts those that draw on the retry budget.
     """
 
     request: CallerRequest
@@ -37,6 +38,9 @@
     prefix: bytes
     unsure: bool = False
     attempt: int = 0
+    retries: int = 0
+    after_stale: bool = False
+    asked: bool = False  # for a permit
 
     def permit_request(self, request_id: str, hedge_of: str | None) -> PermitRequest:
         """Return the request for a permit of the current attempt."""
@@ -54,6 +58,7 @@
             idempotency_key=request.idempotency_key,
             hedge_of=hedge_of,
             attempt=self.attempt,
+            after_stale=self.after_stale,
         )
 
     def forward_request(
@@ -84,6 +89,8 @@
             b"Fireflystand-Request-Id": request_id,
             b"Fireflystand-Client-Account": self.request.account,
         }
+        if self.request.route.routing_key_segment is None and self.request.routing_key:
+            values[b"Fireflystand-Routing-Key"] = self.request.routing_key
         if self.request.service.keyed:
             values[b"Fireflystand-Shard"] = str(permit.shard)
         return [(name, value.encode()) for name, value in values.items()]
@@ -108,6 +115,7 @@
         self._scope = scope_of(asked)
         send_before = self._taken_at + permit.send_within
         self.request = job.forward_request(request_id, permit, send_before)
+        self.request.on_cancelled = self._cancelled
 
     def settle(
         self, outcome: str, status: int, answer: StoredAnswer | None = None, **flags
@@ -145,9 +153,19 @@
         )
 
     def close(self) -> None:
-        """Give the permit back if that has not happened yet."""
+        """Give the permit back if that has not happened yet.
+
+        While the target is asked to stop the request, the return waits for the
+        answer, because an acknowledged cancellation frees the slot at once.
+        """
+        if self.request.cancelling:
+            self._job.unsure = True
+            return
         self.settle("unknown" if self.request.handed else "not-run", 0)
 
+    def _cancelled(self, acknowledged: bool) -> None:
+        self.settle("unknown", 0, ended=acknowledged)
+
 
 class Sender:
     """Obtain permits and send the attempts of requests, hedged where allowed."""
@@ -167,6 +185,7 @@
         # not reach the next one on the same target.
         request_id = f"{job.request.id}-{job.attempt}{suffix}"
         asked = job.permit_request(f"{job.request.id}{suffix}", hedge_of)
+        job.asked = True
         permit = await self._permits.acquire(asked)
         if isinstance(permit, PermitRefused):
             return permit
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -39,6 +39,7 @@
 KEPT_BODY_LIMIT = 64 * 1024  # bytes
 ATTEMPT_LIMIT = 5
 RETRY_DELAY = 0.01  # seconds before the second retry, doubled for each further one
+LONGEST_RETRY_DELAY = 0.16  # seconds
 
 
 class Responder(Protocol):
@@ -174,7 +175,9 @@
             raise MalformedMessageError("request body is too slow", status=408)
         if responder.started:
             return responder.abort()
-        if job.unsure:
+        repeatable = job.request.idempotency_key and not job.request.idempotent
+        if job.unsure or (repeatable and job.asked):
+            # The first request with the idempotency key may be running.
             raise self._unknown(job, 504, "deadline passed")
         raise RequestRefusedError(503, "deadline passed before the request was sent")
 
@@ -190,8 +193,11 @@
             if not self._may_repeat(job, failure):
                 raise self._final(job, failure)
             self._metrics.count(RETRIES)
+            job.after_stale = failure.stale
+            job.retries += not failure.stale
             if job.attempt:
-                await trio.sleep(RETRY_DELAY * 2**job.attempt)
+                delay = RETRY_DELAY * 2**job.attempt
+                await trio.sleep(min(delay, LONGEST_RETRY_DELAY))
             job.attempt += 1
 
     async def _attempt(
@@ -283,7 +289,13 @@
         await responder.finish()
 
     def _may_repeat(self, job: Job, failure: Failure) -> bool:
-        if job.attempt + 1 >= ATTEMPT_LIMIT or job.body.streamed:
+        if job.body.streamed:
+            return False
+        if failure.stale:
+            # A handover or a move makes a wave of these, and each request waits
+            # for the new owner; only its deadline bounds it.
+            return True
+        if job.retries + 1 >= ATTEMPT_LIMIT:
             return False
         ran = not isinstance(failure.outcome, NotRun)
         if ran and not job.request.idempotent:
@@ -303,7 +315,7 @@
 
 def hash_of_repeat(request: CallerRequest) -> int:
     """Return a 64-bit hash that all repeats of an idempotency key share."""
-    text = f"{request.account}\0{request.idempotency_key}"
+    text = "\0".join([request.account, request.routing_key, request.idempotency_key])
     return xxhash.xxh3_64_intdigest(text.encode())
 
 
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -106,15 +106,20 @@
         if exchange.ended:
             return
         exchange.abort()
+        exchange.request.cancelling = True
         self._nursery.start_soon(self._cancel_at_target, exchange.request)
 
     async def _cancel_at_target(self, request: ForwardRequest) -> None:
         path = f"/fireflystand/requests/{request.request_id}"
+        acknowledged = False
         async with self._cancels:
             client = ControlClient(request.address, CANCEL_TIMEOUT)
             try:
-                await client.request("DELETE", path)
+                response = await client.request("DELETE", path)
+                acknowledged = response.status == 200
             except (ConnectionFailedError, h11.ProtocolError) as error:
                 emit(CANCEL_FAILED, error, request_id=request.request_id)
             finally:
                 await client.close()
+        if request.on_cancelled is not None:
+            request.on_cancelled(acknowledged)
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -45,6 +45,8 @@
     repeatable: bool
     rest: Callable[[], Awaitable[bytes]] | None = None
     handed: bool = False  # set once bytes may have reached the target
+    cancelling: bool = False  # set while the target is asked to stop
+    on_cancelled: Callable[[bool], None] | None = None  # True if it acknowledged
 
 
 class Exchange:
