Probe a target that sheds at most every 2 s

One success raised a limit of 1 to 2, so a target with room for one request refused about every third. After a shed the limit does not grow for 2 s.

--- a/packages/core/src/fireflystand_core/admission/targets.py
+++ b/packages/core/src/fireflystand_core/admission/targets.py
@@ -9,6 +9,9 @@
 COLD_LIMIT = 1.0  # permits at a time
 WARM_STEP = 0.25  # permits gained with each success in time
 DECREASE = 0.7  # factor on a shed or on high latency
+# One success raises a limit of 1 to 2. A target that sheds at 2 would refuse every
+# third request, which spends the retry budget.
+SHED_PAUSE = 2.0  # seconds after a shed without an increase
 DECREASE_INTERVAL = 0.1  # seconds; one overload causes one decrease
 SLOW_FACTOR = 3.0  # times the baseline at which latency counts as high
 JUMP_FACTOR = 8.0  # times the baseline that a cold target shows
@@ -72,6 +75,7 @@
     permits_by_id: dict[str, OutstandingPermit] = attrs.field(factory=dict)
     _jumps: int = 0
     _decreased_at: float = -1.0e9
+    _shed_at: float = -1.0e9
     _pools_by_entry: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -138,7 +142,8 @@
         if not in_time or issued_at < self.cold_since:
             return
         self.warm_limit = min(float(self.slots), self.warm_limit + WARM_STEP)
-        self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
+        if now - self._shed_at >= SHED_PAUSE:
+            self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
 
     def cancelled(self, age: float, now: float) -> None:
         """Take in how long a request ran in vain before its cancellation."""
@@ -148,6 +153,7 @@
 
     def shed(self, now: float) -> None:
         """Lower the limit because the target refused work."""
+        self._shed_at = now
         self._decrease(now)
 
     def turn_cold(self, now: float) -> None:
--- a/packages/core/src/fireflystand_core/admission/tests/test_parts.py
+++ b/packages/core/src/fireflystand_core/admission/tests/test_parts.py
@@ -68,6 +68,23 @@
             target.shed(1.0)
         self.assertEqual(target.capacity, 4)
 
+    def test_target_that_sheds_is_probed_rarely(self):
+        target = TargetAdmission("t", "x", 3, 100, warm_limit=3.0)
+        sheds, now = 0, 0.0
+        while now < 20.0:
+            now += 0.05
+            # The target has room for one request only.
+            if target.capacity > 1:
+                target.shed(now)
+                sheds += 1
+            else:
+                target.succeeded(0.05, now)
+        self.assertLessEqual(sheds, 14)
+        for _ in range(60):
+            now += 0.05
+            target.succeeded(0.05, now)
+        self.assertEqual(target.capacity, 3)
+
     def test_connections_of_all_entries_are_bounded(self):
         target = TargetAdmission("t", "x", 6, 2, warm_limit=6.0)
         target.issue(permit("p1", entry="e1"))
