--- a/packages/testing/src/fireflystand_testing/fuzz/requests.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/requests.py
@@ -1,20 +1,14 @@
 """Fuzz permits and the journal against lost, late and repeated messages."""
 
-from collections.abc import Callable
-from contextlib import AbstractContextManager
-from unittest import mock
-
-import attrs
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from fireflystand_core.admission import CrashHold, PermitDesk, TargetAdmission
-from fireflystand_core.journal import JournalIndex
 from fireflystand_core.messages import PermitRequest
 
+from .registry import machine
 from .request_world import Call, RequestWorld
 
-__all__ = ["MUTATIONS", "Mutation", "RequestMachine"]
+__all__ = ["RequestMachine"]
 
 ENTRIES = 4
 KEYS = 3
@@ -24,6 +18,7 @@
 numbers = st.integers(0, 7)
 
 
+@machine("requests")
 class RequestMachine(RuleBasedStateMachine):
     """Disturb callers, entry instances, coordinators, targets and the store."""
 
@@ -201,80 +196,3 @@
                 self.world.thaw(target.id)
         self.world.advance(7.0)
         assert not self.world.desk.waiting()
-
-
-@attrs.frozen
-class Mutation:
-    """Name a broken rule, how to patch it in, and the machine that finds it."""
-
-    name: str
-    patch: Callable[[], AbstractContextManager]
-    machine: type
-
-
-def _patch(owner: type, attribute: str, replacement) -> Callable:
-    return lambda: mock.patch.object(owner, attribute, replacement)
-
-
-def _report_frees_all_lost(self, incarnation, warm, in_flight, sampled_at):
-    return _report(self, incarnation, warm, 0, sampled_at)
-
-
-def _load_nothing(self, entries, now):
-    return None
-
-
-def _withdraw_not_run(self, request_id, reason, now):
-    return [
-        attrs.evolve(a, answer=attrs.evolve(a.answer, outcome="not-run"))
-        if hasattr(a, "answer")
-        else a
-        for a in _withdraw(self, request_id, reason, now)
-    ]
-
-
-_report = TargetAdmission.report
-_withdraw = PermitDesk._withdraw
-
-MUTATIONS = [
-    Mutation(
-        "slots of lost permits are freed at once",
-        _patch(TargetAdmission, "report", _report_frees_all_lost),
-        RequestMachine,
-    ),
-    Mutation(
-        "slots are not limited",
-        _patch(TargetAdmission, "free", property(lambda self: 1)),
-        RequestMachine,
-    ),
-    Mutation(
-        "a target never turns cold",
-        _patch(TargetAdmission, "turn_cold", lambda self, now: None),
-        RequestMachine,
-    ),
-    Mutation(
-        "a new coordinator does not wait for a status",
-        _patch(TargetAdmission, "take_over", lambda self, now, wait, longest: None),
-        RequestMachine,
-    ),
-    Mutation(
-        "the journal is not loaded at a takeover",
-        _patch(JournalIndex, "load", _load_nothing),
-        RequestMachine,
-    ),
-    Mutation(
-        "a waiting repeat is told not-run",
-        _patch(PermitDesk, "_withdraw", _withdraw_not_run),
-        RequestMachine,
-    ),
-    Mutation(
-        "crash suspects are not refused",
-        _patch(CrashHold, "is_refused", lambda self, fingerprint: False),
-        RequestMachine,
-    ),
-    Mutation(
-        "the journal's gap is ignored",
-        _patch(JournalIndex, "mark_gap", lambda self, now: None),
-        RequestMachine,
-    ),
-]
