--- a/packages/core/src/fireflystand_core/admission/crashes.py
+++ b/packages/core/src/fireflystand_core/admission/crashes.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["CrashHold", "Suspect"]
+__all__ = ["REFUSED_AFTER", "CrashHold", "Suspect"]
 
 MAX_SUSPECTS = 64
 REFUSED_AFTER = 2  # crashes
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -109,3 +109,22 @@
 )
 INSTANCE_STOPPING = define_event(3002, "INFO", "instance stops", "groups")
 INSTANCE_STOPPED = define_event(3003, "INFO", "instance stopped", "instance")
+JOURNAL_LOADED = define_event(
+    4001, "INFO", "journal loaded", "service", "group", "entries", "seconds"
+)
+JOURNAL_GAP = define_event(
+    4002, "WARNING", "journal has a gap", "service", "group", "seconds"
+)
+JOURNAL_KEPT_BACK = define_event(
+    4003, "WARNING", "journal entries are kept back", "service", "group"
+)
+JOURNAL_CAUGHT_UP = define_event(
+    4004, "INFO", "journal entries that were kept back are durable", "service", "group"
+)
+CRASH_HOLDS_CHANGED = define_event(
+    4010, "WARNING", "crash holds changed", "service", "group", "held", "refused"
+)
+ENTRY_LOST = define_event(4020, "INFO", "entry instance was lost", "instance")
+RETURN_GIVEN_UP = define_event(
+    4021, "WARNING", "permit return given up", "service", "group", "permit_id"
+)
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -6,7 +6,13 @@
 import statsd
 import trio
 
-__all__ = ["METRICS_BY_NAME", "Metric", "Metrics", "define_metric"]
+__all__ = [
+    "METRICS_BY_NAME",
+    "Metric",
+    "Metrics",
+    "define_metric",
+    "refusal_metric",
+]
 
 FLUSH_INTERVAL = 1.0  # seconds
 TIMINGS_PER_FLUSH = 200  # samples of one metric
@@ -104,3 +110,55 @@
 CONNECTIONS = define_metric(
     "entry.connections", "gauge", "connections", "open caller connections"
 )
+PERMITS_ISSUED = define_metric(
+    "permits.issued", "counter", "permits", "permits issued by this coordinator"
+)
+PERMITS_RETURNED = define_metric(
+    "permits.returned", "counter", "permits", "permits returned to this coordinator"
+)
+PERMITS_OUTSTANDING = define_metric(
+    "permits.outstanding", "gauge", "permits", "permits issued and not yet returned"
+)
+PERMITS_WAITING = define_metric(
+    "permits.waiting", "gauge", "requests", "requests that wait for a permit"
+)
+CRASH_HOLDS = define_metric(
+    "permits.crash_holds", "gauge", "requests", "fingerprints held after crashes"
+)
+JOURNAL_GAPS = define_metric(
+    "journal.gaps", "gauge", "groups", "groups that answer unknown for a journal gap"
+)
+JOURNAL_UNWRITTEN = define_metric(
+    "journal.unwritten", "gauge", "entries", "entries that are not yet durable"
+)
+
+
+def _refusals(name: str, text: str) -> Metric:
+    return define_metric(f"permits.refused.{name}", "counter", "requests", text)
+
+
+REFUSED_CRASH = _refusals("crash", "permits refused after crashes of targets")
+REFUSED_DEADLINE = _refusals("deadline", "permits refused by deadline")
+REFUSED_JOURNAL = _refusals("journal", "permits refused by the journal")
+REFUSED_OTHER = _refusals("other", "permits refused for other reasons")
+REFUSED_QUEUE = _refusals("queue", "permits refused by a full queue")
+REFUSED_RETRIES = _refusals("retries", "permits refused by the retry budget")
+
+# The first word that occurs in the reason of a refusal decides.
+_METRICS_BY_WORD = {
+    "deadline": REFUSED_DEADLINE,
+    "crashed": REFUSED_CRASH,
+    "retry budget": REFUSED_RETRIES,
+    "queue": REFUSED_QUEUE,
+    "journal": REFUSED_JOURNAL,
+    "idempotency key": REFUSED_JOURNAL,
+    "first re": REFUSED_JOURNAL,  # request or response
+}
+
+
+def refusal_metric(reason: str) -> Metric:
+    """Return the counter for a coordinator's reason to refuse a permit."""
+    for word, metric in _METRICS_BY_WORD.items():
+        if word in reason:
+            return metric
+    return REFUSED_OTHER
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -88,7 +88,11 @@
             lambda: self.view.deployment.journal.retention,
         )
         self.permit_host = PermitHost(
-            hello.instance, self.view, self.journals.append, reader.load
+            hello.instance,
+            self.view,
+            self.journals.append,
+            reader.load,
+            metrics=self.metrics,
         )
         self.quota_host = QuotaHost(self.network, self.view)
         self.services = GroupServices(
--- a/packages/router/src/fireflystand_router/permit_host.py
+++ b/packages/router/src/fireflystand_router/permit_host.py
@@ -3,13 +3,13 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Protocol
 
 import attrs
 import msgpack
 import trio
 
 from fireflystand_core.admission import (
+    REFUSED_AFTER,
     Action,
     PermitDesk,
     Reply,
@@ -29,15 +29,28 @@
     PermitReturn,
 )
 
+from .events import (
+    CRASH_HOLDS_CHANGED,
+    ENTRY_LOST,
+    JOURNAL_CAUGHT_UP,
+    JOURNAL_GAP,
+    JOURNAL_KEPT_BACK,
+    JOURNAL_LOADED,
+    emit,
+)
+from .metrics import PERMITS_RETURNED, Metrics
 from .peers import PeerLink
+from .permit_group import GroupAuthority, ServedGroup
+from .permit_metrics import count_answer, measure_desks
 from .view import ClusterView
 
-__all__ = ["GroupAuthority", "PermitHost"]
+__all__ = ["PermitHost"]
 
 TICK = 0.05  # seconds
 INTENT_TIMEOUT = 1.0  # seconds until an intent counts as kept back by the store
 FLUSH_PAUSE = 0.5  # seconds between attempts to write what was kept back
 FLUSH_SIZE = 200  # entries
+MEASURE_PERIOD = 1.0  # seconds
 LOAD_PAUSE = 0.2  # seconds between attempts to load the journal
 NOT_COORDINATOR = "not the coordinator of this group"
 
@@ -46,79 +59,6 @@
 Load = Callable[[str, int], Awaitable[list[JournalEntry]]]
 
 
-class GroupAuthority(Protocol):
-    """Tell a desk what the group's coordinator knows and decides.
-
-    ``owner_of`` is ``None`` for services that are not divided by key. The host
-    starts a group only when the predecessor's permits are fenced or its lease
-    has ended, because the journal is loaded then.
-    """
-
-    epoch: int
-    owner_of: Callable[[int, int, float], tuple[str, int] | None] | None
-    shard_of: Callable[[int, int], int]
-    suspects: list[tuple[int, int, float]]
-    predecessor_unjournaled: bool
-
-    def may_issue(self, now: float) -> bool:
-        """Tell whether the claim is confirmed by a majority now."""
-
-    def note_request(self, key_hash: int, shard: int) -> None:
-        """Count a request for the choice of hot keys."""
-
-    async def mark_unjournaled(self) -> bool:
-        """Return whether a majority of witnesses holds the marker."""
-
-    async def clear_unjournaled(self) -> None:
-        """Drop the marker."""
-
-    async def store_suspects(self, suspects: list[tuple[int, int, float]]) -> None:
-        """Write the crash suspects into the group record."""
-
-
-@attrs.define(eq=False)
-class _Group:
-    desk: PermitDesk
-    authority: GroupAuthority
-    scope: trio.CancelScope
-    nursery: trio.Nursery | None = None
-    loaded: trio.Event = attrs.field(factory=trio.Event)
-    answers: dict[tuple[str, str], trio.MemorySendChannel] = attrs.field(factory=dict)
-    unwritten: list[JournalEntry] = attrs.field(factory=list)
-    added: int = 0  # entries ever put into ``unwritten``
-    written: int = 0  # of these, entries that are durable
-    changed: trio.Event = attrs.field(factory=trio.Event)  # of the two counts
-    marked: bool = False  # a successor must mark a gap
-    outage: bool = False
-
-    def add(self, entries: list[JournalEntry]) -> None:
-        """Take entries that the flush writes."""
-        self.unwritten += entries
-        self.added += len(entries)
-        self._note_change()
-
-    def remove_written(self, count: int) -> None:
-        """Drop the first entries, which are durable now."""
-        del self.unwritten[:count]
-        self.written += count
-        self.outage = False
-        self._note_change()
-
-    def _note_change(self) -> None:
-        self.changed.set()
-        self.changed = trio.Event()
-
-    def release_waiting(self) -> None:
-        """Let nobody wait any more; a successor takes over what is not written."""
-        self.outage = True
-        self._note_change()
-
-    async def wait_written(self, number: int) -> None:
-        """Wait until so many entries are durable, or an outage keeps them back."""
-        while self.written < number and not self.outage:
-            await self.changed.wait()
-
-
 class PermitHost:
     """Run one permit desk for each group and answer entry instances."""
 
@@ -132,6 +72,7 @@
         retention: float = 600.0,
         clock: Callable[[], float] = trio.current_time,
         wall: Callable[[], float] = time.time,
+        metrics: Metrics | None = None,
     ) -> None:
         self.instance = instance
         self._view = view
@@ -140,13 +81,15 @@
         self._retention = retention  # seconds
         self._clock = clock
         self._wall = wall
-        self._groups: dict[GroupId, _Group] = {}
+        self._metrics = metrics or Metrics()
+        self._groups: dict[GroupId, ServedGroup] = {}
         self._watched: set[PeerLink] = set()
         self._nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Take the nursery that the groups' tasks run in."""
         self._nursery = nursery
+        nursery.start_soon(self._measure)
 
     async def close(self) -> None:
         """Stop all groups."""
@@ -174,7 +117,7 @@
             may_issue=authority.may_issue,
             shard_of=authority.shard_of,
         )
-        running = _Group(desk, authority, trio.CancelScope())
+        running = ServedGroup(desk, authority, trio.CancelScope())
         if state is not None:
             desk.restore(state, now)
             running.add(decode_batch(msgpack.unpackb(state["unwritten"])))
@@ -186,6 +129,9 @@
             if authority.predecessor_unjournaled:
                 journal.mark_gap(now)
                 running.marked = True
+        if journal.has_gap(now):
+            seconds = round(journal.gap_until - now)
+            emit(JOURNAL_GAP, service=service, group=group, seconds=seconds)
         self._groups[(service, group)] = running
         await self._nursery.start(self._run_group, running)
         return desk
@@ -267,6 +213,7 @@
         running = self._groups.get((message.service, message.group))
         if running is None:
             return self._elsewhere(message.service, message.group)
+        self._metrics.count(PERMITS_RETURNED)
         self._act(running, running.desk.returned(message, self._clock()))
         return Accepted()
 
@@ -276,8 +223,17 @@
         if running is not None:
             self._act(running, running.desk.cancel(message, self._clock()))
 
+    async def _measure(self) -> None:
+        while True:
+            running = list(self._groups.values())
+            unwritten = sum(len(r.unwritten) for r in running)
+            desks = [r.desk for r in running]
+            measure_desks(self._metrics, desks, unwritten, self._clock())
+            await trio.sleep(MEASURE_PERIOD)
+
     def entry_lost(self, entry: str) -> None:
         """Take in that an entry instance is gone."""
+        emit(ENTRY_LOST, instance=entry)
         for running in list(self._groups.values()):
             self._act(running, running.desk.entry_lost(entry, self._clock()))
 
@@ -299,7 +255,7 @@
         return PermitRefused("not-run", NOT_COORDINATOR, coordinator=hint)
 
     async def _run_group(
-        self, running: _Group, task_status=trio.TASK_STATUS_IGNORED
+        self, running: ServedGroup, task_status=trio.TASK_STATUS_IGNORED
     ) -> None:
         with running.scope:
             async with trio.open_nursery() as nursery:
@@ -314,8 +270,8 @@
         for answer in running.answers.values():
             answer.close()
 
-    async def _load_journal(self, running: _Group) -> None:
-        desk = running.desk
+    async def _load_journal(self, running: ServedGroup) -> None:
+        desk, began = running.desk, self._clock()
         while not running.loaded.is_set():
             try:
                 entries = await self._load(desk.service, desk.group)
@@ -324,8 +280,15 @@
                 continue
             desk.journal.load(entries, self._clock())
             running.loaded.set()
-
-    def _act(self, running: _Group, actions: list[Action]) -> None:
+            emit(
+                JOURNAL_LOADED,
+                service=desk.service,
+                group=desk.group,
+                entries=len(entries),
+                seconds=round(self._clock() - began, 3),
+            )
+
+    def _act(self, running: ServedGroup, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Reply):
                 self._reply(running, action)
@@ -334,22 +297,34 @@
             elif isinstance(action, WriteOutcome):
                 running.add([action.entry])
             elif isinstance(action, StoreSuspects):
-                store = running.authority.store_suspects
-                running.nursery.start_soon(store, action.suspects)
+                self._note_suspects(running, action)
+
+    def _note_suspects(self, running: ServedGroup, action: StoreSuspects) -> None:
+        counts = [crashes for _, crashes, _ in action.suspects]
+        emit(
+            CRASH_HOLDS_CHANGED,
+            service=running.desk.service,
+            group=running.desk.group,
+            held=len(counts),
+            refused=sum(crashes >= REFUSED_AFTER for crashes in counts),
+        )
+        store = running.authority.store_suspects
+        running.nursery.start_soon(store, action.suspects)
 
-    def _reply(self, running: _Group, reply: Reply) -> None:
+    def _reply(self, running: ServedGroup, reply: Reply) -> None:
+        count_answer(self._metrics, reply.answer)
         send = running.answers.pop((reply.entry, reply.request_id), None)
         if send is not None:
             # Without a waiter the entry instance asks again or cancels.
             with suppress(trio.BrokenResourceError):
                 send.send_nowait(reply.answer)
 
-    async def _write_intent(self, running: _Group, action: WriteIntent) -> None:
+    async def _write_intent(self, running: ServedGroup, action: WriteIntent) -> None:
         durable = False
         if not running.outage:
             durable = await self._append([action.entry], INTENT_TIMEOUT)
         if not durable:
-            running.outage = True
+            self._note_outage(running, True)
             running.add([action.entry])
             running.marked = True
             durable = await running.authority.mark_unjournaled()
@@ -358,7 +333,14 @@
         )
         self._act(running, actions)
 
-    async def _flush(self, running: _Group) -> None:
+    def _note_outage(self, running: ServedGroup, outage: bool) -> None:
+        if running.outage != outage:
+            desk = running.desk
+            event = JOURNAL_KEPT_BACK if outage else JOURNAL_CAUGHT_UP
+            emit(event, service=desk.service, group=desk.group)
+        running.outage = outage
+
+    async def _flush(self, running: ServedGroup) -> None:
         """Write outcomes, and intents that an outage kept back."""
         while True:
             pause = FLUSH_PAUSE if running.outage else TICK
@@ -367,6 +349,7 @@
                     await running.changed.wait()
             entries = running.unwritten[:FLUSH_SIZE]
             if entries and await self._append(entries, INTENT_TIMEOUT):
+                self._note_outage(running, False)
                 running.remove_written(len(entries))
             gap = running.desk.journal.has_gap(self._clock())
             if running.marked and not running.unwritten and not gap:
--- a/packages/router/src/fireflystand_router/permits.py
+++ b/packages/router/src/fireflystand_router/permits.py
@@ -16,6 +16,7 @@
     PermitReturn,
 )
 
+from .events import RETURN_GIVEN_UP, emit
 from .journal_writer import Network
 from .peers import PeerUnavailableError
 from .permit_host import NOT_COORDINATOR, PermitHost
@@ -177,6 +178,12 @@
                 new_hint = getattr(answer, "coordinator", None)
                 hint = new_hint if new_hint != instance else None
                 await trio.sleep(RETURN_PAUSE)
+            emit(
+                RETURN_GIVEN_UP,
+                service=returned.service,
+                group=returned.group,
+                permit_id=returned.permit_id,
+            )
         finally:
             self.unacknowledged -= 1
 
