--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -352,6 +353,19 @@
         """Return what a target has run so far."""
         return await self._control(target, "GET", b"")
 
+    async def runs_by_path(self) -> Counter:
+        """Return how often all running targets ran each path."""
+        runs = Counter()
+        for target, place in self.targets_by_id.items():
+            if place.handle.running:
+                runs.update((await self.target_counts(target))["runs_by_path"])
+        return runs
+
+    async def change_targets(self, **changes: Any) -> None:
+        """Change the behaviour of all targets."""
+        for target in self.targets_by_id:
+            await self.change_target(target, **changes)
+
     async def change_target(self, target: str, **changes: Any) -> dict[str, Any]:
         """Change the behaviour of a target."""
         return await self._control(target, "PUT", json.dumps(changes).encode())
--- a/packages/testing/src/fireflystand_testing/scenarios.py
+++ b/packages/testing/src/fireflystand_testing/scenarios.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections import Counter
+from itertools import count
 
 import attrs
 import trio
@@ -30,6 +31,10 @@
 }
 
 
+# Shared by all loads, so that no two calls have the same path.
+_numbers = count()
+
+
 def spread(prefix: str, count: int) -> dict[str, str]:
     """Return ids with data centres in turn."""
     return {f"{prefix}-{n}": DATA_CENTRES[n % 3] for n in range(count)}
@@ -86,11 +91,15 @@
     outcome: str
     target: str
     reason: str = ""
+    body: bytes = b""
 
 
 @attrs.define(eq=False)
 class Load:
-    """Send calls at a steady rate through a set of routers until stopped."""
+    """Send calls at a steady rate through a set of routers until stopped.
+
+    With ``unique`` each call has a path of its own below one of ``paths``.
+    """
 
     fleet: Fleet
     routers: list[str]
@@ -99,6 +108,7 @@
     paths: tuple[str, ...] = tuple(f"/winkel/fleece-{n}" for n in range(40))
     method: str = "GET"
     timeout: float = 10.0
+    unique: bool = False
     records: list[CallRecord] = attrs.field(factory=list)
     _stopped: bool = False
     _random: random.Random = attrs.field(factory=lambda: random.Random(7))
@@ -119,6 +129,8 @@
     async def _call(self) -> None:
         router = self._random.choice(self.routers)
         path = self._random.choice(self.paths)
+        if self.unique:
+            path = f"{path}/{self.method}-{next(_numbers)}"
         self.records.append(
             await send(
                 self.fleet, router, path, self.account, self.method, self.timeout
@@ -168,6 +180,7 @@
         response.headers.get("fireflystand-outcome", ""),
         response.headers.get("x-target", ""),
         response.headers.get("fireflystand-reason", ""),
+        response.body,
     )
 
 
@@ -215,6 +228,23 @@
         self.assertGreater(len(load.records), 0)
         self.assertEqual(load.failures(), [], load.summary())
 
+    def assert_own_answers(self, load: Load, padding: int = 0) -> None:
+        """Fail if an answer is cut or belongs to another call."""
+        for record in load.records:
+            if record.status == 200:
+                text = f"{record.target} ran {load.method} {record.path}\n"
+                self.assertEqual(record.body, text.encode() + b"." * padding, record)
+
+    def assert_runs(self, load: Load, runs_by_path: Counter) -> None:
+        """Fail if a call ran twice, or ran although its caller was told not-run."""
+        for record in load.records:
+            runs = runs_by_path[record.path]
+            self.assertLessEqual(runs, 1, record)
+            if record.outcome == "not-run":
+                self.assertEqual(runs, 0, record)
+            if record.status == 200:
+                self.assertEqual(runs, 1, record)
+
 
 async def wait_served(fleet: Fleet, timeout: float = 20.0) -> None:
     """Wait until every router answers a call for each of 16 keys."""
--- a/packages/testing/src/fireflystand_testing/target.py
+++ b/packages/testing/src/fireflystand_testing/target.py
@@ -34,6 +34,7 @@
     sheds: bool = True
     load_report_lag: float = 0.0
     crash_exits: bool = True
+    padding: int = 0  # bytes added to each answer
 
 
 @attrs.define
@@ -59,6 +60,7 @@
         self.peak_while_cold = 0
         self.runs_by_request = Counter()
         self.runs_by_idempotency_key = Counter()
+        self.runs_by_path = Counter()
         self.refusals_by_reason = Counter()
         self.started_at = time.monotonic()
         self._scopes_by_request: dict[str, trio.CancelScope] = {}
@@ -181,6 +183,7 @@
 
     async def _execute(self, request: Request, request_id: str) -> Reply:
         self.runs_by_request[request_id] += 1
+        self.runs_by_path[request.path] += 1
         key = request.headers.get("idempotency-key")
         if key:
             self.runs_by_idempotency_key[key] += 1
@@ -191,6 +194,7 @@
         body = f"{self.options.id} ran {request.method} {request.path}\n".encode()
         if request.method in ("POST", "PUT"):
             body += request.body
+        body += b"." * self.options.padding
         fields = {"Content-Type": "text/plain", "X-Target": self.options.id}
         account = request.headers.get("fireflystand-client-account", "")
         leaked = "authorization" in request.headers
@@ -226,6 +230,7 @@
                 "peak_while_cold": self.peak_while_cold,
                 "runs": sum(self.runs_by_request.values()),
                 "runs_by_idempotency_key": self.runs_by_idempotency_key,
+                "runs_by_path": self.runs_by_path,
                 "refusals_by_reason": self.refusals_by_reason,
             },
         )
