--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -396,7 +396,11 @@
         place = self.routers_by_id[router]
         place.handle.send_signal(signal.SIGKILL)
         place.handle.process.wait(10)
-        for proxy in place.peer_proxies_by_source.values():
+        await self.refuse_router(router)
+
+    async def refuse_router(self, router: str) -> None:
+        """Refuse connections to a router that ended, as its own address does."""
+        for proxy in self.routers_by_id[router].peer_proxies_by_source.values():
             await proxy.refuse()
 
     async def restart_router(self, router: str) -> None:
--- a/packages/testing/src/fireflystand_testing/fuzz/requests.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/requests.py
@@ -165,6 +165,17 @@
         self.world.takeover()
         self._order(entry, key, 2.0)
 
+    @rule(entry=numbers, key=numbers)
+    def takeover_between_repeats(self, entry, key):
+        """Let another instance claim the group between an order and its repeat."""
+        if not self.world.store_up:
+            return
+        self._order(entry, key, 2.0)
+        self.world.advance(0.5)
+        self.world.takeover()
+        self._order(entry + 1, key, 2.0)
+        self.world.advance(0.5)
+
     @rule(entry=numbers)
     def takeover_of_busy_targets(self, entry):
         """Let another instance claim the group while all targets are busy."""
--- a/packages/testing/src/fireflystand_testing/tests/test_fleet_requests.py
+++ b/packages/testing/src/fireflystand_testing/tests/test_fleet_requests.py
@@ -176,6 +176,7 @@
                         return not place.handle.running
 
                     await wait_until(ended, 20, f"{router} ends")
+                    await fleet.refuse_router(router)
                     await trio.sleep(1)
                     load.stop()
                 self.assert_all_answered(load)
