--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -352,6 +353,19 @@
         """Return what a target has run so far."""
         return await self._control(target, "GET", b"")
 
+    async def runs_by_path(self) -> Counter:
+        """Return how often all running targets ran each path."""
+        runs = Counter()
+        for target, place in self.targets_by_id.items():
+            if place.handle.running:
+                runs.update((await self.target_counts(target))["runs_by_path"])
+        return runs
+
+    async def change_targets(self, **changes: Any) -> None:
+        """Change the behaviour of all targets."""
+        for target in self.targets_by_id:
+            await self.change_target(target, **changes)
+
     async def change_target(self, target: str, **changes: Any) -> dict[str, Any]:
         """Change the behaviour of a target."""
         return await self._control(target, "PUT", json.dumps(changes).encode())
@@ -382,7 +396,11 @@
         place = self.routers_by_id[router]
         place.handle.send_signal(signal.SIGKILL)
         place.handle.process.wait(10)
-        for proxy in place.peer_proxies_by_source.values():
+        await self.refuse_router(router)
+
+    async def refuse_router(self, router: str) -> None:
+        """Refuse connections to a router that ended, as its own address does."""
+        for proxy in self.routers_by_id[router].peer_proxies_by_source.values():
             await proxy.refuse()
 
     async def restart_router(self, router: str) -> None:
