Lend quota at once after a takeover

A coordinator without a handed-over state lent nothing for 1 s, because leases of its predecessor could hold a whole burst. That made every takeover longer than the 2 s in which a key must be served again.

All instances together now hold at most max(1, burst / 2) tokens unspent. A new coordinator starts empty and withholds that much for 1 s. Lending in the very first moment was ruled out: a coordinator lost in its first second leaves leases that its successor does not count. Leases of the first second therefore last 0.2 s, and a new coordinator lends nothing for 0.2 s. Bursts below 2 leave no whole token and still wait 1 s.

The time a request waited at the coordinator is added to the lease's time to live, since the borrower counts from its sending.

The test that a takeover serves within 0.5 s fails on the former code.

Fewer tokens lent ahead cost messages.

--- a/packages/core/src/fireflystand_core/accounts/bucket.py
+++ b/packages/core/src/fireflystand_core/accounts/bucket.py
@@ -9,8 +9,9 @@
 class TokenBucket:
     """Hold the tokens of an account; ``rate`` is in tokens a second.
 
-    ``lent`` tokens are held elsewhere unspent. They count against the burst, so
-    that no window of time sees more than its rate and one burst.
+    ``lent`` tokens are held elsewhere unspent, and ``withheld`` tokens may be. Both
+    count against the burst, so that no window of time sees more than its rate and
+    one burst.
     """
 
     rate: float
@@ -18,13 +19,17 @@
     updated_at: float  # seconds
     level: float = 0.0
     lent: float = 0.0
+    withheld: float = 0.0
+
+    @property
+    def _room(self) -> float:
+        return max(0.0, self.burst - self.lent - self.withheld)
 
     def refill(self, now: float) -> None:
         """Add the tokens accrued since the last call."""
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = max(self.updated_at, now)
-        room = max(0.0, self.burst - self.lent)
-        self.level = min(room, self.level + elapsed * self.rate)
+        self.level = min(self._room, self.level + elapsed * self.rate)
 
     def lend(self, tokens: float) -> None:
         """Move tokens from the bucket to a borrower."""
@@ -40,8 +45,12 @@
     def take_back(self, tokens: float) -> None:
         """Return unspent lent tokens to the bucket."""
         self.lent = max(0.0, self.lent - tokens)
-        room = max(0.0, self.burst - self.lent)
-        self.level = min(room, self.level + tokens)
+        self.level = min(self._room, self.level + tokens)
+
+    def restore(self, level: float, lent: float) -> None:
+        """Continue with the tokens of another bucket."""
+        self.lent = lent
+        self.level = min(self._room, level)
 
     def change(self, rate: float, burst: float, now: float) -> None:
         """Apply new settings from ``now`` on."""
--- a/packages/core/src/fireflystand_core/accounts/coordinator.py
+++ b/packages/core/src/fireflystand_core/accounts/coordinator.py
@@ -11,9 +11,13 @@
 from .bucket import TokenBucket
 from .demand import Demand
 
-__all__ = ["LEASE_TTL", "AccountQuota", "Answer", "QuotaCoordinator"]
+__all__ = ["LEASE_TTL", "AccountQuota", "Answer", "QuotaCoordinator", "max_lent"]
 
 LEASE_TTL = 1.0  # seconds
+# Leases of a coordinator that started without a state less than LEASE_TTL ago.
+# They are short, so that a successor need not count them beside older leases.
+FIRST_TTL = 0.2  # seconds; chosen well above a round trip
+LENT_SHARE = 0.5  # of the burst that all instances may hold unspent
 AHEAD = 0.25  # seconds of an instance's demand that a lease covers
 AHEAD_SHARE = 0.5  # of the bucket lent ahead; the rest serves other instances
 MIN_RETRY_AFTER = 0.005  # seconds
@@ -23,6 +27,11 @@
 Answer = tuple[str, QuotaLease]  # instance and its lease
 
 
+def max_lent(burst: float) -> float:
+    """Return the most tokens that all instances may hold unspent."""
+    return max(1.0, burst * LENT_SHARE)
+
+
 @attrs.define
 class _Lease:
     tokens: float
@@ -40,14 +49,15 @@
 @attrs.define
 class _Waiting:
     request: QuotaRequest
+    since: float
     until: float
 
 
 class AccountQuota:
     """Lend the tokens of one account.
 
-    Starts empty and, without a state, lends nothing for one time to live, because
-    leases of a previous coordinator may hold a whole burst until then.
+    Starts empty. Without a state it withholds for one time to live what leases of
+    previous coordinators may hold, and it waits for the end of their short leases.
     """
 
     def __init__(
@@ -57,7 +67,9 @@
         self._bucket = TokenBucket(settings.rate, settings.burst, now)
         self._borrowers_by_id: dict[str, _Borrower] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
-        self._closed_until = now + LEASE_TTL
+        self._closed_until = now + FIRST_TTL
+        self._withheld_until = now + LEASE_TTL
+        self._bucket.withheld = max_lent(settings.burst)
         if state is not None:
             self._restore(state, now)
 
@@ -75,6 +87,8 @@
         """Apply new settings from ``now`` on."""
         self._settle(now)
         self.settings = settings
+        if self._bucket.withheld:
+            self._bucket.withheld = max_lent(settings.burst)
         self._bucket.change(settings.rate, settings.burst, now)
 
     def request(self, request: QuotaRequest, now: float) -> list[Answer]:
@@ -91,22 +105,23 @@
             borrower.last_sequence = request.sequence
             self._waiting_by_id.pop(request.instance, None)
             if request.tokens >= 1:
-                waiting = _Waiting(request, now + request.wait)
+                waiting = _Waiting(request, now, now + request.wait)
                 self._waiting_by_id[request.instance] = waiting
             else:
-                answers.append((request.instance, self._lend(request, 0, now)))
+                answers.append((request.instance, self._lend(request, 0, now, now)))
         return answers + self.advance(now)
 
     def advance(self, now: float) -> list[Answer]:
         """Answer waiting instances in the order of their requests."""
         self._settle(now)
         answers = []
-        while self._waiting_by_id and self._bucket.level >= 1:
-            share = max(1, self._bucket.level // len(self._waiting_by_id))
+        while self._waiting_by_id and self._lendable() >= 1:
+            share = max(1, self._lendable() // len(self._waiting_by_id))
             instance = next(iter(self._waiting_by_id))
-            request = self._waiting_by_id.pop(instance).request
-            needed = min(request.tokens, share)
-            answers.append((instance, self._lend(request, needed, now)))
+            waiting = self._waiting_by_id.pop(instance)
+            needed = min(waiting.request.tokens, share)
+            lease = self._lend(waiting.request, needed, waiting.since, now)
+            answers.append((instance, lease))
         for instance, waiting in list(self._waiting_by_id.items()):
             if waiting.until <= now:
                 del self._waiting_by_id[instance]
@@ -130,6 +145,7 @@
         state = {
             "level": self._bucket.level,
             "closed": max(0.0, self._closed_until - now),
+            "withheld": max(0.0, self._withheld_until - now),
             "borrowers": borrowers,
         }
         return msgpack.packb(state)
@@ -137,15 +153,18 @@
     def _restore(self, data: bytes, now: float) -> None:
         state = msgpack.unpackb(data, strict_map_key=False)
         self._closed_until = now + state["closed"]
+        self._withheld_until = now + state["withheld"]
+        if not state["withheld"]:
+            self._bucket.withheld = 0.0
+        lent = 0.0
         for instance, (sequence, demand, leases) in state["borrowers"].items():
             borrower = _Borrower(Demand(now, demand), sequence)
             for number, tokens, unspent, left in leases:
                 lease = _Lease(tokens, unspent, now + left)
                 borrower.leases_by_sequence[number] = lease
-                self._bucket.lent += unspent
+                lent += unspent
             self._borrowers_by_id[instance] = borrower
-        room = max(0.0, self._bucket.burst - self._bucket.lent)
-        self._bucket.level = min(room, state["level"])
+        self._bucket.restore(state["level"], lent)
 
     def _settle(self, now: float) -> None:
         # Tokens of an expired lease count as spent at its expiry. They leave the
@@ -156,9 +175,16 @@
             self._drop_expired(now)
             return
         self._bucket.updated_at = max(self._bucket.updated_at, self._closed_until)
+        if now >= self._withheld_until and self._bucket.withheld:
+            self._bucket.refill(self._withheld_until)
+            self._bucket.withheld = 0.0
         self._bucket.refill(now)
         self._drop_expired(now)
 
+    def _lendable(self) -> float:
+        room = max_lent(self._bucket.burst) - self._bucket.lent
+        return math.floor(max(0.0, min(self._bucket.level, room)))
+
     def _drop_expired(self, now: float) -> None:
         for instance, borrower in list(self._borrowers_by_id.items()):
             leases = borrower.leases_by_sequence
@@ -184,26 +210,30 @@
             del borrower.leases_by_sequence[report.sequence]
             self._bucket.take_back(lease.unspent)
 
-    def _lend(self, request: QuotaRequest, needed: float, now: float) -> QuotaLease:
-        needed = min(needed, math.floor(self._bucket.level))
+    def _lend(
+        self, request: QuotaRequest, needed: float, since: float, now: float
+    ) -> QuotaLease:
+        needed = min(needed, self._lendable())
         borrower = self._borrowers_by_id[request.instance]
-        ahead = self._ahead(borrower, self._bucket.level - needed, now)
+        ahead = self._ahead(borrower, self._lendable() - needed, now)
         tokens = needed + ahead
         if tokens < 1:
             return self._decline(request, now)
         self._bucket.lend(tokens)
-        lease = _Lease(tokens, tokens, now + LEASE_TTL)
+        ttl = FIRST_TTL if self._bucket.withheld else LEASE_TTL
+        lease = _Lease(tokens, tokens, now + ttl)
         borrower.leases_by_sequence[request.sequence] = lease
         return QuotaLease(
             request.account,
             tokens,
-            LEASE_TTL,
+            # The borrower counts from its sending, before the time it waited here.
+            ttl + (now - since),
             retry_after=self._backlog_time(),
             sequence=request.sequence,
         )
 
     def _ahead(self, borrower: _Borrower, left: float, now: float) -> float:
-        if self._waiting_by_id:
+        if self._waiting_by_id or self._bucket.withheld:
             return 0.0
         wanted = borrower.demand.at(now)
         if wanted <= 0:
@@ -230,8 +260,21 @@
     def _time_until_token(self, now: float) -> float:
         closed = max(0.0, self._closed_until - now)
         wait = closed + self._bucket.time_until(1.0)
+        if self._bucket.level >= 1:
+            wait = max(wait, self._time_until_expiry(now))
         return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
 
+    def _time_until_expiry(self, now: float) -> float:
+        # Lent tokens leave room for others when they are reported or expire.
+        if self._lendable() >= 1:
+            return 0.0
+        times = [
+            lease.expires_at
+            for borrower in self._borrowers_by_id.values()
+            for lease in borrower.leases_by_sequence.values()
+        ]
+        return min(times, default=now) - now
+
 
 class QuotaCoordinator:
     """Lend the tokens of all accounts of a group.
--- a/packages/router/src/fireflystand_router/tests/test_quotas.py
+++ b/packages/router/src/fireflystand_router/tests/test_quotas.py
@@ -133,6 +133,19 @@
 
         run_world(scenario)
 
+    def test_takeover_without_a_state_serves_within_half_a_second(self):
+        async def scenario(world):
+            authority = await self.coordinate(world, "i0")
+            await trio.sleep(2)
+            authority.held = False
+            start = trio.current_time()
+            await self.coordinate(world, "i3", epoch=2)
+            verdict = await world.instances["i1"].quotas.take("gent", start + 5)
+            self.assertIs(verdict, True)
+            self.assertLess(trio.current_time() - start, 0.5)
+
+        run_world(scenario)
+
     def test_new_rate_applies_while_running(self):
         async def scenario(world):
             await self.coordinate(world, "i0")
