--- a/packages/router/src/fireflystand_router/gossip.py
+++ b/packages/router/src/fireflystand_router/gossip.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import trio
+from cattrs.errors import BaseValidationError
 
 from fireflystand_core.feed import (
     FeedState,
@@ -21,18 +22,54 @@
     HeartbeatReply,
 )
 
+from .events import define_event, emit
+from .metrics import Metrics, define_metric
 from .peers import PeerLink, PeerNetwork, PeerUnavailableError
 from .view import ClusterView
 
-__all__ = ["Gossip"]
+__all__ = ["FRESH_FOR", "VALUE_ERRORS", "Gossip", "shown_key"]
 
 HEARTBEAT_INTERVAL = 0.5  # seconds
 FANOUT = 3  # peers that a push or a round of heartbeats goes to
 ANSWER_TIMEOUT = 0.4  # seconds
 PULL_TIMEOUT = 2.0  # seconds
 FRESH_FOR = 3.0  # seconds without store and majority before admission stops
+SHOWN_DIGITS = 8  # of the hash of an API key, which identifies a caller
+# What reading a value of another shape raises; cattrs groups its errors.
+VALUE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, BaseValidationError)
 NEVER = 1e9  # seconds, sent as the age of a store that was never heard
 
+ITEM_MALFORMED = define_event(
+    5001, "ERROR", "feed item cannot be read", "key", "version"
+)
+MAJORITY_LOST = define_event(
+    5020, "WARNING", "no connection to a majority of instances", "peers"
+)
+MAJORITY_FOUND = define_event(5021, "INFO", "connected to a majority", "peers")
+ADMISSION_STOPPED = define_event(
+    5022, "ERROR", "instance stops admitting, cut from store and majority", "store_age"
+)
+ADMISSION_STARTED = define_event(5023, "INFO", "instance admits calls")
+ITEMS_APPLIED = define_metric(
+    "feed.items", "counter", "items", "newer feed items taken over"
+)
+MALFORMED_ITEMS = define_metric(
+    "feed.malformed", "counter", "items", "feed items that cannot be read"
+)
+PULLS = define_metric("feed.pulls", "counter", "pulls", "pulls from a peer")
+HEARTBEATS_LOST = define_metric(
+    "membership.heartbeats_lost", "counter", "heartbeats", "heartbeats without answer"
+)
+LIVE_PEERS = define_metric(
+    "membership.live", "gauge", "instances", "live instances, this one included"
+)
+
+
+def shown_key(key: str) -> str:
+    """Return a key for the log, without most of the hash of an API key."""
+    prefix = "keys/"
+    return key[: len(prefix) + SHOWN_DIGITS] if key.startswith(prefix) else key
+
 
 class Gossip:
     """Own the feed state of this instance.
@@ -48,12 +85,16 @@
         table: PeerTable,
         random: Random,
         store_heard: Callable[[], float | None] = lambda: None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.state = FeedState()
         self.table = table
         self.store_heard = store_heard
         self._network = network
         self._view = view
+        self._metrics = metrics or Metrics()
+        self._connected: bool | None = None
+        self._admitting: bool | None = None
         self._random = random
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
@@ -101,7 +142,7 @@
         """Take over items and push those that are newer to random peers."""
         changed = self.state.accept(items)
         for item in changed:
-            self._view.apply(item.key, item.value)
+            self._apply(item)
         if not changed:
             return
         peers = [id for id in self.table.live_ids() if id != self.table.own.id]
@@ -110,6 +151,18 @@
             for peer in chosen:
                 self._send(peer, FeedItems(batch))
 
+    def _apply(self, item: FeedItem) -> None:
+        # A malformed item is passed on, so that the digests of all instances agree;
+        # the view keeps the last value that could be read.
+        try:
+            self._view.apply(item.key, item.value)
+        except VALUE_ERRORS as error:
+            self._metrics.count(MALFORMED_ITEMS)
+            key = shown_key(item.key)
+            emit(ITEM_MALFORMED, error, key=key, version=item.version)
+        else:
+            self._metrics.count(ITEMS_APPLIED)
+
     def _send(self, peer: str, message: object) -> None:
         try:
             self._network.send(peer, message)
@@ -123,16 +176,32 @@
                 task_status.started()
                 while True:
                     now = trio.current_time()
+                    self._report(now)
                     for probe in self.table.next_probes(FANOUT, now):
                         nursery.start_soon(self._probe, probe)
                     await trio.sleep(HEARTBEAT_INTERVAL)
 
+    def _report(self, now: float) -> None:
+        self._metrics.gauge(LIVE_PEERS, len(self.table.live_ids()))
+        connected = self.table.is_connected()
+        if connected != self._connected and (connected or self._connected):
+            event = MAJORITY_FOUND if connected else MAJORITY_LOST
+            emit(event, peers=len(self.table.peer_ids))
+        self._connected = connected
+        admitting = self.may_admit()
+        if admitting and not self._admitting:
+            emit(ADMISSION_STARTED)
+        elif self._admitting and not admitting:
+            emit(ADMISSION_STOPPED, store_age=round(self.store_age(now), 1))
+        self._admitting = admitting
+
     async def _probe(self, probe: Probe) -> None:
         beat = Heartbeat(*self._own_state())
         address = self._network.addresses_by_id.get(probe.peer, "")
         try:
             reply = await self._network.request(probe.peer, beat, ANSWER_TIMEOUT)
         except PeerUnavailableError:
+            self._metrics.count(HEARTBEATS_LOST)
             self.table.failed(probe)
             return
         if not isinstance(reply, HeartbeatReply):
@@ -168,6 +237,7 @@
         if pull is None or peer in self._pulling:
             return
         self._pulling.add(peer)
+        self._metrics.count(PULLS)
         try:
             while pull is not None:
                 answer = await self._network.request(peer, pull, PULL_TIMEOUT)
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -75,8 +75,10 @@
         own = PeerEntry(hello.instance, hello.address, hello.data_centre)
         self.table = PeerTable(own, Random(hello.incarnation))
         random = Random(hello.incarnation + "push")
-        self.gossip = Gossip(self.network, self.view, self.table, random)
-        self.watcher = StoreWatcher(self.store, self.gossip)
+        self.gossip = Gossip(
+            self.network, self.view, self.table, random, metrics=self.metrics
+        )
+        self.watcher = StoreWatcher(self.store, self.gossip, self.metrics)
         address = self.settings.instance_list_address
         self.platform_list = PlatformList(address, self.network, self.table)
 
--- a/packages/router/src/fireflystand_router/tests/limits_support.py
+++ b/packages/router/src/fireflystand_router/tests/limits_support.py
@@ -85,12 +85,17 @@
         self.instance = instance
 
     async def _call(self, kind, method, path, *, headers=None, body=b"", timeout=None):
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
         await trio.sleep(DELAY)
         parts = urlsplit(path)
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         fields = {name.lower(): value for name, value in (headers or {}).items()}
         request = Request(method, parts.path, query, fields, body)
+        ends_at = trio.current_time() + (timeout or 2.0)
         reply = await self.world.server._handle(request)
+        if self.instance in self.world.hung_from_store:
+            await trio.sleep_until(max(trio.current_time(), ends_at))
+            raise StoreUnavailableError("no answer", step=kind, peer="store")
         cut = self.instance in self.world.cut_from_store
         if reply.drop or cut or reply.status in (429, 503):
             raise StoreUnavailableError("refused", step=kind, peer="store")
@@ -137,12 +142,13 @@
 
 
 class World:
-    """Run six instances in two data centres and a store."""
+    """Run instances in some data centres and a store."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
         self.server = StoreServer()
         self.cut_from_store: set[str] = set()
+        self.hung_from_store: set[str] = set()  # get no answer until a timeout
         self.cut_from_peers: set[str] = set()
         self.networks: dict[str, MemoryNetwork] = {}
         self.instances: dict[str, Instance] = {}
@@ -157,11 +163,13 @@
         found = self.instances if names is None else names
         return [PeerEntry(n, n, self.instances[n].table.own.data_centre) for n in found]
 
-    async def start(self, rate=100.0, burst=20.0) -> None:
+    async def start(
+        self, rate=100.0, burst=20.0, count=6, data_centres=("namur-a", "gent-a")
+    ) -> None:
         await self.write_deployment(rate, burst)
         await self.write_key("active")
-        for number in range(6):
-            data_centre = "namur-a" if number < 3 else "gent-a"
+        for number in range(count):
+            data_centre = data_centres[number * len(data_centres) // count]
             instance = Instance(self, f"i{number}", data_centre)
             self.instances[f"i{number}"] = instance
             self.networks[f"i{number}"] = instance.network
--- a/packages/router/src/fireflystand_router/tests/test_feed.py
+++ b/packages/router/src/fireflystand_router/tests/test_feed.py
@@ -3,10 +3,12 @@
 import unittest
 
 import trio
+from loguru import logger
 
 from fireflystand_core.membership import PeerEntry
+from fireflystand_core.messages import FeedItem
 
-from .limits_support import run_world
+from .limits_support import HASH, run_world
 
 
 class FeedTests(unittest.TestCase):
@@ -105,6 +107,87 @@
 
         run_world(scenario)
 
+    async def count_reads(self, world, seconds):
+        """Return the reads a second and the bytes that watches carried."""
+        kinds = ("get", "list", "watch")
+        before = sum(world.server.calls_by_kind.get(k, 0) for k in kinds)
+        for number in range(seconds * 10):
+            await world.write(f"journal/0/{number}", {"entries": "x" * 1000})
+            await trio.sleep(0.1)
+        after = sum(world.server.calls_by_kind.get(k, 0) for k in kinds)
+        # Each write of this test reads the object first.
+        return (after - before) / seconds - 10
+
+    def test_journal_writes_wake_no_watch_and_reads_stay_below_60(self):
+        async def scenario(world):
+            reads = await self.count_reads(world, 30)
+            self.assertLess(reads, 8 * (1 + 4 * 0.1) + 2)
+
+        four = ("namur-a", "namur-b", "gent-a", "gent-b")
+        for count in (12, 24):
+            run_world(scenario, count=count, data_centres=four)
+
+    def test_one_prefix_that_is_compacted_or_unreadable_leaves_the_others(self):
+        async def scenario(world):
+            pointer = {"generation": 9, "operation_id": "x", "object": "config/none"}
+            await world.write("config/current", pointer)
+            await trio.sleep(1)
+            before = world.server.calls_by_kind["get"]
+            await trio.sleep(10)
+            self.assertLess(world.server.calls_by_kind["get"] - before, 10)
+            await world.write_key("withdrawn")
+            rest = list(world.instances.values())
+            done = lambda: all(i.key_state() == "withdrawn" for i in rest)  # noqa: E731
+            self.assertLess(await world.until(done), 0.2)
+            self.assertEqual({i.view.generation for i in rest}, {1})
+
+        run_world(scenario)
+
+    def test_polls_lost_silently_hide_no_configuration(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            world.hung_from_store.update(world.instances)
+            await world.write_deployment(50.0, 5.0, number=2)
+            await trio.sleep(2)
+            world.hung_from_store.clear()
+            views = [i.view for i in world.instances.values()]
+            await world.until(lambda: all(v.generation == 2 for v in views), 4.0)
+
+        run_world(scenario)
+
+    def test_malformed_items_stop_nothing_and_keep_the_last_value(self):
+        malformed = {
+            "config/deployment": ['{"generation": 7}', "[]", "{", "7", None],
+            f"keys/{HASH}": ['{"state": 1}', "[1]", '"active"'],
+            "targets/t1": ["{}", "[]", "5"],
+            "claims/winkel/0": ["{}", "[]"],
+            "claims/winkel/x": ['{"service": "winkel"}'],
+        }
+
+        async def scenario(world):
+            await world.write("targets/t1", {"state": "draining"})
+            await trio.sleep(1)
+            events = []
+            sink = logger.add(lambda m: events.append(m.record["extra"]["event"]))
+            rest = list(world.instances.values())
+            version = 10**6
+            for key, texts in malformed.items():
+                for text in texts:
+                    version += 1
+                    rest[0].gossip.publish([FeedItem(key, version, text)])
+            await trio.sleep(5)
+            logger.remove(sink)
+            # A peer may skip what a newer item of the same key has replaced.
+            every = version - 10**6 + len(malformed) * (len(rest) - 1)
+            self.assertGreaterEqual(events.count(5001), every)
+            for instance in rest:
+                self.assertEqual(instance.key_state(), "active")
+                self.assertEqual(instance.view.generation, 1)
+                self.assertEqual(instance.view.target_states_by_id["t1"], "draining")
+                self.assertTrue(instance.gossip.may_admit())
+
+        run_world(scenario)
+
     def test_killed_watchers_are_replaced(self):
         async def scenario(world):
             for data_centre in ("namur-a", "gent-a"):
--- a/packages/router/src/fireflystand_router/view.py
+++ b/packages/router/src/fireflystand_router/view.py
@@ -45,13 +45,19 @@
     listeners: list[Callable[[str], None]] = attrs.field(factory=list)
 
     def apply(self, key: str, text: str | None) -> None:
-        """Take over a feed item; the caller passes only newer versions."""
+        """Take over a feed item; the caller passes only newer versions.
+
+        A malformed value raises an error and changes nothing.
+        """
         value = None if text is None else json.loads(text)
         kind, _, name = key.partition("/")
         if key == "config/deployment":
-            self.generation = value["generation"]
-            self.operation_id = value["operation_id"]
-            self.deployment = cattrs.structure(value["deployment"], Deployment)
+            # All is read before any is taken over.
+            deployment = cattrs.structure(value["deployment"], Deployment)
+            generation, operation_id = int(value["generation"]), value["operation_id"]
+            self.deployment = deployment
+            self.generation = generation
+            self.operation_id = operation_id
         elif kind == "keys":
             self._apply_key(name, value and cattrs.structure(value, KeyInfo))
         elif kind == "data-centres":
