--- a/packages/router/src/fireflystand_router/view.py
+++ b/packages/router/src/fireflystand_router/view.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import cattrs
@@ -45,22 +46,28 @@
     listeners: list[Callable[[str], None]] = attrs.field(factory=list)
 
     def apply(self, key: str, text: str | None) -> None:
-        """Take over a feed item; the caller passes only newer versions."""
+        """Take over a feed item; the caller passes only newer versions.
+
+        A malformed value raises an error and changes nothing.
+        """
         value = None if text is None else json.loads(text)
         kind, _, name = key.partition("/")
         if key == "config/deployment":
-            self.generation = value["generation"]
-            self.operation_id = value["operation_id"]
-            self.deployment = cattrs.structure(value["deployment"], Deployment)
+            # All is read before any is taken over.
+            deployment = cattrs.structure(value["deployment"], Deployment)
+            generation, operation_id = int(value["generation"]), value["operation_id"]
+            self.deployment = deployment
+            self.generation = generation
+            self.operation_id = operation_id
         elif kind == "keys":
-            self._apply_key(name, value and cattrs.structure(value, KeyInfo))
+            self._apply_key(name, _structure(value, KeyInfo))
         elif kind == "data-centres":
-            _set(self.data_centre_states_by_id, name, value and value["state"])
+            _set(self.data_centre_states_by_id, name, _state(value))
         elif kind == "targets":
-            _set(self.target_states_by_id, name, value and value["state"])
+            _set(self.target_states_by_id, name, _state(value))
         elif kind == "claims":
             service, _, group = name.rpartition("/")
-            claim = value and cattrs.structure(value, ClaimInfo)
+            claim = _structure(value, ClaimInfo)
             _set(self.claims_by_group, (service, int(group)), claim)
         for listener in self.listeners:
             listener(key)
@@ -84,6 +91,14 @@
         return False
 
 
+def _structure(value: Any, cls: type) -> Any:
+    return None if value is None else cattrs.structure(value, cls)
+
+
+def _state(value: Any) -> str | None:
+    return None if value is None else value["state"]
+
+
 def _set(mapping: dict, name: object, value: object) -> None:
     if value is None:
         mapping.pop(name, None)
