Complete the answer to an order once its outcome is durable

The entry keeps the last part of an answer to a non-idempotent request with an idempotency key until the permit's return is acknowledged, at most 0.5 s.

Seen failing with the wait taken out: test_outcomes. make unit ONLY=outcomes: 24 pass.

--- a/packages/router/src/fireflystand_router/entry/attempts.py
+++ b/packages/router/src/fireflystand_router/entry/attempts.py
@@ -108,6 +108,7 @@
         asked: PermitRequest,
     ) -> None:
         self.permit = permit
+        self.acknowledged: trio.Event | None = None
         self._permits = permits
         self._job = job
         self._taken_at = trio.current_time()
@@ -139,7 +140,7 @@
             target=self.permit.target,
             **flags,
         )
-        self._permits.give_back(returned)
+        self.acknowledged = self._permits.give_back(returned)
 
     def settle_failure(self, failure: Failure) -> None:
         """Give the permit back after an attempt without a response."""
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -40,6 +40,7 @@
 ATTEMPT_LIMIT = 5
 RETRY_DELAY = 0.01  # seconds before the second retry, doubled for each further one
 LONGEST_RETRY_DELAY = 0.16  # seconds
+DURABLE_WAIT = 0.5  # seconds; without a coordinator the answer is not kept back
 
 
 class Responder(Protocol):
@@ -225,6 +226,8 @@
     ) -> None:
         keep = job.request.idempotency_key is not None
         kept: bytearray | None = bytearray() if keep else None
+        durable = keep and not job.request.idempotent
+        held = b""
         try:
             responder.start(
                 exchange.status,
@@ -233,8 +236,12 @@
                 close=not exchange.upload_done,
             )
             while part := await self._next_part(exchange, responder):
-                await responder.write(part)
                 kept = _keep(kept, part)
+                if durable:
+                    # The last part waits until the outcome is durable.
+                    held, part = part, held
+                if part:
+                    await responder.write(part)
         except BrokenExchangeError as error:
             exchange.abort()
             hold.settle("unknown", exchange.status, broken=True)
@@ -252,6 +259,11 @@
         answer = None if kept is None else _stored(exchange, bytes(kept))
         hold.settle("answered", exchange.status, answer)
         self._metrics.count(ANSWERED)
+        if durable and hold.acknowledged is not None:
+            with trio.move_on_after(DURABLE_WAIT):
+                await hold.acknowledged.wait()
+        if held:
+            await responder.write(held)
         await responder.finish()
 
     async def _next_part(self, exchange: Exchange, responder: Responder) -> bytes:
--- a/packages/router/src/fireflystand_router/entry/interfaces.py
+++ b/packages/router/src/fireflystand_router/entry/interfaces.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import attrs
+import trio
 
 from fireflystand_core.configuration import AccountSettings, ServiceSettings
 from fireflystand_core.messages import (
@@ -51,8 +52,12 @@
     async def acquire(self, request: PermitRequest) -> Permit | PermitRefused:
         """Wait for a permit; a cancelled call withdraws its request."""
 
-    def give_back(self, returned: PermitReturn) -> None:
-        """Queue the return of a permit; it neither waits nor fails."""
+    def give_back(self, returned: PermitReturn) -> trio.Event | None:
+        """Queue the return of a permit; it neither waits nor fails.
+
+        The event is set once a coordinator has taken the permit back, for an
+        answer to a request with an idempotency key once that is durable.
+        """
 
 
 class Placement(Protocol):
--- a/packages/router/src/fireflystand_router/entry/tests/test_outcomes.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_outcomes.py
@@ -295,6 +295,23 @@
 
         self.run_edge(scenario)
 
+    def test_answer_to_an_order_is_complete_once_its_outcome_is_durable(self):
+        async def scenario(edge):
+            edge.permits.acknowledged = trio.Event()
+            stream = await edge.connect()
+            await stream.send_all(post(b"Idempotency-Key: k\r\n"))
+            await self.returns_of(edge, 1)
+            received = b""
+            with trio.move_on_after(0.1):
+                while part := await stream.receive_some():
+                    received += part
+            self.assertNotIn(b"/labels x", received)
+            edge.permits.acknowledged.set()
+            received += await read_to_end(stream)
+            self.assertTrue(received.endswith(b"/labels x"), received)
+
+        self.run_edge(scenario)
+
     def test_quota_refusal_and_quota_wait(self):
         async def refused(edge):
             edge.quotas.refused = QuotaRefused(2.5)
--- a/packages/router/src/fireflystand_router/permit_host.py
+++ b/packages/router/src/fireflystand_router/permit_host.py
@@ -166,7 +166,11 @@
         return await self.request(message, link.hello.instance)
 
     async def handle_return(self, message: PermitReturn, link: PeerLink):
-        """Take a permit back; refuse it if the group is not served here.
+        """Take a permit back; refuse it if the group is not served here."""
+        return await self.take_back(message)
+
+    async def take_back(self, message: PermitReturn) -> Accepted | PermitRefused:
+        """Take a permit back and acknowledge it.
 
         An answer to a request with an idempotency key is acknowledged once it is
         durable. Until then its entry instance returns the permit to a successor.
--- a/packages/router/src/fireflystand_router/permits.py
+++ b/packages/router/src/fireflystand_router/permits.py
@@ -150,10 +150,11 @@
             with suppress(PeerUnavailableError):
                 self._network.send(instance, cancel)
 
-    def give_back(self, returned: PermitReturn) -> None:
+    def give_back(self, returned: PermitReturn) -> trio.Event:
         """Return a permit, again until acknowledged or its request's deadline.
 
-        What a later coordinator needs to judge the return is added here.
+        What a later coordinator needs to judge the return is added here. The
+        event is set once the return is acknowledged or given up.
         """
         request, target, deadline = self._held.pop(returned.permit_id)
         returned = attrs.evolve(
@@ -163,9 +164,13 @@
             target=target,
         )
         self.unacknowledged += 1
-        self._nursery.start_soon(self._give_back, returned, deadline)
+        done = trio.Event()
+        self._nursery.start_soon(self._give_back, returned, deadline, done)
+        return done
 
-    async def _give_back(self, returned: PermitReturn, deadline: float) -> None:
+    async def _give_back(
+        self, returned: PermitReturn, deadline: float, done: trio.Event
+    ) -> None:
         hint: str | None = None
         try:
             while self._clock() < deadline + RETURN_GRACE:
@@ -186,10 +191,13 @@
             )
         finally:
             self.unacknowledged -= 1
+            done.set()
 
     async def _send_return(self, instance: str, returned: PermitReturn):
         if instance == self._instance and self._host is not None:
-            return self._host.returned(returned)
+            with trio.move_on_after(RETURN_TIMEOUT):
+                return await self._host.take_back(returned)
+            return None
         try:
             return await self._network.request(instance, returned, RETURN_TIMEOUT)
         except PeerUnavailableError:
--- a/packages/testing/src/fireflystand_testing/edge.py
+++ b/packages/testing/src/fireflystand_testing/edge.py
@@ -104,6 +104,7 @@
         self.answers: list[Permit | PermitRefused] = []
         self.hedge_after: float | None = None
         self.send_within = 5.0
+        self.acknowledged: trio.Event | None = None
 
     async def acquire(self, request: PermitRequest) -> Permit | PermitRefused:
         """Return the next prepared answer, or a permit."""
@@ -115,9 +116,10 @@
         hedge_after = None if request.hedge_of else self.hedge_after
         return Permit(f"p{number}", address, address, 7, self.send_within, hedge_after)
 
-    def give_back(self, returned: PermitReturn) -> None:
+    def give_back(self, returned: PermitReturn) -> trio.Event | None:
         """Record a return."""
         self.returns.append(returned)
+        return self.acknowledged
 
 
 @attrs.frozen
