Close a target that refuses connections until its next status

Ruled out: a larger budget, which would only move the point of failure. Change: a permit returned as refused closes its target until the next status, and a retry after a refused connection is free, as after 421; both end with the next status. The field is called free_retry now.

--- a/packages/core/src/fireflystand_core/admission/desk.py
+++ b/packages/core/src/fireflystand_core/admission/desk.py
@@ -127,8 +127,9 @@
             self.retries.note_request()
             self.hedges.note_request()
             return True
-        # A handover or a move makes a wave of these, which ends by itself.
-        return request.after_stale or self.retries.spend()
+        # A handover, a move or a dead target makes a wave of these, which ends by
+        # itself.
+        return request.free_retry or self.retries.spend()
 
     def _admit(self, item: WaitingRequest, now: float) -> list[Action]:
         """Pass a request through the journal into the queue."""
@@ -273,6 +274,8 @@
             self._judge_answer(returned, permit, target, now)
         elif returned.shed and target is not None:
             target.shed(now)
+        elif returned.refused and target is not None:
+            target.refused(now)
 
     def _judge_answer(self, returned, permit, target, now: float) -> None:
         if permit.alone:
--- a/packages/core/src/fireflystand_core/admission/targets.py
+++ b/packages/core/src/fireflystand_core/admission/targets.py
@@ -76,6 +76,7 @@
     _jumps: int = 0
     _decreased_at: float = -1.0e9
     _shed_at: float = -1.0e9
+    _refused_at: float = float("-inf")
     _pools_by_entry: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -91,6 +92,8 @@
         """Return the number of permits allowed at once."""
         if self.draining or not self.alive or self.inherited is None:
             return 0
+        if self._refused_at > self.sampled_at:
+            return 0
         status_limit = max(COLD_LIMIT, self.slots * self.status_warm)
         allowed = min(self.limit, self.warm_limit, status_limit)
         return max(1, min(self.slots, self.connections, int(allowed)))
@@ -156,6 +159,10 @@
         self._shed_at = now
         self._decrease(now)
 
+    def refused(self, now: float) -> None:
+        """Close until the next status, because a connection was refused."""
+        self._refused_at = now
+
     def turn_cold(self, now: float) -> None:
         """Start the warm-up again."""
         self.cold_since = now
--- a/packages/core/src/fireflystand_core/admission/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/admission/tests/test_desk.py
@@ -111,7 +111,7 @@
             desk.retries.spend()
         permit = answers(desk.request(ask("r0"), "e", 0.0))["r0"]
         desk.returned(give_back(permit, "not-run", status=421, stale=True), 0.1)
-        again = answers(desk.request(ask("r0", attempt=1, after_stale=True), "e", 0.2))[
+        again = answers(desk.request(ask("r0", attempt=1, free_retry=True), "e", 0.2))[
             "r0"
         ]
         self.assertNotEqual(again.permit_id, permit.permit_id)
@@ -119,6 +119,16 @@
         third = answers(desk.request(ask("r0", attempt=2), "e", 0.4))["r0"]
         self.assertEqual(third.reason, "retry budget is spent")
 
+    def test_refused_connection_closes_the_target_until_its_next_status(self):
+        desk = make_desk(keyed=True)
+        permit = answers(desk.request(ask("r0"), "e", 0.1))["r0"]
+        desk.returned(give_back(permit, "not-run", status=503, refused=True), 0.2)
+        # A permit here would only meet the next refused connection.
+        again = ask("r0", attempt=1, free_retry=True)
+        self.assertEqual(answers(desk.request(again, "e", 0.3)), {})
+        got = desk.target_status("t1", "i1", 1.0, 0, 0.4, 0.4)
+        self.assertIsInstance(answers(got)["r0"], Permit)
+
 
 class IdempotencyKeyTests(unittest.TestCase):
     """Guard against a second run of a request that must run once."""
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -192,7 +192,7 @@
     idempotency_key: str | None = None
     hedge_of: str | None = None
     attempt: int = 0
-    after_stale: bool = False  # the previous attempt was refused with 421
+    free_retry: bool = False  # the previous attempt met 421 or a refused connection
 
 
 @message("permit")
--- a/packages/router/src/fireflystand_router/entry/attempts.py
+++ b/packages/router/src/fireflystand_router/entry/attempts.py
@@ -39,7 +39,7 @@
     unsure: bool = False
     attempt: int = 0
     retries: int = 0
-    after_stale: bool = False
+    free_retry: bool = False
     asked: bool = False  # for a permit
 
     def permit_request(self, request_id: str, hedge_of: str | None) -> PermitRequest:
@@ -58,7 +58,7 @@
             idempotency_key=request.idempotency_key,
             hedge_of=hedge_of,
             attempt=self.attempt,
-            after_stale=self.after_stale,
+            free_retry=self.free_retry,
         )
 
     def forward_request(
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -194,7 +194,7 @@
             if not self._may_repeat(job, failure):
                 raise self._final(job, failure)
             self._metrics.count(RETRIES)
-            job.after_stale = failure.stale
+            job.free_retry = failure.stale or failure.refused
             job.retries += not failure.stale
             if job.attempt:
                 delay = RETRY_DELAY * 2**job.attempt
@@ -312,7 +312,7 @@
         ran = not isinstance(failure.outcome, NotRun)
         if ran and not job.request.idempotent:
             return False
-        return self._budget.allow(job.request.service.id)
+        return failure.refused or self._budget.allow(job.request.service.id)
 
     def _final(self, job: Job, failure: Failure) -> RequestRefusedError:
         outcome = failure.outcome
--- a/packages/router/src/fireflystand_router/entry/tests/test_outcomes.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_outcomes.py
@@ -192,8 +192,8 @@
             edge.targets[0].scripts += [Script(STALE)] * 14
             answer = await edge.ask(post())
             self.assertTrue(answer.endswith(b"/labels x"), answer)
-            after_stale = [p.after_stale for p in edge.permits.requests]
-            self.assertEqual(after_stale, [False, *[True] * 14])
+            free_retry = [p.free_retry for p in edge.permits.requests]
+            self.assertEqual(free_retry, [False, *[True] * 14])
 
         async def endless(edge):
             edge.targets[0].scripts += [Script(STALE)] * 10_000
--- a/packages/testing/src/fireflystand_testing/fuzz/request_entries.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/request_entries.py
@@ -63,7 +63,7 @@
             call.request,
             attempt=call.attempt,
             deadline=left,
-            after_stale=call.after_stale,
+            free_retry=call.free_retry,
         )
         self.send("ask", call, request, self.desk)
 
@@ -101,7 +101,7 @@
         if call.state == "sent":
             call.state = "asking"
             call.attempt += 1
-            call.after_stale = flags.get("stale", False)
+            call.free_retry = flags.get("stale", False)
             call.asked_at = self.now - ASK_AGAIN / 2
 
     def give_back(self, call: Call, outcome: str, status: int, **flags) -> None:
--- a/packages/testing/src/fireflystand_testing/fuzz/request_parts.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/request_parts.py
@@ -19,7 +19,7 @@
     poison: bool = False
     state: str = "asking"
     attempt: int = 0
-    after_stale: bool = False
+    free_retry: bool = False
     asked_at: float = float("-inf")
     permit: Permit | None = None
     used: set[str] = attrs.field(factory=set)
