Let first claims wait for the peers and rebalance coordinators

The first instance to start saw only itself and claimed every group. First claims now wait until every listed peer was heard, 1.5 s at most. A coordinator that none of its targets answers hands the group to a witness that reaches them.

Seen failing, each rule removed in turn, with make unit ONLY=test_group_host: rebalancing and the store check fail test_group_returns_to_the_first_candidate_while_the_store_answers, the check of the successor's reach fails test_coordinator_that_reaches_no_target_hands_the_group_over, the wait for peers fails test_first_claim_waits_for_the_peers.

Fleet scenarios cover lost answers of updates and watches that end and replay.

--- a/packages/core/src/fireflystand_core/membership/peer_table.py
+++ b/packages/core/src/fireflystand_core/membership/peer_table.py
@@ -228,6 +228,13 @@
         peer = self._peers_by_id.get(instance)
         return peer is not None and not peer.suspected and not peer.entry.leaving
 
+    def has_met_all(self) -> bool:
+        """Tell whether every peer that the list names has been heard."""
+        if self._listed_at is None:
+            return False
+        peers = self._peers_by_id.values()
+        return all(p.incarnation or not p.listed or p.entry.leaving for p in peers)
+
     def live_ids(self) -> list[str]:
         """Return the ids of all live instances, this one included."""
         return [id for id in [self.own.id, *self._peers_by_id] if self.is_live(id)]
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -28,6 +28,8 @@
     "PermitReturn",
     "QuotaLease",
     "QuotaRequest",
+    "ReachReply",
+    "ReachRequest",
     "Seal",
     "Sealed",
     "StoredAnswer",
@@ -166,6 +168,23 @@
     unjournaled: bool
 
 
+@message("reach-request")
+@attrs.frozen
+class ReachRequest:
+    """Ask an instance how many targets of a group it reaches."""
+
+    service: str
+    group: int
+
+
+@message("reach-reply")
+@attrs.frozen
+class ReachReply:
+    """Tell how many targets of the group answered just now."""
+
+    reached: int
+
+
 @attrs.frozen
 class StoredAnswer:
     """Hold an answer that repeats of its request receive again."""
--- a/packages/router/src/fireflystand_router/claim_timing.py
+++ b/packages/router/src/fireflystand_router/claim_timing.py
@@ -28,12 +28,19 @@
         self._tried_at: dict[GroupName, float] = {}
 
     def should_claim(
-        self, name: GroupName, incarnations: Mapping[str, str], now: float
+        self,
+        name: GroupName,
+        incarnations: Mapping[str, str],
+        now: float,
+        has_met_peers: bool = True,
     ) -> bool:
-        """Tell whether to claim the group now; a failed claim is tried again."""
+        """Tell whether to claim the group now; a failed claim is tried again.
+
+        An instance that has not met its peers would be first in every group.
+        """
         claim = self._view.claims_by_group.get(name)
         reason, wait = self._reason(name, claim, incarnations, now)
-        if not reason:
+        if not reason or (reason == "first" and not has_met_peers):
             self._since.pop(name, None)
             return False
         known = self._since.get(name)
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -101,9 +101,38 @@
 GROUP_STOPPED = define_event(
     2002, "INFO", "instance coordinates a group no more", "service", "group"
 )
+GROUP_TAKEN_OVER = define_event(
+    2003, "INFO", "group taken over", "service", "group", "epoch", "predecessor"
+)
+AUTHORITY_LOST = define_event(
+    2004, "WARNING", "coordinator lost its authority", "service", "group", "epoch"
+)
+AUTHORITY_REGAINED = define_event(
+    2005, "INFO", "coordinator has its authority again", "service", "group", "epoch"
+)
+CLAIM_ENDED = define_event(
+    2006, "INFO", "claim of a group ended", "service", "group", "reason"
+)
+GROUP_HANDED_OVER = define_event(
+    2007, "INFO", "group handed over", "service", "group", "successor", "reason"
+)
+HAND_OVER_REFUSED = define_event(
+    2008,
+    "WARNING",
+    "nobody took a group that was handed over",
+    "service",
+    "group",
+    "reason",
+)
 TARGET_CHANGED = define_event(
     2010, "INFO", "target changed", "service", "group", "target", "reason"
 )
+SHARDS_MOVED = define_event(
+    2011, "INFO", "shards got another owner", "service", "group", "shards"
+)
+INSTANCE_DIED = define_event(
+    2012, "INFO", "process of an instance is dead", "instance", "incarnation"
+)
 INSTANCE_STARTED = define_event(
     3001, "INFO", "instance started", "instance", "incarnation", "data_centre"
 )
--- a/packages/router/src/fireflystand_router/group_host.py
+++ b/packages/router/src/fireflystand_router/group_host.py
@@ -12,7 +12,6 @@
     AskStatus,
     ClaimPublished,
     GroupCoordinator,
-    GroupIdentity,
     GroupRecord,
     ReadRecord,
     RequestSeal,
@@ -30,12 +29,16 @@
     Sealed,
     WitnessReply,
 )
-from fireflystand_core.sharding import candidate_order, coordinator_witnesses
+from fireflystand_core.sharding import candidate_order
 
-from .claim_items import claim_item_key, claim_item_text, record_key
+from .claim_items import claim_item_key, claim_item_text
 from .claim_timing import ClaimTiming
 from .group_callbacks import GroupCallbacks, LiveInstance
-from .group_targets import group_names, group_shards, group_targets
+from .group_claims import claim_witnesses, group_identity
+from .group_moves import GroupMoves
+from .group_reports import GroupReports
+from .group_targets import group_names, group_targets
+from .record_calls import RecordCalls
 from .target_calls import TargetCalls
 from .target_control import TargetControl
 from .view import ClusterView
@@ -46,9 +49,6 @@
 TICK = 0.05  # seconds
 SEAL_TIMEOUT = 0.3  # seconds
 HAND_OVER_TIMEOUT = 1.0  # seconds
-# A store that takes 2 s a call is slow for every instance, so that a hand-over
-# would only add calls.
-STORE_PATIENCE = 2.5  # seconds that a needed write may wait before a hand-over
 
 GroupName = tuple[str, int]
 
@@ -57,6 +57,7 @@
 class _Held:
     coordinator: GroupCoordinator
     handed_state: dict[str, bytes] | None
+    predecessor: str | None = None  # the lost coordinator, if any
     decided: trio.Event = attrs.field(factory=trio.Event)
     asking: set[str] = attrs.field(factory=set)  # targets
 
@@ -78,9 +79,13 @@
         live_instances: Callable[[], Mapping[str, LiveInstance]],
         make_control: Callable[[str, str], TargetControl] = TargetControl,
         clock: Callable[[], float] = trio.current_time,
+        has_met_peers: Callable[[], bool] = lambda: True,
+        reports: GroupReports | None = None,
     ) -> None:
+        self._has_met_peers = has_met_peers
+        self._reports = reports or GroupReports()
         self._network = network
-        self._store = store
+        self._records = RecordCalls(store, self._reports, clock)
         self._view = view
         self._witnesses = witnesses
         self._callbacks = callbacks
@@ -95,6 +100,9 @@
         self._nursery: trio.Nursery | None = None
         self._scope = trio.CancelScope()
         self._infos_by_group: dict[GroupName, list[TargetInfo]] = {}
+        self._moves = GroupMoves(
+            self, network, store, self._calls, live_instances, clock
+        )
         witnesses.holder = self
         view.listeners.append(self._note_change)
         network.handle(HandOver, self._take_over)
@@ -103,13 +111,15 @@
         """Begin to claim and coordinate groups."""
         self._nursery = nursery
         nursery.start_soon(self._run)
+        nursery.start_soon(self._moves.run)
 
     async def close(self) -> None:
         """Hand every group over and stop."""
         self._leaving = True
+        self._moves.close()
         async with trio.open_nursery() as nursery:
             for name in list(self.active_coordinators()):
-                nursery.start_soon(self.hand_over, name)
+                nursery.start_soon(self.hand_over, name, None, "planned stop")
         self._scope.cancel()
         await self._calls.close()
 
@@ -129,7 +139,10 @@
         if key.partition("/")[0] in ("config", "data-centres", "targets"):
             self._infos_by_group.clear()
 
-    def _targets_of(self, name: GroupName) -> list[TargetInfo]:
+    def targets_of(self, name: GroupName) -> list[TargetInfo]:
+        """Return the declared targets of a group."""
+        if self._view.deployment is None:
+            return []
         if name not in self._infos_by_group:
             self._infos_by_group[name] = group_targets(self._view, *name)
         return self._infos_by_group[name]
@@ -146,30 +159,24 @@
         live = dict(self._live_instances())
         for name, held in list(self._held.items()):
             coordinator = held.coordinator
-            coordinator.set_targets(self._targets_of(name), now)
+            coordinator.set_targets(self.targets_of(name), now)
             coordinator.set_instances(
                 {i: entry.incarnation for i, entry in live.items()},
                 {i: entry.data_centre for i, entry in live.items()},
             )
             self._perform(name, held, coordinator.tick(now))
-            self._consider_hand_over(name, coordinator, live, now)
+            if coordinator.phase == "active":
+                self._reports.note_authority(name, coordinator, now)
+        self._reports.coordinating(len(self.active_coordinators()))
         incarnations = {i: entry.incarnation for i, entry in live.items()}
         for name in group_names(self._view.deployment):
             if name in self._held or name in self._claiming or self._leaving:
                 continue
-            if self._timing.should_claim(name, incarnations, now):
+            met = self._has_met_peers()
+            if self._timing.should_claim(name, incarnations, now, met):
                 self._claiming.add(name)
                 self._nursery.start_soon(self._claim, name)
 
-    def _consider_hand_over(self, name, coordinator, live, now) -> None:
-        blocked = coordinator.store_blocked_for(now) > STORE_PATIENCE
-        if coordinator.phase != "active" or not blocked:
-            return
-        own = self._network.hello.instance
-        witnesses = [w for w in coordinator.witnesses if w != own]
-        if any(w in live and live[w].reaches_store for w in witnesses):
-            self._nursery.start_soon(self.hand_over, name)
-
     # Claims
 
     async def _claim(
@@ -179,13 +186,11 @@
         state: dict[str, bytes] | None = None,
     ) -> _Held | None:
         try:
-            found = await self._store.get(record_key(name))
+            record, version = await self._records.load(name)
         except FireflystandError:
             return None
         finally:
             self._claiming.discard(name)
-        record = None if found is None else GroupRecord.from_value(found.value)
-        version = 0 if found is None else found.version
         if handed_epoch is None and self._is_news(name, record, version):
             return None
         if name in self._held:
@@ -202,45 +207,26 @@
     def _begin(self, name, record, version, handed_epoch, state) -> _Held | None:
         now = self._clock()
         hello = self._network.hello
-        witnesses = self._choose_witnesses(name, record, handed_epoch is not None)
+        handed = handed_epoch is not None
+        live = self._live_instances()
+        witnesses = claim_witnesses(name, hello.instance, live, record, handed)
         settings = self._view.deployment.services_by_id.get(name[0])
-        identity = GroupIdentity(
-            *name,
-            group_shards(settings, name[1]),
-            hello.instance,
-            hello.incarnation,
-            settings.shards if settings else 0,
-            settings.groups if settings else 1,
-            max_deadline=settings.max_deadline if settings else 60.0,
-        )
+        identity = group_identity(name, settings, hello)
         coordinator = GroupCoordinator(
             identity,
             permits_pending=lambda target, shard, at: self._callbacks.permits_pending(
                 *name, target, shard, at
             ),
         )
-        held = self._held[name] = _Held(coordinator, state)
-        targets = self._targets_of(name)
+        predecessor = record.coordinator if record and not handed else None
+        held = self._held[name] = _Held(coordinator, state, predecessor)
+        targets = self.targets_of(name)
         actions = coordinator.claim(
             record, version, witnesses, targets, now, handed_epoch
         )
         self._perform(name, held, actions)
         return held
 
-    def _choose_witnesses(
-        self, name: GroupName, record: GroupRecord | None, handed: bool
-    ) -> dict[str, str]:
-        own = self._network.hello.instance
-        live = self._live_instances()
-        known = dict(record.witnesses) if record else {}
-        known |= {i: entry.incarnation for i, entry in live.items()}
-        centres = {i: entry.data_centre for i, entry in live.items()}
-        if record and not handed and record.coordinator != own:
-            centres.pop(record.coordinator, None)
-        spare = record.witnesses if record else ()
-        chosen = coordinator_witnesses(*name, own, centres, spare=spare)
-        return {i: known[i] for i in chosen}
-
     # Actions
 
     def _perform(self, name: GroupName, held: _Held, actions: list[Action]) -> None:
@@ -248,16 +234,21 @@
             match action:
                 case Started():
                     held.decided.set()
+                    self._reports.claimed(
+                        name, held.coordinator.epoch, held.predecessor
+                    )
                     self._callbacks.on_group_started(
                         *name, held.coordinator, held.handed_state
                     )
-                case Stopped():
+                case Stopped(reason=reason):
+                    self._reports.ended(name, reason)
                     self._stop(name, held)
                 case ClaimPublished(version=version):
                     text = claim_item_text(name, held.coordinator.record)
                     self._publish(claim_item_key(name), version, text)
                     self._witnesses.wake()
                 case TargetChanged(target=target, reason=reason):
+                    self._reports.target_changed(reason)
                     self._callbacks.on_target_changed(*name, target, reason)
                 case WriteRecord():
                     self._nursery.start_soon(self._write, name, held, action)
@@ -293,27 +284,11 @@
             self._callbacks.on_group_stopped(*name)
 
     async def _write(self, name, held: _Held, action: WriteRecord) -> None:
-        operation = action.record.operation_id
-        value = action.record.to_value()
-        try:
-            version = await self._store.put(
-                record_key(name), value, action.expected_version
-            )
-        except FireflystandError:
-            actions = held.coordinator.write_failed(operation, self._clock())
-        else:
-            actions = held.coordinator.written(operation, version, self._clock())
+        actions = await self._records.write(name, held.coordinator, action)
         self._perform(name, held, actions)
 
     async def _read(self, name, held: _Held) -> None:
-        try:
-            found = await self._store.get(record_key(name))
-        except FireflystandError:
-            actions = held.coordinator.read_failed(self._clock())
-        else:
-            record = None if found is None else GroupRecord.from_value(found.value)
-            version = 0 if found is None else found.version
-            actions = held.coordinator.read(record, version, self._clock())
+        actions = await self._records.read(name, held.coordinator)
         self._perform(name, held, actions)
 
     async def _seal(self, name, held: _Held, action: RequestSeal) -> None:
@@ -369,14 +344,23 @@
         if incarnation is None:
             return
         now = self._clock()
+        self._reports.instance_died(instance, incarnation)
         for name, held in list(self._held.items()):
             actions = held.coordinator.instance_died(instance, incarnation, now)
             self._perform(name, held, actions)
 
     # Hand-over
 
-    async def hand_over(self, name: GroupName) -> bool:
-        """Give a group to a live witness and tell whether it was taken."""
+    async def hand_over(
+        self,
+        name: GroupName,
+        successors: list[str] | None = None,
+        reason: str = "asked for",
+    ) -> bool:
+        """Give a group to another instance and tell whether it was taken.
+
+        Live witnesses are tried after ``successors``.
+        """
         held = self._held.get(name)
         if held is None or held.coordinator.phase != "active":
             return False
@@ -388,14 +372,18 @@
         actions = held.coordinator.give_up()
         state = self._callbacks.collect_state(*name)
         self._perform(name, held, actions)
-        for successor in candidate_order(*name, reaching):
+        first = successors or []
+        others = [w for w in candidate_order(*name, reaching) if w not in first]
+        for successor in [*first, *others]:
             with suppress(FireflystandError):
                 message = HandOver(*name, epoch, state)
                 reply = await self._network.request(
                     successor, message, HAND_OVER_TIMEOUT
                 )
                 if isinstance(reply, HandOverReply) and reply.accepted:
+                    self._reports.handed_over(name, successor, reason)
                     return True
+        self._reports.hand_over_refused(name, reason)
         return False
 
     async def _take_over(self, message: HandOver, link) -> HandOverReply:
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -104,3 +104,33 @@
 CONNECTIONS = define_metric(
     "entry.connections", "gauge", "connections", "open caller connections"
 )
+CLAIMS = define_metric(
+    "groups.claims", "counter", "claims", "claims of groups that became durable"
+)
+TAKEOVERS = define_metric(
+    "groups.takeovers", "counter", "claims", "claims after a coordinator was lost"
+)
+AUTHORITY_LOSSES = define_metric(
+    "groups.authority_losses",
+    "counter",
+    "losses",
+    "times a claim was not confirmed for 0.5 s",
+)
+HAND_OVERS = define_metric(
+    "groups.hand_overs", "counter", "groups", "groups handed over to another instance"
+)
+MOVED_SHARDS = define_metric(
+    "groups.moved_shards", "counter", "shards", "shards that got another owner"
+)
+INSTANCE_DEATHS = define_metric(
+    "groups.instance_deaths",
+    "counter",
+    "processes",
+    "processes of instances known dead",
+)
+TARGET_DEATHS = define_metric(
+    "groups.target_deaths", "counter", "processes", "processes of targets known dead"
+)
+GROUPS_COORDINATED = define_metric(
+    "groups.coordinated", "gauge", "groups", "groups that this instance coordinates"
+)
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -22,6 +22,7 @@
 from .forward import Forwarder
 from .gossip import Gossip
 from .group_host import GroupHost, LiveInstance
+from .group_reports import GroupReports
 from .group_services import GroupServices
 from .health import HealthServer, Readiness
 from .http_client import split_address
@@ -44,6 +45,7 @@
 
 # A store that is slow by 2 s a call still has to complete a claim.
 GROUP_STORE_TIMEOUT = 5.0  # seconds
+MEETING_TIME = 1.5  # seconds that first claims wait for the first heartbeats
 GRACE_PERIOD = 2.0  # seconds between failing readiness and closing the listener
 RETURN_TIMEOUT = 5.0  # seconds for permits to be returned before the end
 RETURN_POLL = 0.05  # seconds
@@ -70,6 +72,7 @@
         self._build_groups(hello)
         self._build_entry()
         self._scope = trio.CancelScope()
+        self._started_at = 0.0  # seconds
 
     def _build_membership(self, hello: Hello) -> None:
         own = PeerEntry(hello.instance, hello.address, hello.data_centre)
@@ -103,6 +106,8 @@
             self.services,
             self.gossip.publish_item,
             self._live_instances,
+            has_met_peers=self._has_met_peers,
+            reports=GroupReports(self.metrics),
         )
         self.services.host = self.groups
         handlers = {
@@ -150,6 +155,10 @@
     async def _load_journal(self, service: str, group: int):
         return await load_journal(self.store, service, group)
 
+    def _has_met_peers(self) -> bool:
+        waited = trio.current_time() - self._started_at
+        return self.table.has_met_all() or waited > MEETING_TIME
+
     def _live_instances(self) -> Mapping[str, LiveInstance]:
         hello = self.network.hello
         live = {
@@ -181,6 +190,7 @@
         emit(INSTANCE_STOPPED, instance=self.settings.instance_id)
 
     async def _start(self, nursery: trio.Nursery) -> None:
+        self._started_at = trio.current_time()
         hello = self.network.hello
         await self.health.start(nursery)
         await self.network.start(nursery)
--- a/packages/router/src/fireflystand_router/target_calls.py
+++ b/packages/router/src/fireflystand_router/target_calls.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import trio
+
 from fireflystand_core.exceptions import FireflystandError
 from fireflystand_core.groups import Action, GroupCoordinator, SendGrant
 
@@ -33,6 +35,25 @@
         for control in self._controls.values():
             await control.close()
 
+    async def count_reached(self, service: str, targets: list[str]) -> int:
+        """Return how many targets answer a status request."""
+        answered: list[str] = []
+
+        async def ask(target: str) -> None:
+            control = self._control(service, target)
+            if control is None:
+                return
+            try:
+                await control.status()
+            except FireflystandError:
+                return
+            answered.append(target)
+
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                nursery.start_soon(ask, target)
+        return len(answered)
+
     async def exchange(
         self,
         name: tuple[str, int],
--- a/packages/router/src/fireflystand_router/tests/test_group_host.py
+++ b/packages/router/src/fireflystand_router/tests/test_group_host.py
@@ -6,6 +6,9 @@
 import trio
 import trio.testing
 
+from fireflystand_core.membership import Witness
+from fireflystand_router.claim_timing import ClaimTiming
+from fireflystand_router.view import ClusterView
 from fireflystand_testing.ownership_cluster import Cluster
 
 
@@ -290,6 +293,58 @@
 
         self.run_cluster(scenario, 3)
 
+    def test_target_cut_off_from_its_coordinator_only(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, {"t1"})
+            await cluster.until_served(3.0, "t1")
+            await trio.sleep(15.0)
+            self.assertIs(cluster.coordinator_node(), node)
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_that_reaches_no_target_hands_the_group_over(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, set(cluster.targets))
+            await cluster.until_served(3.0)
+            self.assertIsNot(cluster.coordinator_node(), node)
+            for _ in range(250):
+                await trio.sleep(0.1)
+                self.assertNotIn(None, cluster.owners().values())
+
+        self.run_cluster(scenario)
+
+    def test_group_returns_to_the_first_candidate_while_the_store_answers(self):
+        async def scenario(cluster):
+            first = cluster.coordinator_node()
+            cluster.kill(first)
+            await cluster.until_served(2.0)
+            cluster.restart(first)
+            cluster.store.up = False
+            await trio.sleep(15.0)
+            self.assertIsNot(cluster.coordinator_node(), first)
+            cluster.store.up = True
+            cluster.store.delay = 1.0
+            await trio.sleep(15.0)
+            self.assertIsNot(cluster.coordinator_node(), first)
+            cluster.store.delay = 0.002
+            with trio.fail_after(30.0):
+                while cluster.coordinator_node() is not first:
+                    await trio.sleep(0.01)
+            await cluster.until_served(0.1)
+            epoch = first.host.coordinator("winkel", 0).epoch
+            await trio.sleep(30.0)
+            self.assertEqual(first.host.coordinator("winkel", 0).epoch, epoch)
+
+        self.run_cluster(scenario)
+
+    def test_first_claim_waits_for_the_peers(self):
+        timing = ClaimTiming("a", Witness("a", "1"), ClusterView())
+        name, alone = ("winkel", 0), {"a": "1"}
+        self.assertFalse(timing.should_claim(name, alone, 0.0, False))
+        self.assertTrue(timing.should_claim(name, alone, 0.1, True))
+
     def test_planned_stop_hands_the_group_over(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -195,7 +195,7 @@
         self._folder.cleanup()
         self._nursery.cancel_scope.cancel()
 
-    def log_of(self, handle: ProcessHandle, characters: int = 4000) -> str:
+    def log_of(self, handle: ProcessHandle, characters: int = 12_000) -> str:
         """Return the end of a process's output."""
         if not handle.log.exists():
             return ""
--- a/packages/testing/src/fireflystand_testing/tests/test_fleet_ownership.py
+++ b/packages/testing/src/fireflystand_testing/tests/test_fleet_ownership.py
@@ -2,9 +2,11 @@
 
 import signal
 import unittest
+from contextlib import suppress
 
 import trio
 
+from fireflystand_core.exceptions import StoreUnavailableError
 from fireflystand_testing.fleet import wait_until
 from fireflystand_testing.scenarios import (
     FleetTestCase,
@@ -178,6 +180,40 @@
 
         self.run_fleet(scenario)
 
+    def test_lost_answers_of_updates_that_took_effect(self):
+        async def scenario(fleet):
+            load = Load(fleet, list(fleet.routers_by_id), rate=40)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load.run)
+                for state in ("out", "in"):
+                    before = fleet.store.revision
+                    fleet.store.faults.drop_put_replies = 5
+                    with suppress(StoreUnavailableError):
+                        await fleet.put_state("data-centres/gent-a", state)
+                    await trio.sleep(5)
+                    self.assertGreater(fleet.store.revision, before + 1)
+                    self.assertLess(fleet.store.faults.drop_put_replies, 4)
+                    fleet.store.faults.drop_put_replies = 0
+                load.stop()
+            self.assert_all_answered(load)
+
+        self.run_fleet(scenario, keyed=6)
+
+    def test_watches_end_and_replay_old_versions(self):
+        async def scenario(fleet):
+            load = Load(fleet, list(fleet.routers_by_id), rate=40)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load.run)
+                for state in ("out", "in", "out", "in"):
+                    fleet.store.faults.replay = True
+                    fleet.store.faults.end_watches = state == "out"
+                    await fleet.put_state("data-centres/gent-a", state)
+                    await trio.sleep(3)
+                load.stop()
+            self.assert_all_answered(load)
+
+        self.run_fleet(scenario, keyed=6)
+
     def test_slow_store_does_not_stop_service(self):
         async def scenario(fleet):
             fleet.store.faults.delay = 1.0
