--- a/packages/testing/src/fireflystand_testing/fuzz/limits.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/limits.py
@@ -1,38 +1,13 @@
-"""Fuzz the lending of quota and the feed."""
-
-from collections.abc import Callable
-from contextlib import AbstractContextManager
-
-import attrs
-from hypothesis.stateful import RuleBasedStateMachine
+"""Register the machines of quota and feed with their mutations."""
 
 from .feed_machine import FeedMachine
 from .limits_mutations import FEED_PATCHES, QUOTA_PATCHES
 from .quota_machine import QuotaMachine
+from .registry import Mutation, machine, mutations
 
-__all__ = ["MACHINES", "MUTATIONS", "Machine", "Mutation"]
-
-
-@attrs.frozen
-class Machine:
-    """Name a state machine."""
-
-    name: str
-    machine: type[RuleBasedStateMachine]
-
-
-@attrs.frozen
-class Mutation:
-    """Name a change of a rule that the machine must find; ``patch`` applies it."""
-
-    name: str
-    patch: Callable[[], AbstractContextManager]
-    machine: type[RuleBasedStateMachine]
-
-
-MACHINES = [Machine("quota", QuotaMachine), Machine("feed", FeedMachine)]
+__all__: list[str] = []
 
-MUTATIONS = [
-    *(Mutation(name, patch, QuotaMachine) for name, patch in QUOTA_PATCHES.items()),
-    *(Mutation(name, patch, FeedMachine) for name, patch in FEED_PATCHES.items()),
-]
+machine("quota")(QuotaMachine)
+machine("feed")(FeedMachine)
+mutations.extend(Mutation("quota", name, p) for name, p in QUOTA_PATCHES.items())
+mutations.extend(Mutation("feed", name, p) for name, p in FEED_PATCHES.items())
--- a/packages/testing/src/fireflystand_testing/fuzz/tests/test_limits.py
+++ b/packages/testing/src/fireflystand_testing/fuzz/tests/test_limits.py
@@ -2,36 +2,34 @@
 
 import unittest
 
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis.stateful import run_state_machine_as_test
+from fireflystand_testing.fuzz import load_machines, mutations, run_machine
 
-from fireflystand_testing.fuzz.limits import MACHINES, MUTATIONS
+MACHINES = ("quota", "feed")
 
-BOUNDS = settings(
-    max_examples=150,
-    phases=[Phase.generate],  # shrinking takes minutes
-    stateful_step_count=40,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    print_blob=False,
-    suppress_health_check=list(HealthCheck),
-)
+
+def run(name: str) -> None:
+    """Run a machine with a fixed sequence; shrinking would take minutes."""
+    run_machine(name, examples=150, steps=40, number=None, shrink=False)
 
 
 class LimitsFuzzTests(unittest.TestCase):
     """Guard against event orders that exceed a limit or take an item back."""
 
+    def setUp(self):
+        load_machines()
+
     def test_machines_find_nothing(self):
-        for machine in MACHINES:
-            with self.subTest(machine.name):
-                run_state_machine_as_test(machine.machine, settings=BOUNDS)
+        for name in MACHINES:
+            with self.subTest(name):
+                run(name)
 
     def test_mutations_are_found(self):
-        for mutation in MUTATIONS:
-            with self.subTest(mutation.name), mutation.patch():
+        chosen = [m for m in mutations if m.machine in MACHINES]
+        self.assertEqual(len(chosen), 11)
+        for mutation in chosen:
+            with self.subTest(mutation.name), mutation.apply():
                 with self.assertRaises(AssertionError):
-                    run_state_machine_as_test(mutation.machine, settings=BOUNDS)
+                    run(mutation.machine)
 
 
 if __name__ == "__main__":
