Count the instance itself in its majority of a small fleet

Change: where every peer is probed the instance counts itself; a sample of a large fleet is judged as before. Conclusion: two of three instances are a majority; half of a fleet is not.

--- a/packages/core/src/fireflystand_core/membership/peer_table.py
+++ b/packages/core/src/fireflystand_core/membership/peer_table.py
@@ -192,7 +192,7 @@
         probes = list(self._probes)
         for end in range(len(probes), size - 1, -1):
             window = probes[end - size : end]
-            if size and 2 * sum(probe.answered for probe in window) > size:
+            if size and self._is_majority(sum(probe.answered for probe in window)):
                 sent_at = window[-1].sent_at
                 if self._majority_at is None or sent_at > self._majority_at:
                     self._majority_at = sent_at
@@ -219,7 +219,14 @@
         if size == 0:
             return self._listed_at is not None
         resolved = [probe for probe in self._probes if probe.resolved]
-        return 2 * sum(probe.answered for probe in resolved[-size:]) > size
+        return self._is_majority(sum(probe.answered for probe in resolved[-size:]))
+
+    def _is_majority(self, answered: int) -> bool:
+        # Where every peer is counted this instance counts too: of three instances
+        # two are a majority. In a sample of a large fleet it makes no difference.
+        if len(self._peers_by_id) <= MAX_COUNTED:
+            return 2 * (answered + 1) > len(self._peers_by_id) + 1
+        return 2 * answered > MAX_COUNTED
 
     def is_live(self, instance: str) -> bool:
         """Tell whether an instance is known, not leaving and not suspected."""
--- a/packages/core/src/fireflystand_core/membership/tests/test_peer_table.py
+++ b/packages/core/src/fireflystand_core/membership/tests/test_peer_table.py
@@ -56,6 +56,17 @@
         now = self.rounds(table, now, 20, (side | {"i7"}).__contains__)
         self.assertLess(table.majority_age(now), 3.0)
 
+    def test_two_of_three_instances_are_a_majority(self):
+        # Otherwise the loss of one router of three during a store outage would
+        # make the other two stop admitting.
+        for peers, reached, expected in ((2, 1, True), (2, 0, False), (3, 1, False)):
+            with self.subTest(peers=peers, reached=reached):
+                table = self.table(peers)
+                side = {f"i{n}" for n in range(reached)}
+                now = self.rounds(table, 0.0, 12, side.__contains__)
+                self.assertEqual(table.majority_age(now) < 1.0, expected)
+                self.assertEqual(table.is_connected(), expected)
+
     def test_no_majority_before_enough_heartbeats(self):
         table = self.table(11)
         self.rounds(table, 0.0, 1)
