Ask each instance on its own while a command waits

Ruled out: slow spread; both routers' states showed the generation at 0.53 s. Change: each instance is asked by a task of its own until it has the change. Conclusion: an instance that does not respond delays nobody else's report.

--- a/packages/operator/src/fireflystand_operator/instances.py
+++ b/packages/operator/src/fireflystand_operator/instances.py
@@ -105,26 +105,51 @@
         ``timeout`` is in seconds. Without a live instance the wait does not end
         early, because nothing shows that the change is in effect.
         """
-        late = ["the instance list"]
+        late = {"the instance list"}
         with trio.move_on_after(timeout):
             while late:
-                late = await self._late(in_effect)
-                if late:
-                    await trio.sleep(POLL_INTERVAL)
-        return late
+                await self._wait_for_all(in_effect, late)
+        return sorted(late)
 
-    async def _late(self, in_effect: Callable[[InstanceState], bool]) -> list[str]:
+    async def _wait_for_all(
+        self, in_effect: Callable[[InstanceState], bool], late: set[str]
+    ) -> None:
+        late.clear()
         try:
-            states = await self.states()
+            listed = await self.live()
         except FireflystandError as error:
-            return [f"the instance list ({error.message})"]
-        if not states:
-            return ["the instance list (no live instance)"]
-        return sorted(
-            name
-            for name, state in states.items()
-            if state is None or not in_effect(state)
-        )
+            late.add(f"the instance list ({error.message})")
+            return await trio.sleep(POLL_INTERVAL)
+        if not listed:
+            late.add("the instance list (no live instance)")
+            return await trio.sleep(POLL_INTERVAL)
+        late.update(item.id for item in listed)
+        # Each instance has a task of its own, so that one that does not respond
+        # does not keep the others' states from being seen in time.
+        async with trio.open_nursery() as nursery:
+            for item in listed:
+                nursery.start_soon(self._wait_for, item, in_effect, late)
+
+    async def _wait_for(
+        self,
+        item: ListedInstance,
+        in_effect: Callable[[InstanceState], bool],
+        late: set[str],
+    ) -> None:
+        while True:
+            state = await self._state(item)
+            if state is not None and in_effect(state):
+                break
+            if state is None and not await self._is_listed(item):
+                break
+            await trio.sleep(POLL_INTERVAL)
+        late.discard(item.id)
+
+    async def _is_listed(self, item: ListedInstance) -> bool:
+        try:
+            return item in await self.live()
+        except FireflystandError:
+            return True
 
     async def explain(self, service: str, key: str) -> dict:
         """Return what a key's coordinator says of it, or else another instance."""
