--- a/packages/core/src/fireflystand_core/admission/desk.py
+++ b/packages/core/src/fireflystand_core/admission/desk.py
@@ -17,7 +17,7 @@
 from .crashes import CrashHold
 from .desk_state import export_state, restore_state
 from .desk_targets import TargetEvents
-from .issuing import Issuer, OwnerOf
+from .issuing import Issuer, OwnerOf, ShardOf
 from .queues import WaitingRequest
 from .targets import OutstandingPermit, TargetAdmission
 
@@ -48,6 +48,7 @@
         hedging: bool = True,
         longest_deadline: float = LONGEST_DEADLINE,
         seed: int = 0,
+        shard_of: ShardOf | None = None,
     ) -> None:
         self.service = service
         self.group = group
@@ -64,6 +65,7 @@
             self.hold,
             self.hedges,
             seed,
+            shard_of,
         )
         self.closed = False
         self._may_issue = may_issue
@@ -71,7 +73,6 @@
         self._intents_by_id: dict[str, WaitingRequest] = {}
         self._repeats_by_id: dict[str, WaitingRequest] = {}
         self._departed_by_id: dict[str, OutstandingPermit] = {}
-        self._free_retries: dict[str, None] = {}
         self._foreign_ids: dict[str, None] = {}
 
     def request(self, request: PermitRequest, entry: str, now: float) -> list[Action]:
@@ -126,10 +127,9 @@
             self.retries.note_request()
             self.hedges.note_request()
             return True
-        if request.request_id in self._free_retries:
-            del self._free_retries[request.request_id]
-            return True
-        return self.retries.spend()
+        # A handover, a move or a dead target makes a wave of these, which ends by
+        # itself.
+        return request.free_retry or self.retries.spend()
 
     def _admit(self, item: WaitingRequest, now: float) -> list[Action]:
         """Pass a request through the journal into the queue."""
@@ -274,10 +274,8 @@
             self._judge_answer(returned, permit, target, now)
         elif returned.shed and target is not None:
             target.shed(now)
-        elif returned.stale:
-            self._free_retries[permit.request_id] = None
-            if len(self._free_retries) > MAX_REMEMBERED:
-                self._free_retries.pop(next(iter(self._free_retries)))
+        elif returned.refused and target is not None:
+            target.refused(now)
 
     def _judge_answer(self, returned, permit, target, now: float) -> None:
         if permit.alone:
@@ -363,6 +361,15 @@
             actions.append(Reply(issued.item.entry, request_id, answer))
         return actions
 
+    def set_epoch(self, epoch: int) -> None:
+        """Issue permits at an epoch that the same coordinator has raised."""
+        self.epoch = self.issuer.epoch = epoch
+
+    def permits_pending(self, target: str, shard: int) -> bool:
+        """Tell whether a request for the shard may still run on the target."""
+        permits = [*self.issuer.permits(), *self._departed_by_id.values()]
+        return any((p.target, p.shard) == (target, shard) for p in permits)
+
     def waiting(self) -> list[WaitingRequest]:
         """Return every request that has no answer yet."""
         items = [*self._intents_by_id.values(), *self._repeats_by_id.values()]
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -28,6 +28,8 @@
     "PermitReturn",
     "QuotaLease",
     "QuotaRequest",
+    "ReachReply",
+    "ReachRequest",
     "Seal",
     "Sealed",
     "StoredAnswer",
@@ -166,6 +168,23 @@
     unjournaled: bool
 
 
+@message("reach-request")
+@attrs.frozen
+class ReachRequest:
+    """Ask an instance how many targets of a group it reaches."""
+
+    service: str
+    group: int
+
+
+@message("reach-reply")
+@attrs.frozen
+class ReachReply:
+    """Tell how many targets of the group answered just now."""
+
+    reached: int
+
+
 @attrs.frozen
 class StoredAnswer:
     """Hold an answer that repeats of its request receive again."""
@@ -192,6 +211,7 @@
     idempotency_key: str | None = None
     hedge_of: str | None = None
     attempt: int = 0
+    free_retry: bool = False  # the previous attempt met 421 or a refused connection
 
 
 @message("permit")
@@ -205,6 +225,7 @@
     epoch: int
     send_within: float
     hedge_after: float | None = None
+    shard: int = -1  # of the grant; a hot key has a shard of its own
 
 
 @message("permit-refused")
--- a/packages/router/src/fireflystand_router/entry/attempts.py
+++ b/packages/router/src/fireflystand_router/entry/attempts.py
@@ -3,6 +3,7 @@
 import attrs
 import trio
 
+from fireflystand_core.journal import scope_of
 from fireflystand_core.messages import (
     Permit,
     PermitRefused,
@@ -25,7 +26,8 @@
 class Job:
     """Hold a request while it is attempted; ``deadline`` is on trio's clock.
 
-    ``unsure`` tells that a target may have run an attempt.
+    ``unsure`` tells that a target may have run an attempt. ``attempt`` numbers all
+    attempts, ``retries`` counts those that draw on the retry budget.
     """
 
     request: CallerRequest
@@ -36,6 +38,9 @@
     prefix: bytes
     unsure: bool = False
     attempt: int = 0
+    retries: int = 0
+    free_retry: bool = False
+    asked: bool = False  # for a permit
 
     def permit_request(self, request_id: str, hedge_of: str | None) -> PermitRequest:
         """Return the request for a permit of the current attempt."""
@@ -53,6 +58,7 @@
             idempotency_key=request.idempotency_key,
             hedge_of=hedge_of,
             attempt=self.attempt,
+            free_retry=self.free_retry,
         )
 
     def forward_request(
@@ -79,11 +85,14 @@
         values = {
             b"Fireflystand-Service": self.request.service.id,
             b"Fireflystand-Group": str(self.location.group),
-            b"Fireflystand-Shard": str(self.location.shard),
             b"Fireflystand-Epoch": str(permit.epoch),
             b"Fireflystand-Request-Id": request_id,
             b"Fireflystand-Client-Account": self.request.account,
         }
+        if self.request.route.routing_key_segment is None and self.request.routing_key:
+            values[b"Fireflystand-Routing-Key"] = self.request.routing_key
+        if self.request.service.keyed:
+            values[b"Fireflystand-Shard"] = str(permit.shard)
         return [(name, value.encode()) for name, value in values.items()]
 
 
@@ -91,15 +100,23 @@
     """Own one permit and the request sent under it."""
 
     def __init__(
-        self, permits: Permits, job: Job, permit: Permit, request_id: str
+        self,
+        permits: Permits,
+        job: Job,
+        permit: Permit,
+        request_id: str,
+        asked: PermitRequest,
     ) -> None:
         self.permit = permit
+        self.acknowledged: trio.Event | None = None
         self._permits = permits
         self._job = job
         self._taken_at = trio.current_time()
         self._settled = False
+        self._scope = scope_of(asked)
         send_before = self._taken_at + permit.send_within
         self.request = job.forward_request(request_id, permit, send_before)
+        self.request.on_cancelled = self._cancelled
 
     def settle(
         self, outcome: str, status: int, answer: StoredAnswer | None = None, **flags
@@ -118,9 +135,12 @@
             status=status,
             latency=trio.current_time() - self._taken_at,
             answer=answer,
+            scope=self._scope,
+            fingerprint=self._job.fingerprint,
+            target=self.permit.target,
             **flags,
         )
-        self._permits.give_back(returned)
+        self.acknowledged = self._permits.give_back(returned)
 
     def settle_failure(self, failure: Failure) -> None:
         """Give the permit back after an attempt without a response."""
@@ -134,9 +154,19 @@
         )
 
     def close(self) -> None:
-        """Give the permit back if that has not happened yet."""
+        """Give the permit back if that has not happened yet.
+
+        While the target is asked to stop the request, the return waits for the
+        answer, because an acknowledged cancellation frees the slot at once.
+        """
+        if self.request.cancelling:
+            self._job.unsure = True
+            return
         self.settle("unknown" if self.request.handed else "not-run", 0)
 
+    def _cancelled(self, acknowledged: bool) -> None:
+        self.settle("unknown", 0, ended=acknowledged)
+
 
 class Sender:
     """Obtain permits and send the attempts of requests, hedged where allowed."""
@@ -155,11 +185,12 @@
         # Each attempt has its own id, so that the cancellation of one attempt can
         # not reach the next one on the same target.
         request_id = f"{job.request.id}-{job.attempt}{suffix}"
-        asked = job.permit_request(request_id, hedge_of)
+        asked = job.permit_request(f"{job.request.id}{suffix}", hedge_of)
+        job.asked = True
         permit = await self._permits.acquire(asked)
         if isinstance(permit, PermitRefused):
             return permit
-        return Hold(self._permits, job, permit, request_id)
+        return Hold(self._permits, job, permit, request_id, asked)
 
     async def send(self, job: Job, hold: Hold) -> tuple[Hold, Exchange | Failure]:
         """Return the first response head, or the failure of the attempt.
@@ -229,8 +260,7 @@
         await self._run_hold(self._primary)
 
     async def _run_hedge(self) -> None:
-        primary_id = self._primary.request.request_id
-        hold = await self._sender.acquire(self._job, "-h", primary_id)
+        hold = await self._sender.acquire(self._job, "-h", self._job.request.id)
         if isinstance(hold, Hold):
             self._sender._metrics.count(HEDGES)
             await self._run_hold(hold)
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -39,6 +39,8 @@
 KEPT_BODY_LIMIT = 64 * 1024  # bytes
 ATTEMPT_LIMIT = 5
 RETRY_DELAY = 0.01  # seconds before the second retry, doubled for each further one
+LONGEST_RETRY_DELAY = 0.16  # seconds
+DURABLE_WAIT = 0.5  # seconds; without a coordinator the answer is not kept back
 
 
 class Responder(Protocol):
@@ -174,7 +176,9 @@
             raise MalformedMessageError("request body is too slow", status=408)
         if responder.started:
             return responder.abort()
-        if job.unsure:
+        repeatable = job.request.idempotency_key and not job.request.idempotent
+        if job.unsure or (repeatable and job.asked):
+            # The first request with the idempotency key may be running.
             raise self._unknown(job, 504, "deadline passed")
         raise RequestRefusedError(503, "deadline passed before the request was sent")
 
@@ -190,8 +194,11 @@
             if not self._may_repeat(job, failure):
                 raise self._final(job, failure)
             self._metrics.count(RETRIES)
+            job.free_retry = failure.stale or failure.refused
+            job.retries += not failure.stale
             if job.attempt:
-                await trio.sleep(RETRY_DELAY * 2**job.attempt)
+                delay = RETRY_DELAY * 2**job.attempt
+                await trio.sleep(min(delay, LONGEST_RETRY_DELAY))
             job.attempt += 1
 
     async def _attempt(
@@ -219,6 +226,8 @@
     ) -> None:
         keep = job.request.idempotency_key is not None
         kept: bytearray | None = bytearray() if keep else None
+        durable = keep and not job.request.idempotent
+        held = b""
         try:
             responder.start(
                 exchange.status,
@@ -227,8 +236,12 @@
                 close=not exchange.upload_done,
             )
             while part := await self._next_part(exchange, responder):
-                await responder.write(part)
                 kept = _keep(kept, part)
+                if durable:
+                    # The last part waits until the outcome is durable.
+                    held, part = part, held
+                if part:
+                    await responder.write(part)
         except BrokenExchangeError as error:
             exchange.abort()
             hold.settle("unknown", exchange.status, broken=True)
@@ -246,6 +259,11 @@
         answer = None if kept is None else _stored(exchange, bytes(kept))
         hold.settle("answered", exchange.status, answer)
         self._metrics.count(ANSWERED)
+        if durable and hold.acknowledged is not None:
+            with trio.move_on_after(DURABLE_WAIT):
+                await hold.acknowledged.wait()
+        if held:
+            await responder.write(held)
         await responder.finish()
 
     async def _next_part(self, exchange: Exchange, responder: Responder) -> bytes:
@@ -283,12 +301,18 @@
         await responder.finish()
 
     def _may_repeat(self, job: Job, failure: Failure) -> bool:
-        if job.attempt + 1 >= ATTEMPT_LIMIT or job.body.streamed:
+        if job.body.streamed:
+            return False
+        if failure.stale:
+            # A handover or a move makes a wave of these, and each request waits
+            # for the new owner; only its deadline bounds it.
+            return True
+        if job.retries + 1 >= ATTEMPT_LIMIT:
             return False
         ran = not isinstance(failure.outcome, NotRun)
         if ran and not job.request.idempotent:
             return False
-        return self._budget.allow(job.request.service.id)
+        return failure.refused or self._budget.allow(job.request.service.id)
 
     def _final(self, job: Job, failure: Failure) -> RequestRefusedError:
         outcome = failure.outcome
@@ -303,7 +327,7 @@
 
 def hash_of_repeat(request: CallerRequest) -> int:
     """Return a 64-bit hash that all repeats of an idempotency key share."""
-    text = f"{request.account}\0{request.idempotency_key}"
+    text = "\0".join([request.account, request.routing_key, request.idempotency_key])
     return xxhash.xxh3_64_intdigest(text.encode())
 
 
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -95,3 +95,65 @@
 CANCEL_FAILED = define_event(
     1030, "INFO", "cancellation did not reach the target", "request_id"
 )
+GROUP_STARTED = define_event(
+    2001, "INFO", "instance coordinates a group", "service", "group", "epoch"
+)
+GROUP_STOPPED = define_event(
+    2002, "INFO", "instance coordinates a group no more", "service", "group"
+)
+GROUP_TAKEN_OVER = define_event(
+    2003, "INFO", "group taken over", "service", "group", "epoch", "predecessor"
+)
+AUTHORITY_LOST = define_event(
+    2004, "WARNING", "coordinator lost its authority", "service", "group", "epoch"
+)
+AUTHORITY_REGAINED = define_event(
+    2005, "INFO", "coordinator has its authority again", "service", "group", "epoch"
+)
+CLAIM_ENDED = define_event(
+    2006, "INFO", "claim of a group ended", "service", "group", "reason"
+)
+GROUP_HANDED_OVER = define_event(
+    2007, "INFO", "group handed over", "service", "group", "successor", "reason"
+)
+HAND_OVER_REFUSED = define_event(
+    2008,
+    "WARNING",
+    "nobody took a group that was handed over",
+    "service",
+    "group",
+    "reason",
+)
+TARGET_CHANGED = define_event(
+    2010, "INFO", "target changed", "service", "group", "target", "reason"
+)
+SHARDS_MOVED = define_event(
+    2011, "INFO", "shards got another owner", "service", "group", "shards"
+)
+INSTANCE_DIED = define_event(
+    2012, "INFO", "process of an instance is dead", "instance", "incarnation"
+)
+INSTANCE_STARTED = define_event(
+    3001, "INFO", "instance started", "instance", "incarnation", "data_centre"
+)
+INSTANCE_STOPPING = define_event(3002, "INFO", "instance stops", "groups")
+INSTANCE_STOPPED = define_event(3003, "INFO", "instance stopped", "instance")
+JOURNAL_LOADED = define_event(
+    4001, "INFO", "journal loaded", "service", "group", "entries", "seconds"
+)
+JOURNAL_GAP = define_event(
+    4002, "WARNING", "journal has a gap", "service", "group", "seconds"
+)
+JOURNAL_KEPT_BACK = define_event(
+    4003, "WARNING", "journal entries are kept back", "service", "group"
+)
+JOURNAL_CAUGHT_UP = define_event(
+    4004, "INFO", "journal entries that were kept back are durable", "service", "group"
+)
+CRASH_HOLDS_CHANGED = define_event(
+    4010, "WARNING", "crash holds changed", "service", "group", "held", "refused"
+)
+ENTRY_LOST = define_event(4020, "INFO", "entry instance was lost", "instance")
+RETURN_GIVEN_UP = define_event(
+    4021, "WARNING", "permit return given up", "service", "group", "permit_id"
+)
--- a/packages/router/src/fireflystand_router/permit_host.py
+++ b/packages/router/src/fireflystand_router/permit_host.py
@@ -3,13 +3,13 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Protocol
 
 import attrs
 import msgpack
 import trio
 
 from fireflystand_core.admission import (
+    REFUSED_AFTER,
     Action,
     PermitDesk,
     Reply,
@@ -29,15 +29,28 @@
     PermitReturn,
 )
 
+from .events import (
+    CRASH_HOLDS_CHANGED,
+    ENTRY_LOST,
+    JOURNAL_CAUGHT_UP,
+    JOURNAL_GAP,
+    JOURNAL_KEPT_BACK,
+    JOURNAL_LOADED,
+    emit,
+)
+from .metrics import PERMITS_RETURNED, Metrics
 from .peers import PeerLink
+from .permit_group import GroupAuthority, ServedGroup
+from .permit_metrics import count_answer, measure_desks
 from .view import ClusterView
 
-__all__ = ["GroupAuthority", "PermitHost"]
+__all__ = ["PermitHost"]
 
 TICK = 0.05  # seconds
 INTENT_TIMEOUT = 1.0  # seconds until an intent counts as kept back by the store
 FLUSH_PAUSE = 0.5  # seconds between attempts to write what was kept back
 FLUSH_SIZE = 200  # entries
+MEASURE_PERIOD = 1.0  # seconds
 LOAD_PAUSE = 0.2  # seconds between attempts to load the journal
 NOT_COORDINATOR = "not the coordinator of this group"
 
@@ -46,45 +59,6 @@
 Load = Callable[[str, int], Awaitable[list[JournalEntry]]]
 
 
-class GroupAuthority(Protocol):
-    """Tell a desk what the group's coordinator knows and decides.
-
-    ``owner_of`` is ``None`` for services that are not divided by key. The host
-    starts a group only when the predecessor's permits are fenced or its lease
-    has ended, because the journal is loaded then.
-    """
-
-    epoch: int
-    owner_of: Callable[[int, int, float], tuple[str, int] | None] | None
-    suspects: list[tuple[int, int, float]]
-    predecessor_unjournaled: bool
-
-    def may_issue(self, now: float) -> bool:
-        """Tell whether the claim is confirmed by a majority now."""
-
-    async def mark_unjournaled(self) -> bool:
-        """Return whether a majority of witnesses holds the marker."""
-
-    async def clear_unjournaled(self) -> None:
-        """Drop the marker."""
-
-    async def store_suspects(self, suspects: list[tuple[int, int, float]]) -> None:
-        """Write the crash suspects into the group record."""
-
-
-@attrs.define(eq=False)
-class _Group:
-    desk: PermitDesk
-    authority: GroupAuthority
-    scope: trio.CancelScope
-    nursery: trio.Nursery | None = None
-    loaded: trio.Event = attrs.field(factory=trio.Event)
-    answers: dict[tuple[str, str], trio.MemorySendChannel] = attrs.field(factory=dict)
-    unwritten: list[JournalEntry] = attrs.field(factory=list)
-    marked: bool = False  # a successor must mark a gap
-    outage: bool = False
-
-
 class PermitHost:
     """Run one permit desk for each group and answer entry instances."""
 
@@ -98,6 +72,7 @@
         retention: float = 600.0,
         clock: Callable[[], float] = trio.current_time,
         wall: Callable[[], float] = time.time,
+        metrics: Metrics | None = None,
     ) -> None:
         self.instance = instance
         self._view = view
@@ -106,18 +81,20 @@
         self._retention = retention  # seconds
         self._clock = clock
         self._wall = wall
-        self._groups: dict[GroupId, _Group] = {}
+        self._metrics = metrics or Metrics()
+        self._groups: dict[GroupId, ServedGroup] = {}
         self._watched: set[PeerLink] = set()
         self._nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Take the nursery that the groups' tasks run in."""
         self._nursery = nursery
+        nursery.start_soon(self._measure)
 
     async def close(self) -> None:
         """Stop all groups."""
         for service, group in list(self._groups):
-            await self.stop_group(service, group)
+            self.stop_group(service, group)
 
     async def start_group(
         self,
@@ -138,11 +115,12 @@
             journal,
             owner_of=authority.owner_of,
             may_issue=authority.may_issue,
+            shard_of=authority.shard_of,
         )
-        running = _Group(desk, authority, trio.CancelScope())
+        running = ServedGroup(desk, authority, trio.CancelScope())
         if state is not None:
             desk.restore(state, now)
-            running.unwritten = decode_batch(msgpack.unpackb(state["unwritten"]))
+            running.add(decode_batch(msgpack.unpackb(state["unwritten"])))
             gap = journal.has_gap(now)
             running.marked = gap or bool(running.unwritten)
             running.loaded.set()
@@ -151,11 +129,14 @@
             if authority.predecessor_unjournaled:
                 journal.mark_gap(now)
                 running.marked = True
+        if journal.has_gap(now):
+            seconds = round(journal.gap_until - now)
+            emit(JOURNAL_GAP, service=service, group=group, seconds=seconds)
         self._groups[(service, group)] = running
         await self._nursery.start(self._run_group, running)
         return desk
 
-    async def stop_group(self, service: str, group: int) -> dict[str, bytes]:
+    def stop_group(self, service: str, group: int) -> dict[str, bytes]:
         """Stop a group and return its state for a handover."""
         running = self._groups.pop((service, group))
         now = self._clock()
@@ -165,6 +146,7 @@
         state = running.desk.export(now)
         state["unwritten"] = msgpack.packb(encode_batch(running.unwritten))
         running.scope.cancel()
+        running.release_waiting()
         return state
 
     def desk_of(self, service: str, group: int) -> PermitDesk | None:
@@ -185,7 +167,19 @@
 
     async def handle_return(self, message: PermitReturn, link: PeerLink):
         """Take a permit back; refuse it if the group is not served here."""
-        return self.returned(message)
+        return await self.take_back(message)
+
+    async def take_back(self, message: PermitReturn) -> Accepted | PermitRefused:
+        """Take a permit back and acknowledge it.
+
+        An answer to a request with an idempotency key is acknowledged once it is
+        durable. Until then its entry instance returns the permit to a successor.
+        """
+        running = self._groups.get((message.service, message.group))
+        accepted = self.returned(message)
+        if running is not None and message.scope and message.outcome == "answered":
+            await running.wait_written(running.added)
+        return accepted
 
     async def handle_cancel(self, message: PermitCancel, link: PeerLink) -> Accepted:
         """Withdraw a permit request."""
@@ -206,6 +200,7 @@
         left = deadline - self._clock()
         if left <= 0:
             return PermitRefused("unknown", "journal could not be loaded", 504)
+        running.authority.note_request(message.key_hash, message.shard)
         send, receive = trio.open_memory_channel(1)
         # A request that is asked again replaces the first one's waiter.
         running.answers[(entry, message.request_id)] = send
@@ -222,6 +217,7 @@
         running = self._groups.get((message.service, message.group))
         if running is None:
             return self._elsewhere(message.service, message.group)
+        self._metrics.count(PERMITS_RETURNED)
         self._act(running, running.desk.returned(message, self._clock()))
         return Accepted()
 
@@ -231,8 +227,17 @@
         if running is not None:
             self._act(running, running.desk.cancel(message, self._clock()))
 
+    async def _measure(self) -> None:
+        while True:
+            running = list(self._groups.values())
+            unwritten = sum(len(r.unwritten) for r in running)
+            desks = [r.desk for r in running]
+            measure_desks(self._metrics, desks, unwritten, self._clock())
+            await trio.sleep(MEASURE_PERIOD)
+
     def entry_lost(self, entry: str) -> None:
         """Take in that an entry instance is gone."""
+        emit(ENTRY_LOST, instance=entry)
         for running in list(self._groups.values()):
             self._act(running, running.desk.entry_lost(entry, self._clock()))
 
@@ -254,7 +259,7 @@
         return PermitRefused("not-run", NOT_COORDINATOR, coordinator=hint)
 
     async def _run_group(
-        self, running: _Group, task_status=trio.TASK_STATUS_IGNORED
+        self, running: ServedGroup, task_status=trio.TASK_STATUS_IGNORED
     ) -> None:
         with running.scope:
             async with trio.open_nursery() as nursery:
@@ -263,13 +268,14 @@
                 nursery.start_soon(self._flush, running)
                 task_status.started()
                 while True:
+                    running.desk.set_epoch(running.authority.epoch)
                     self._act(running, running.desk.tick(self._clock()))
                     await trio.sleep(TICK)
         for answer in running.answers.values():
             answer.close()
 
-    async def _load_journal(self, running: _Group) -> None:
-        desk = running.desk
+    async def _load_journal(self, running: ServedGroup) -> None:
+        desk, began = running.desk, self._clock()
         while not running.loaded.is_set():
             try:
                 entries = await self._load(desk.service, desk.group)
@@ -278,33 +284,52 @@
                 continue
             desk.journal.load(entries, self._clock())
             running.loaded.set()
-
-    def _act(self, running: _Group, actions: list[Action]) -> None:
+            emit(
+                JOURNAL_LOADED,
+                service=desk.service,
+                group=desk.group,
+                entries=len(entries),
+                seconds=round(self._clock() - began, 3),
+            )
+
+    def _act(self, running: ServedGroup, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Reply):
                 self._reply(running, action)
             elif isinstance(action, WriteIntent):
                 running.nursery.start_soon(self._write_intent, running, action)
             elif isinstance(action, WriteOutcome):
-                running.unwritten.append(action.entry)
+                running.add([action.entry])
             elif isinstance(action, StoreSuspects):
-                store = running.authority.store_suspects
-                running.nursery.start_soon(store, action.suspects)
+                self._note_suspects(running, action)
+
+    def _note_suspects(self, running: ServedGroup, action: StoreSuspects) -> None:
+        counts = [crashes for _, crashes, _ in action.suspects]
+        emit(
+            CRASH_HOLDS_CHANGED,
+            service=running.desk.service,
+            group=running.desk.group,
+            held=len(counts),
+            refused=sum(crashes >= REFUSED_AFTER for crashes in counts),
+        )
+        store = running.authority.store_suspects
+        running.nursery.start_soon(store, action.suspects)
 
-    def _reply(self, running: _Group, reply: Reply) -> None:
+    def _reply(self, running: ServedGroup, reply: Reply) -> None:
+        count_answer(self._metrics, reply.answer)
         send = running.answers.pop((reply.entry, reply.request_id), None)
         if send is not None:
             # Without a waiter the entry instance asks again or cancels.
             with suppress(trio.BrokenResourceError):
                 send.send_nowait(reply.answer)
 
-    async def _write_intent(self, running: _Group, action: WriteIntent) -> None:
+    async def _write_intent(self, running: ServedGroup, action: WriteIntent) -> None:
         durable = False
         if not running.outage:
             durable = await self._append([action.entry], INTENT_TIMEOUT)
         if not durable:
-            running.outage = True
-            running.unwritten.append(action.entry)
+            self._note_outage(running, True)
+            running.add([action.entry])
             running.marked = True
             durable = await running.authority.mark_unjournaled()
         actions = running.desk.journaled(
@@ -312,14 +337,24 @@
         )
         self._act(running, actions)
 
-    async def _flush(self, running: _Group) -> None:
+    def _note_outage(self, running: ServedGroup, outage: bool) -> None:
+        if running.outage != outage:
+            desk = running.desk
+            event = JOURNAL_KEPT_BACK if outage else JOURNAL_CAUGHT_UP
+            emit(event, service=desk.service, group=desk.group)
+        running.outage = outage
+
+    async def _flush(self, running: ServedGroup) -> None:
         """Write outcomes, and intents that an outage kept back."""
         while True:
-            await trio.sleep(FLUSH_PAUSE if running.outage else TICK)
+            pause = FLUSH_PAUSE if running.outage else TICK
+            with trio.move_on_after(pause):
+                while running.outage or not running.unwritten:
+                    await running.changed.wait()
             entries = running.unwritten[:FLUSH_SIZE]
             if entries and await self._append(entries, INTENT_TIMEOUT):
-                del running.unwritten[: len(entries)]
-                running.outage = False
+                self._note_outage(running, False)
+                running.remove_written(len(entries))
             gap = running.desk.journal.has_gap(self._clock())
             if running.marked and not running.unwritten and not gap:
                 running.marked = False
--- a/packages/router/src/fireflystand_router/permits.py
+++ b/packages/router/src/fireflystand_router/permits.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from fireflystand_core.journal import scope_of
 from fireflystand_core.messages import (
     Accepted,
     Permit,
@@ -15,6 +16,7 @@
     PermitReturn,
 )
 
+from .events import RETURN_GIVEN_UP, emit
 from .journal_writer import Network
 from .peers import PeerUnavailableError
 from .permit_host import NOT_COORDINATOR, PermitHost
@@ -47,6 +49,7 @@
         self._view = view
         self._host = host
         self._clock = clock
+        self._held: dict[str, tuple[PermitRequest, str, float]] = {}
         self._nursery: trio.Nursery | None = None
         self._scope: trio.CancelScope | None = None
 
@@ -82,7 +85,11 @@
         finally:
             if not finished:
                 self._cancel(request, asked)
-        return answer if finished else _too_late(request)
+        if not finished:
+            return _too_late(request)
+        if isinstance(answer, Permit):
+            self._held[answer.permit_id] = (request, answer.target, deadline)
+        return answer
 
     async def _ask_until(
         self, request: PermitRequest, deadline: float, asked: set[str]
@@ -143,15 +150,27 @@
             with suppress(PeerUnavailableError):
                 self._network.send(instance, cancel)
 
-    def give_back(self, returned: PermitReturn, deadline: float) -> None:
-        """Return a permit, again until acknowledged or ``deadline`` has passed.
+    def give_back(self, returned: PermitReturn) -> trio.Event:
+        """Return a permit, again until acknowledged or its request's deadline.
 
-        ``deadline`` is the end of the request on the client's clock.
+        What a later coordinator needs to judge the return is added here. The
+        event is set once the return is acknowledged or given up.
         """
+        request, target, deadline = self._held.pop(returned.permit_id)
+        returned = attrs.evolve(
+            returned,
+            scope=scope_of(request),
+            fingerprint=request.fingerprint,
+            target=target,
+        )
         self.unacknowledged += 1
-        self._nursery.start_soon(self._give_back, returned, deadline)
+        done = trio.Event()
+        self._nursery.start_soon(self._give_back, returned, deadline, done)
+        return done
 
-    async def _give_back(self, returned: PermitReturn, deadline: float) -> None:
+    async def _give_back(
+        self, returned: PermitReturn, deadline: float, done: trio.Event
+    ) -> None:
         hint: str | None = None
         try:
             while self._clock() < deadline + RETURN_GRACE:
@@ -164,12 +183,21 @@
                 new_hint = getattr(answer, "coordinator", None)
                 hint = new_hint if new_hint != instance else None
                 await trio.sleep(RETURN_PAUSE)
+            emit(
+                RETURN_GIVEN_UP,
+                service=returned.service,
+                group=returned.group,
+                permit_id=returned.permit_id,
+            )
         finally:
             self.unacknowledged -= 1
+            done.set()
 
     async def _send_return(self, instance: str, returned: PermitReturn):
         if instance == self._instance and self._host is not None:
-            return self._host.returned(returned)
+            with trio.move_on_after(RETURN_TIMEOUT):
+                return await self._host.take_back(returned)
+            return None
         try:
             return await self._network.request(instance, returned, RETURN_TIMEOUT)
         except PeerUnavailableError:
--- a/packages/router/src/fireflystand_router/target_calls.py
+++ b/packages/router/src/fireflystand_router/target_calls.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 
+import trio
+
 from fireflystand_core.exceptions import FireflystandError
 from fireflystand_core.groups import Action, GroupCoordinator, SendGrant
 
+from .group_callbacks import GroupCallbacks
 from .target_control import TargetAnswer, TargetControl, TargetDiedError
 from .view import ClusterView
 
@@ -19,7 +22,9 @@
         view: ClusterView,
         make_control: Callable[[str, str], TargetControl],
         clock: Callable[[], float],
+        callbacks: GroupCallbacks,
     ) -> None:
+        self._callbacks = callbacks
         self._view = view
         self._make_control = make_control
         self._clock = clock
@@ -30,6 +35,25 @@
         for control in self._controls.values():
             await control.close()
 
+    async def count_reached(self, service: str, targets: list[str]) -> int:
+        """Return how many targets answer a status request."""
+        answered: list[str] = []
+
+        async def ask(target: str) -> None:
+            control = self._control(service, target)
+            if control is None:
+                return
+            try:
+                await control.status()
+            except FireflystandError:
+                return
+            answered.append(target)
+
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                nursery.start_soon(ask, target)
+        return len(answered)
+
     async def exchange(
         self,
         name: tuple[str, int],
@@ -41,6 +65,7 @@
         control = self._control(name[0], target)
         if control is None:
             return []
+        asked_at = self._clock()
         try:
             if grant is None:
                 answer = await control.status()
@@ -52,7 +77,10 @@
             return []
         if answer is None:
             return []
-        return self._answered(coordinator, target, grant, answer)
+        actions = self._answered(coordinator, target, grant, answer)
+        if not answer.higher_epoch:
+            self._callbacks.on_target_status(*name, target, answer, asked_at)
+        return actions
 
     def _answered(
         self,
--- a/packages/router/src/fireflystand_router/tests/limits_support.py
+++ b/packages/router/src/fireflystand_router/tests/limits_support.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from fireflystand_core.exceptions import StoreUnavailableError
+from fireflystand_core.groups import GroupRecord
 from fireflystand_core.membership import PeerEntry, PeerTable
 from fireflystand_core.messages import Accepted, Hello
 from fireflystand_router.gossip import Gossip
@@ -31,6 +32,7 @@
     def __init__(self, world, hello: Hello) -> None:
         self.world = world
         self.hello = hello
+        self.addresses_by_id: dict[str, str] = {}
         self.links_by_id = {}
         self.handlers = {}
 
@@ -38,12 +40,13 @@
         self.handlers[message_class] = handler
 
     def set_address(self, instance, address):
-        pass
+        self.addresses_by_id[instance] = address
 
     def forget(self, instance):
-        pass
+        self.addresses_by_id.pop(instance, None)
 
     def send(self, instance, message):
+        self._check_address(instance)
         self.world.nursery.start_soon(self._deliver, instance, message)
 
     async def _deliver(self, instance, message):
@@ -51,6 +54,7 @@
         peer = self.world.networks.get(instance)
         if not self.world.connected(self.hello.instance, instance):
             return None
+        peer.addresses_by_id.setdefault(self.hello.instance, self.hello.address)
         handler = peer.handlers.get(type(message))
         if handler is None:
             return Accepted()
@@ -58,7 +62,12 @@
         await trio.sleep(DELAY)
         return answer if self.world.connected(self.hello.instance, instance) else None
 
+    def _check_address(self, instance):
+        if instance not in self.addresses_by_id:
+            raise PeerUnavailableError("no address", step="connect", peer=instance)
+
     async def request(self, instance, message, timeout=1.0):
+        self._check_address(instance)
         with trio.move_on_after(timeout):
             answer = await self._deliver(instance, message)
             if answer is not None:
@@ -76,12 +85,17 @@
         self.instance = instance
 
     async def _call(self, kind, method, path, *, headers=None, body=b"", timeout=None):
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
         await trio.sleep(DELAY)
         parts = urlsplit(path)
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         fields = {name.lower(): value for name, value in (headers or {}).items()}
         request = Request(method, parts.path, query, fields, body)
+        ends_at = trio.current_time() + (timeout or 2.0)
         reply = await self.world.server._handle(request)
+        if self.instance in self.world.hung_from_store:
+            await trio.sleep_until(max(trio.current_time(), ends_at))
+            raise StoreUnavailableError("no answer", step=kind, peer="store")
         cut = self.instance in self.world.cut_from_store
         if reply.drop or cut or reply.status in (429, 503):
             raise StoreUnavailableError("refused", step=kind, peer="store")
@@ -128,12 +142,13 @@
 
 
 class World:
-    """Run six instances in two data centres and a store."""
+    """Run instances in some data centres and a store."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
         self.server = StoreServer()
         self.cut_from_store: set[str] = set()
+        self.hung_from_store: set[str] = set()  # get no answer until a timeout
         self.cut_from_peers: set[str] = set()
         self.networks: dict[str, MemoryNetwork] = {}
         self.instances: dict[str, Instance] = {}
@@ -148,19 +163,29 @@
         found = self.instances if names is None else names
         return [PeerEntry(n, n, self.instances[n].table.own.data_centre) for n in found]
 
-    async def start(self, rate=100.0, burst=20.0) -> None:
+    async def start(
+        self, rate=100.0, burst=20.0, count=6, data_centres=("namur-a", "gent-a")
+    ) -> None:
         await self.write_deployment(rate, burst)
         await self.write_key("active")
-        for number in range(6):
-            data_centre = "namur-a" if number < 3 else "gent-a"
+        for number in range(count):
+            data_centre = data_centres[number * len(data_centres) // count]
             instance = Instance(self, f"i{number}", data_centre)
             self.instances[f"i{number}"] = instance
             self.networks[f"i{number}"] = instance.network
         for instance in self.instances.values():
-            instance.table.seed(self.entries(), trio.current_time())
+            self.seed(instance, self.entries())
             self.nursery.start_soon(instance.run)
         await self.until(lambda: all(i.key_state() for i in self.instances.values()))
 
+    def seed(self, instance: Instance, entries: list[PeerEntry]) -> None:
+        """Pass the platform's list to an instance as ``PlatformList`` does."""
+        for entry in entries:
+            if entry.id != instance.table.own.id:
+                instance.network.set_address(entry.id, entry.address)
+        for peer in instance.table.seed(entries, trio.current_time()):
+            instance.network.forget(peer)
+
     def kill(self, name: str) -> None:
         self.networks.pop(name)
         self.instances.pop(name).scope.cancel()
@@ -184,9 +209,8 @@
         await self.write(f"keys/{HASH}", {"account": "gent", "state": state})
 
     async def claim(self, name: str, epoch: int) -> None:
-        coordinator = {"id": name, "incarnation": "1"}
-        value = {"epoch": epoch, "coordinator": coordinator}
-        await self.write("groups/accounts/0", value)
+        record = GroupRecord(epoch, name, "1", {name: "1"})
+        await self.write("groups/accounts/0", record.to_value())
 
     async def write(self, key: str, value) -> None:
         found = await self.operator.get(key)
--- a/packages/router/src/fireflystand_router/tests/test_group_host.py
+++ b/packages/router/src/fireflystand_router/tests/test_group_host.py
@@ -6,15 +6,24 @@
 import trio
 import trio.testing
 
+from fireflystand_core.membership import Witness
+from fireflystand_router.claim_timing import ClaimTiming
+from fireflystand_router.view import ClusterView
 from fireflystand_testing.ownership_cluster import Cluster
 
 
+def other_witnesses(node):
+    """Return the witnesses of a node's group without the node."""
+    witnesses = node.host.coordinator("winkel", 0).witnesses
+    return [w for w in witnesses if w != node.name]
+
+
 class GroupHostTests(unittest.TestCase):
     """Guard against two owners and keys that stay unserved after a fault."""
 
-    def run_cluster(self, scenario):
+    def run_cluster(self, scenario, nodes=8):
         async def main():
-            cluster = Cluster()
+            cluster = Cluster(nodes)
             async with trio.open_nursery() as nursery:
                 await cluster.start(nursery)
                 await cluster.until_served(3.0)
@@ -207,7 +216,7 @@
     def test_witness_and_coordinator_killed_and_restarted(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
-            witnesses = list(node.host.coordinator("winkel", 0).witnesses)
+            witnesses = other_witnesses(node)
             for name in (node.name, *witnesses[:2]):
                 cluster.kill(cluster.nodes[name])
             await cluster.until_served(3.0)
@@ -233,7 +242,7 @@
         async def scenario(cluster):
             cluster.lagging = True
             node = cluster.coordinator_node()
-            witnesses = list(node.host.coordinator("winkel", 0).witnesses)
+            witnesses = other_witnesses(node)
             for name in (node.name, *witnesses[:3]):
                 cluster.kill(cluster.nodes[name])
             cluster.targets["t2"].alive = False
@@ -241,6 +250,101 @@
 
         self.run_cluster(scenario)
 
+    def test_loss_of_any_other_instance_never_stops_a_coordinator(self):
+        for nodes in (2, 3, 4, 5, 8):
+            for lost in range(1, min(nodes, 5)):
+                with self.subTest(nodes=nodes, lost=lost):
+                    self.run_cluster(self.lose_other(lost), nodes)
+
+    def lose_other(self, index):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            witnesses = node.host.coordinator("winkel", 0).witnesses
+            self.assertIn(node.name, witnesses)
+            self.assertEqual(len(witnesses) % 2, 1)
+            cluster.store.up = False
+            others = [n for n in cluster.nodes.values() if n is not node]
+            cluster.pause(others[index - 1])
+            for _ in range(300):
+                await trio.sleep(0.01)
+                self.assertIs(cluster.coordinator_node(), node)
+
+        return scenario
+
+    def test_paused_coordinator_of_three_is_taken_over_twice(self):
+        async def scenario(cluster):
+            for _ in range(2):
+                node = cluster.coordinator_node()
+                cluster.pause(node)
+                await cluster.until_served(2.0)
+                cluster.resume(node)
+                await trio.sleep(3.0)
+
+        self.run_cluster(scenario, 3)
+
+    def test_kills_of_three_in_turn_are_taken_over_by_witnesses(self):
+        async def scenario(cluster):
+            for _ in range(6):
+                node = cluster.coordinator_node()
+                cluster.kill(node)
+                await cluster.until_served(2.0)
+                cluster.restart(node)
+                await cluster.until_served(2.0)
+
+        self.run_cluster(scenario, 3)
+
+    def test_target_cut_off_from_its_coordinator_only(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, {"t1"})
+            await cluster.until_served(3.0, "t1")
+            await trio.sleep(15.0)
+            self.assertIs(cluster.coordinator_node(), node)
+
+        self.run_cluster(scenario)
+
+    def test_coordinator_that_reaches_no_target_hands_the_group_over(self):
+        async def scenario(cluster):
+            node = cluster.coordinator_node()
+            cluster.cut({node.name}, set(cluster.targets))
+            await cluster.until_served(3.0)
+            self.assertIsNot(cluster.coordinator_node(), node)
+            for _ in range(250):
+                await trio.sleep(0.1)
+                self.assertNotIn(None, cluster.owners().values())
+
+        self.run_cluster(scenario)
+
+    def test_group_returns_to_the_first_candidate_while_the_store_answers(self):
+        async def scenario(cluster):
+            first = cluster.coordinator_node()
+            cluster.kill(first)
+            await cluster.until_served(2.0)
+            cluster.restart(first)
+            cluster.store.up = False
+            await trio.sleep(15.0)
+            self.assertIsNot(cluster.coordinator_node(), first)
+            cluster.store.up = True
+            cluster.store.delay = 1.0
+            await trio.sleep(15.0)
+            self.assertIsNot(cluster.coordinator_node(), first)
+            cluster.store.delay = 0.002
+            with trio.fail_after(30.0):
+                while cluster.coordinator_node() is not first:
+                    await trio.sleep(0.01)
+            await cluster.until_served(0.1)
+            epoch = first.host.coordinator("winkel", 0).epoch
+            await trio.sleep(30.0)
+            self.assertEqual(first.host.coordinator("winkel", 0).epoch, epoch)
+
+        self.run_cluster(scenario)
+
+    def test_first_claim_waits_for_the_peers(self):
+        timing = ClaimTiming("a", Witness("a", "1"), ClusterView())
+        name, alone = ("winkel", 0), {"a": "1"}
+        self.assertFalse(timing.should_claim(name, alone, 0.0, False))
+        self.assertTrue(timing.should_claim(name, alone, 0.1, True))
+
     def test_planned_stop_hands_the_group_over(self):
         async def scenario(cluster):
             node = cluster.coordinator_node()
--- a/packages/testing/src/fireflystand_testing/edge.py
+++ b/packages/testing/src/fireflystand_testing/edge.py
@@ -20,7 +20,8 @@
     PermitRequest,
     PermitReturn,
 )
-from fireflystand_router.entry import EntryServer, HashPlacement, RequestFlow
+from fireflystand_router.adapters import GroupPlacement
+from fireflystand_router.entry import EntryServer, RequestFlow
 from fireflystand_router.entry.interfaces import QuotaRefused
 from fireflystand_router.events import configure_log
 from fireflystand_router.forward import Forwarder
@@ -103,6 +104,7 @@
         self.answers: list[Permit | PermitRefused] = []
         self.hedge_after: float | None = None
         self.send_within = 5.0
+        self.acknowledged: trio.Event | None = None
 
     async def acquire(self, request: PermitRequest) -> Permit | PermitRefused:
         """Return the next prepared answer, or a permit."""
@@ -114,9 +116,10 @@
         hedge_after = None if request.hedge_of else self.hedge_after
         return Permit(f"p{number}", address, address, 7, self.send_within, hedge_after)
 
-    def give_back(self, returned: PermitReturn) -> None:
+    def give_back(self, returned: PermitReturn) -> trio.Event | None:
         """Record a return."""
         self.returns.append(returned)
+        return self.acknowledged
 
 
 @attrs.frozen
@@ -267,7 +270,7 @@
             accounts=self.accounts,
             quotas=self.quotas,
             permits=self.permits,
-            placement=HashPlacement(),
+            placement=GroupPlacement(),
             forwarder=self.forwarder,
             metrics=self.metrics,
         )
--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -3,11 +3,13 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -27,10 +29,14 @@
 from .proxy import FaultProxy
 from .store import StoreServer
 
-__all__ = ["Fleet", "ProcessHandle", "api_key_of", "wait_until"]
+__all__ = ["Fleet", "ProcessHandle", "api_key_of", "free_address", "wait_until"]
 
 START_TIMEOUT = 20.0  # seconds
 POLL_PERIOD = 0.05  # seconds
+PORTS = (10_000, 32_000)
+
+# Seeded by the process, so that test processes that run at once differ.
+_ports = random.Random(os.getpid())
 
 
 def api_key_of(account: str) -> str:
@@ -39,10 +45,19 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free now.
+
+    Ports below the ephemeral range are chosen, because an outgoing connection of
+    another process could take an ephemeral one before it is listened on.
+    """
+    while True:
+        port = _ports.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
 
 
 async def wait_until(condition, timeout: float, what: str) -> float:
@@ -181,7 +196,7 @@
         self._folder.cleanup()
         self._nursery.cancel_scope.cancel()
 
-    def log_of(self, handle: ProcessHandle, characters: int = 4000) -> str:
+    def log_of(self, handle: ProcessHandle, characters: int = 12_000) -> str:
         """Return the end of a process's output."""
         if not handle.log.exists():
             return ""
@@ -244,13 +259,13 @@
         return self._process(
             place.id,
             "fireflystand_router.daemon",
-            f"--instance={place.id}",
-            f"--data-centre={place.data_centre}",
-            f"--listen={place.listen}",
-            f"--peer={place.peer}",
-            f"--health={place.health}",
-            f"--store={place.store_proxy.address}",
-            f"--instance-list={list_address}",
+            f"--instance_id={place.id}",
+            f"--data_centre={place.data_centre}",
+            f"--listen_address={place.listen}",
+            f"--peer_address={place.peer}",
+            f"--health_address={place.health}",
+            f"--store_address={place.store_proxy.address}",
+            f"--instance_list_address={list_address}",
         )
 
     def _process(self, name: str, module: str, *flags: str) -> ProcessHandle:
@@ -290,7 +305,7 @@
 
     async def is_ready(self, router: str) -> bool:
         """Tell whether a router answers its readiness check with 200."""
-        return await self._get_status(router, "/readyz") == 200
+        return await self._get_status(router, "/fireflystand/v1/ready") == 200
 
     async def state(self, router: str) -> dict[str, Any]:
         """Return what a router tells of itself."""
@@ -338,6 +353,19 @@
         """Return what a target has run so far."""
         return await self._control(target, "GET", b"")
 
+    async def runs_by_path(self) -> Counter:
+        """Return how often all running targets ran each path."""
+        runs = Counter()
+        for target, place in self.targets_by_id.items():
+            if place.handle.running:
+                runs.update((await self.target_counts(target))["runs_by_path"])
+        return runs
+
+    async def change_targets(self, **changes: Any) -> None:
+        """Change the behaviour of all targets."""
+        for target in self.targets_by_id:
+            await self.change_target(target, **changes)
+
     async def change_target(self, target: str, **changes: Any) -> dict[str, Any]:
         """Change the behaviour of a target."""
         return await self._control(target, "PUT", json.dumps(changes).encode())
@@ -368,7 +396,11 @@
         place = self.routers_by_id[router]
         place.handle.send_signal(signal.SIGKILL)
         place.handle.process.wait(10)
-        for proxy in place.peer_proxies_by_source.values():
+        await self.refuse_router(router)
+
+    async def refuse_router(self, router: str) -> None:
+        """Refuse connections to a router that ended, as its own address does."""
+        for proxy in self.routers_by_id[router].peer_proxies_by_source.values():
             await proxy.refuse()
 
     async def restart_router(self, router: str) -> None:
