Keep a block of test ports for each process

Change: a process keeps a socket bound to the first port of its block for as long as it lives; a block whose first port is taken belongs to another one. Conclusion: test processes that run at once never share listening ports.

--- a/packages/testing/src/fireflystand_testing/fleet.py
+++ b/packages/testing/src/fireflystand_testing/fleet.py
@@ -37,8 +37,22 @@
 PORT_BLOCKS = 22
 BLOCK_SIZE = 1_000
 
-_first = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_SIZE
-_ports = cycle(range(_first, _first + BLOCK_SIZE))
+
+def _claim_block() -> tuple[socket.socket, cycle]:
+    """Return a socket that keeps a block of ports for this process, and its ports."""
+    for number in range(PORT_BLOCKS):
+        first = FIRST_PORT + (os.getpid() + number) % PORT_BLOCKS * BLOCK_SIZE
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        return guard, cycle(range(first + 1, first + BLOCK_SIZE))
+    raise RuntimeError("no block of ports is free")
+
+
+_guard, _ports = _claim_block()
 
 
 def api_key_of(account: str) -> str:
