Use the core's retry budget at the entry

Cause: the entry had a retry budget of its own beside the one in core/admission, with the same share of 0.1 and the same reserve of 10. Behaviour and bounds are the same.

--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -1,6 +1,7 @@
 """Lead a request from its header section to its outcome."""
 
 import time
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Protocol
 
@@ -9,6 +10,7 @@
 import trio
 import xxhash
 
+from fireflystand_core.admission import RetryBudget
 from fireflystand_core.configuration import Deployment
 from fireflystand_core.messages import PermitRefused, StoredAnswer
 from fireflystand_core.outcomes import NotRun
@@ -32,7 +34,6 @@
 from .interfaces import Accounts, Permits, Placement, Quotas
 from .refusals import RequestRefusedError
 from .requests import FINGERPRINT_BYTES, CallerRequest, fingerprint_of, read_request
-from .retries import RetryBudget
 
 __all__ = ["RequestFlow", "Responder"]
 
@@ -101,7 +102,7 @@
         self._metrics = metrics
         self._may_admit = may_admit
         self._sender = Sender(permits, forwarder, metrics)
-        self._budget = RetryBudget()
+        self._budgets_by_service = defaultdict(RetryBudget)
 
     async def run(
         self, event: h11.Request, body: CallerBody, responder: Responder
@@ -183,7 +184,7 @@
         raise RequestRefusedError(503, "deadline passed before the request was sent")
 
     async def _attempt_all(self, job: Job, responder: Responder) -> None:
-        self._budget.add_request(job.request.service.id)
+        self._budgets_by_service[job.request.service.id].note_request()
         while True:
             hold = await self._sender.acquire(job)
             if isinstance(hold, PermitRefused):
@@ -312,7 +313,9 @@
         ran = not isinstance(failure.outcome, NotRun)
         if ran and not job.request.idempotent:
             return False
-        return failure.refused or self._budget.allow(job.request.service.id)
+        return (
+            failure.refused or self._budgets_by_service[job.request.service.id].spend()
+        )
 
     def _final(self, job: Job, failure: Failure) -> RequestRefusedError:
         outcome = failure.outcome
