--- a/packages/core/src/fireflystand_core/accounts/__init__.py
+++ b/packages/core/src/fireflystand_core/accounts/__init__.py
@@ -4,13 +4,16 @@
 from .coordinator import AccountQuota, QuotaCoordinator
 from .holder import QuotaHolder, Refused, Verdict
 from .keys import KeyRegistry, KeyState, hash_api_key
+from .shared_rate import AccountPurse, RateDesk
 
 __all__ = [
+    "AccountPurse",
     "AccountQuota",
     "KeyRegistry",
     "KeyState",
     "QuotaCoordinator",
     "QuotaHolder",
+    "RateDesk",
     "Refused",
     "TokenBucket",
     "Verdict",
--- /dev/null
+++ b/packages/core/src/fireflystand_core/accounts/shared_rate.py
@@ -0,0 +1,66 @@
+"""Divide an account's rate among instances that draw tokens from one of them."""
+
+import attrs
+
+from .bucket import TokenBucket
+from .demand import Demand
+
+__all__ = ["AccountPurse", "RateDesk"]
+
+# The tokens that instances hold unspent come on top of the bucket.
+BURST_SHARE = 0.8
+DRAW_SECONDS = 0.3  # seconds of its own demand that an instance draws at once
+MAX_DRAW = 16  # tokens
+LEAST_REFUSAL_WAIT = 0.02  # seconds
+
+
+class RateDesk:
+    """Own the token bucket of one account.
+
+    ``share`` is the part of the fleet that this desk can see. Desks on both sides
+    of a partition give out no more than the rate together.
+    """
+
+    def __init__(self, rate: float, burst: float, share: float, now: float) -> None:
+        burst = max(1.0, burst * BURST_SHARE) * share
+        self._bucket = TokenBucket(rate * share, burst, now, burst / 2)
+
+    def change(self, rate: float, burst: float, share: float, now: float) -> None:
+        """Apply the account's settings and the part of the fleet in sight."""
+        burst = max(1.0, burst * BURST_SHARE) * share
+        if (rate * share, burst) != (self._bucket.rate, self._bucket.burst):
+            self._bucket.change(rate * share, burst, now)
+
+    def limit_burst(self, share: float) -> None:
+        """Keep at most a part of the burst, as another desk may have given the rest."""
+        self._bucket.level = min(self._bucket.level, self._bucket.burst * share)
+
+    def draw(self, tokens: int, now: float) -> tuple[int, float]:
+        """Return the tokens given and, if none, the seconds until there is one."""
+        self._bucket.refill(now)
+        given = min(tokens, int(self._bucket.level))
+        self._bucket.level -= given
+        if given:
+            return given, 0.0
+        return 0, max(LEAST_REFUSAL_WAIT, self._bucket.time_until(1.0))
+
+
+@attrs.define
+class AccountPurse:
+    """Hold the tokens that an instance drew and has not spent."""
+
+    demand: Demand
+    tokens: int = 0
+    refused_until: float = float("-inf")
+
+    def spend(self, now: float) -> bool:
+        """Spend one token if there is one."""
+        self.demand.add(1.0, now)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def wanted(self, now: float) -> int:
+        """Return how many tokens to draw."""
+        return max(1, min(MAX_DRAW, round(self.demand.at(now) * DRAW_SECONDS)))
--- /dev/null
+++ b/packages/core/src/fireflystand_core/dispatch/desk.py
@@ -0,0 +1,255 @@
+"""Decide which requests wait, run or are turned away at the targets of a service.
+
+The desk answers load beyond what the targets take: a burst of callers, a key or an
+account with most of the traffic, targets that turn slow or silent. Requests wait
+here, not at the targets, so that urgent ones overtake and none is sent that cannot
+end in time. A request that would miss its target latency is refused at once, with
+the time at which there will be room.
+"""
+
+from collections.abc import Callable
+from itertools import count
+
+import attrs
+
+from ..traffic import TargetRecord
+from .estimates import MeanDuration, start_delay
+from .slots import HeldSlot, TargetLoad, TargetSlots
+
+__all__ = ["Desk", "SlotAsk", "SlotGranted", "SlotRefused", "SlotResult"]
+
+INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
+# Estimates are means; half of the requests take longer than their estimate says.
+AIM_MARGIN = 1.0
+LATE_MARGIN = 0.8  # part of the time left that may pass until the expected end
+SHORTEST_RETURN = 0.05  # seconds of the shortest Retry-After
+HOLD_SLACK = 0.5  # seconds after its deadline at which a lost slot is freed
+# A target in another data centre is chosen only if it is expected to be this much
+# faster: bytes between data centres are billed.
+DISTANCE_FACTOR = 1.3
+
+
+@attrs.frozen
+class SlotAsk:
+    """Ask for a slot; ``target`` is empty if any target of the service will do.
+
+    ``aim_at`` and ``end_at`` (seconds) are when the answer is due to be in time, and
+    when nobody waits for it any more.
+    """
+
+    id: str
+    instance: str
+    target: str
+    priority: int
+    aim_at: float
+    end_at: float
+    data_centre: str = ""
+
+
+@attrs.frozen
+class SlotGranted:
+    """Let a request go to a target."""
+
+    ask: SlotAsk
+    number: int
+    target: str
+
+
+@attrs.frozen
+class SlotRefused:
+    """Turn a request away that has not run; ``retry_after`` in seconds."""
+
+    ask: SlotAsk
+    reason: str
+    retry_after: float
+
+
+@attrs.frozen
+class SlotResult:
+    """Tell how a request with a slot ended; ``seconds`` only if it ran."""
+
+    number: int
+    seconds: float | None = None
+    shed: bool = False
+    load: TargetLoad | None = None
+
+
+Decision = SlotGranted | SlotRefused
+
+
+class Desk:
+    """Own the queue and the slots of the targets of one service."""
+
+    def __init__(self, spread: Callable[[], float] = lambda: 0.5) -> None:
+        self.targets_by_id: dict[str, TargetSlots] = {}
+        self.waiting_by_id: dict[str, SlotAsk] = {}
+        self.mean = MeanDuration(INITIAL_MEAN)
+        self._targets_by_number: dict[int, TargetSlots] = {}
+        self._numbers = count(1)
+        self._spread = spread
+
+    def set_target(self, record: TargetRecord, warmup_rate: float, now: float) -> None:
+        """Add a target or take over its newer entry."""
+        known = self.targets_by_id.get(record.id)
+        if known is not None and known.record.started_at == record.started_at:
+            return known.update(record, warmup_rate, now)
+        slots = TargetSlots(record, warmup_rate, now, self.mean.seconds)
+        self.targets_by_id[record.id] = slots
+
+    def remove_target(self, target: str) -> list[Decision]:
+        """Drop a target; requests that wait for it are turned away."""
+        self.targets_by_id.pop(target, None)
+        return [
+            self._refuse(ask, "target is gone", SHORTEST_RETURN)
+            for ask in list(self.waiting_by_id.values())
+            if ask.target == target
+        ]
+
+    def ask(self, ask: SlotAsk, now: float) -> list[Decision]:
+        """Grant a slot, let the request wait, or turn it away."""
+        if ask.target and ask.target not in self.targets_by_id:
+            return [SlotRefused(ask, "target is not known", SHORTEST_RETURN)]
+        start, expected = self._estimate(ask, now)
+        room = ask.end_at - now
+        if expected > room or start + expected > room * LATE_MARGIN and start > 0:
+            return [self._turned_away(ask, "no room before the deadline", start, now)]
+        in_time = ask.aim_at - now
+        if start > 0 and start + expected > in_time * AIM_MARGIN:
+            reason = "no room within the target latency"
+            return [self._turned_away(ask, reason, start, now)]
+        self.waiting_by_id[ask.id] = ask
+        return self.dispatch(now)
+
+    def _estimate(self, ask: SlotAsk, now: float) -> tuple[float, float]:
+        """Return the seconds until the request could start, and those it takes."""
+        targets = self._candidates(ask)
+        if not targets:
+            return float("inf"), self.mean.seconds
+        mean = sum(target.mean.seconds for target in targets) / len(targets)
+        ahead = [
+            mean
+            for other in self.waiting_by_id.values()
+            if other.target == ask.target and other.priority <= ask.priority
+        ]
+        running = [left for target in targets for left in target.running(now)]
+        free = sum(target.free_slots(now) for target in targets)
+        held = sum(target.next_room(now) for target in targets) / len(targets)
+        return start_delay(running, free, ahead, mean) + held, mean
+
+    def _candidates(self, ask: SlotAsk) -> list[TargetSlots]:
+        if ask.target:
+            return [self.targets_by_id[ask.target]]
+        return [t for t in self.targets_by_id.values() if not t.record.leaving]
+
+    def _turned_away(
+        self, ask: SlotAsk, reason: str, start: float, now: float
+    ) -> SlotRefused:
+        # Callers return spread over the time in which a slot becomes free, or all
+        # of them would meet the same queue again.
+        wait = start if start != float("inf") else ask.end_at - now
+        wait = max(SHORTEST_RETURN, wait) * (0.75 + 0.5 * self._spread())
+        return SlotRefused(ask, reason, wait)
+
+    def _refuse(self, ask: SlotAsk, reason: str, retry_after: float) -> SlotRefused:
+        self.waiting_by_id.pop(ask.id, None)
+        return SlotRefused(ask, reason, retry_after)
+
+    def dispatch(self, now: float) -> list[Decision]:
+        """Grant free slots to the waiting requests, the most urgent first."""
+        decisions: list[Decision] = []
+        full: set[str] = set()
+        for ask in sorted(self.waiting_by_id.values(), key=self._urgency(now)):
+            if ask.target in full:
+                continue
+            target = self._choose(ask, now)
+            if target is None:
+                full.add(ask.target)
+                continue
+            del self.waiting_by_id[ask.id]
+            if now + target.mean.seconds / 2 > ask.end_at:
+                reason = "no time left for the work"
+                decisions.append(SlotRefused(ask, reason, SHORTEST_RETURN))
+                continue
+            decisions.append(self._grant(ask, target, now))
+        return decisions
+
+    def _urgency(self, now: float) -> Callable[[SlotAsk], tuple]:
+        """Order by who can still be in time, then by priority and age."""
+        soonest = now + self.mean.seconds
+
+        def key(ask: SlotAsk) -> tuple:
+            return (ask.aim_at < soonest, ask.priority, ask.aim_at)
+
+        return key
+
+    def _choose(self, ask: SlotAsk, now: float) -> TargetSlots | None:
+        free = [t for t in self._candidates(ask) if t.free_slots(now) > 0]
+        if not free:
+            return None
+
+        def cost(target: TargetSlots) -> float:
+            near = target.record.data_centre == ask.data_centre
+            return target.expected(now) * (1.0 if near else DISTANCE_FACTOR)
+
+        return min(free, key=cost)
+
+    def _grant(self, ask: SlotAsk, target: TargetSlots, now: float) -> SlotGranted:
+        slot = HeldSlot(
+            number=next(self._numbers),
+            ask_id=ask.id,
+            target=target.record.id,
+            instance=ask.instance,
+            since=now,
+            expires_at=ask.end_at + HOLD_SLACK,
+        )
+        target.take(slot, now)
+        self._targets_by_number[slot.number] = target
+        return SlotGranted(ask, slot.number, slot.target)
+
+    def give_back(self, result: SlotResult, now: float) -> list[Decision]:
+        """Free a slot and learn from how its request went."""
+        target = self._targets_by_number.pop(result.number, None)
+        if target is None:
+            return []
+        target.give_back(result.number)
+        if result.seconds is not None:
+            target.note_done(result.seconds)
+            self.mean.add(result.seconds)
+        if result.load is not None:
+            target.note_load(result.load, now)
+        if result.shed:
+            target.note_shed(now)
+        return self.dispatch(now)
+
+    def withdraw(self, ask_id: str, now: float) -> list[Decision]:
+        """Drop a request whose caller has left, with the slot it may hold."""
+        if self.waiting_by_id.pop(ask_id, None) is not None:
+            return []
+        for number, target in self._targets_by_number.items():
+            if target.held_by_number[number].ask_id == ask_id:
+                return self.give_back(SlotResult(number), now)
+        return []
+
+    def release_instance(self, instance: str, now: float) -> list[Decision]:
+        """Free what a lost instance held: targets end work with its connection."""
+        for ask in list(self.waiting_by_id.values()):
+            if ask.instance == instance:
+                del self.waiting_by_id[ask.id]
+        for number, target in list(self._targets_by_number.items()):
+            if target.held_by_number[number].instance == instance:
+                del self._targets_by_number[number]
+                target.give_back(number)
+        return self.dispatch(now)
+
+    def tick(self, now: float) -> list[Decision]:
+        """Turn away what cannot be served any more and free lost slots."""
+        for number, target in list(self._targets_by_number.items()):
+            if target.held_by_number[number].expires_at <= now:
+                del self._targets_by_number[number]
+                target.give_back(number)
+        refused = [
+            self._refuse(ask, "no slot before the deadline", SHORTEST_RETURN)
+            for ask in list(self.waiting_by_id.values())
+            if now + self.mean.seconds / 2 > ask.end_at
+        ]
+        return [*refused, *self.dispatch(now)]
--- /dev/null
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -0,0 +1,119 @@
+"""Count the slots of one target and pace a cold one."""
+
+import attrs
+
+from ..accounts import TokenBucket
+from ..traffic import TargetRecord
+from .estimates import MeanDuration, remaining_work
+
+__all__ = ["HeldSlot", "TargetLoad", "TargetSlots"]
+
+COLD_BURST = 2.0  # requests a cold target gets at once
+SHED_PAUSE = 0.25  # seconds in which a target that shed a request gets no new one
+LOAD_AGE_LIMIT = 0.5  # seconds after which a target's report says nothing any more
+SLOWEST_PACE = 10.0  # reports beyond this factor are taken as this factor
+
+
+@attrs.frozen
+class TargetLoad:
+    """Hold what a target told of its load; ``pace`` 1 is its usual speed."""
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    pace: float = 1.0
+
+
+@attrs.define(eq=False)
+class HeldSlot:
+    """Hold one slot for a request of an instance; times in seconds."""
+
+    number: int
+    ask_id: str
+    target: str
+    instance: str
+    since: float
+    expires_at: float
+
+
+class TargetSlots:
+    """Own the slots of one target."""
+
+    def __init__(
+        self, record: TargetRecord, warmup_rate: float, now: float, mean: float
+    ) -> None:
+        self.record = record
+        self.held_by_number: dict[int, HeldSlot] = {}
+        self.mean = MeanDuration(mean)
+        self._paused_until = float("-inf")
+        self._pace = 1.0
+        self._pace_at = float("-inf")
+        self._cold_until = now + record.cold_for
+        self._bucket = TokenBucket(warmup_rate, COLD_BURST, now, COLD_BURST)
+
+    def update(self, record: TargetRecord, warmup_rate: float, now: float) -> None:
+        """Take over a newer entry of the same process."""
+        if record.cold_for > 0:
+            self._cold_until = now + record.cold_for
+        if warmup_rate != self._bucket.rate:
+            self._bucket.change(warmup_rate, COLD_BURST, now)
+        self.record = record
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target takes requests only at its warm-up rate."""
+        return self._bucket.rate > 0 and now < self._cold_until
+
+    def free_slots(self, now: float) -> int:
+        """Return how many requests the target can take now."""
+        if self.record.leaving or now < self._paused_until:
+            return 0
+        free = max(0, self.record.slots - len(self.held_by_number))
+        if free and self.is_cold(now):
+            self._bucket.refill(now)
+            free = min(free, int(self._bucket.level))
+        return free
+
+    def take(self, slot: HeldSlot, now: float) -> None:
+        """Hold a slot."""
+        self.held_by_number[slot.number] = slot
+        if self.is_cold(now):
+            self._bucket.refill(now)
+            self._bucket.level -= 1
+
+    def give_back(self, number: int) -> HeldSlot | None:
+        """Free a slot."""
+        return self.held_by_number.pop(number, None)
+
+    def note_done(self, seconds: float) -> None:
+        """Take in the duration of a request that ran."""
+        self.mean.add(seconds)
+
+    def note_load(self, load: TargetLoad, now: float) -> None:
+        """Take in what the target told."""
+        self._pace = min(SLOWEST_PACE, max(0.1, load.pace))
+        self._pace_at = now
+
+    def note_shed(self, now: float) -> None:
+        """Pause after the target refused a request for want of room."""
+        self._paused_until = now + SHED_PAUSE
+
+    def expected(self, now: float) -> float:
+        """Return the expected duration of a request that starts now."""
+        recent = now - self._pace_at <= LOAD_AGE_LIMIT
+        return self.mean.seconds * (self._pace if recent else 1.0)
+
+    def running(self, now: float) -> list[float]:
+        """Return the remaining seconds of the requests that hold a slot."""
+        mean = self.mean.seconds
+        return [
+            remaining_work(now - slot.since, mean)
+            for slot in self.held_by_number.values()
+        ]
+
+    def next_room(self, now: float) -> float:
+        """Return the seconds until a pause or the warm-up lets a request through."""
+        wait = max(0.0, self._paused_until - now)
+        if self.is_cold(now):
+            self._bucket.refill(now)
+            wait = max(wait, self._bucket.time_until(1.0))
+        return wait
--- a/packages/core/src/fireflystand_core/messages/__init__.py
+++ b/packages/core/src/fireflystand_core/messages/__init__.py
@@ -1,7 +1,8 @@
 """Define the messages between instances and their msgpack codec."""
 
-from . import kinds, registry
+from . import dispatch, kinds, registry
+from .dispatch import *  # noqa: F403
 from .kinds import *  # noqa: F403
 from .registry import *  # noqa: F403
 
-__all__ = [*kinds.__all__, *registry.__all__]
+__all__ = [*dispatch.__all__, *kinds.__all__, *registry.__all__]
--- /dev/null
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -0,0 +1,127 @@
+"""Record which target owns which range of a service's keys."""
+
+from bisect import bisect_right
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+__all__ = ["KEY_SPACE", "KeyRange", "RangeRecord"]
+
+KEY_SPACE = 65536  # routing keys are numbers from 0 to 65535
+
+
+@attrs.frozen
+class KeyRange:
+    """Assign the keys ``first`` to ``last`` (both inclusive) to one target.
+
+    An empty ``target`` is a range without an owner. ``fence`` is above every fence
+    under which another target, or another process of this target, had the range.
+    ``handover`` is what the last owner gave when it released the range.
+    """
+
+    first: int
+    last: int
+    target: str = ""
+    started_at: int = 0
+    fence: int = 0
+    handover: str = ""
+
+    @property
+    def size(self) -> int:
+        """Return the number of keys."""
+        return self.last - self.first + 1
+
+    def without(self, holes: Iterable[tuple[int, int]]) -> list["KeyRange"]:
+        """Return what is left of the range outside the holes, in order."""
+        pieces = [self]
+        for first, last in holes:
+            pieces = [part for item in pieces for part in _outside([item], first, last)]
+        return pieces
+
+
+@attrs.frozen
+class RangeRecord:
+    """Hold the ranges of a service in order, without gaps, and its coordinator.
+
+    ``epoch`` counts the claims of coordinators; ``next_fence`` only increases.
+    ``holder`` and ``holder_incarnation`` name the process that may change it.
+    """
+
+    service: str
+    ranges: tuple[KeyRange, ...] = (KeyRange(0, KEY_SPACE - 1),)
+    next_fence: int = 1
+    epoch: int = 0
+    holder: str = ""
+    holder_incarnation: str = ""
+    _firsts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
+
+    @_firsts.default
+    def _index(self) -> tuple[int, ...]:
+        return tuple(item.first for item in self.ranges)
+
+    def owner(self, key: int) -> KeyRange:
+        """Return the range of a key."""
+        return self.ranges[bisect_right(self._firsts, key) - 1]
+
+    def assign(
+        self,
+        first: int,
+        last: int,
+        target: str,
+        started_at: int = 0,
+        handover: str = "",
+    ) -> "RangeRecord":
+        """Give the keys to a target under a new fence."""
+        fence = self.next_fence
+        given = KeyRange(first, last, target, started_at, fence, handover)
+        ranges = [*_outside(self.ranges, first, last), given]
+        ranges.sort(key=lambda item: item.first)
+        return attrs.evolve(self, ranges=tuple(ranges), next_fence=fence + 1)
+
+    def claim(self, holder: str, incarnation: str) -> "RangeRecord":
+        """Start the epoch of another coordinator."""
+        return attrs.evolve(
+            self,
+            epoch=self.epoch + 1,
+            holder=holder,
+            holder_incarnation=incarnation,
+        )
+
+    def owned_by(self, target: str) -> list[KeyRange]:
+        """Return the ranges of a target."""
+        return [item for item in self.ranges if item.target == target]
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the form that is kept in the store."""
+        return {
+            "service": self.service,
+            "epoch": self.epoch,
+            "holder": self.holder,
+            "holder_incarnation": self.holder_incarnation,
+            "next_fence": self.next_fence,
+            "ranges": [list(attrs.astuple(item)) for item in self.ranges],
+        }
+
+    @classmethod
+    def from_value(cls, value: dict[str, Any]) -> "RangeRecord":
+        """Return the record of a stored form."""
+        return cls(
+            service=value["service"],
+            ranges=tuple(KeyRange(*item) for item in value["ranges"]),
+            next_fence=value["next_fence"],
+            epoch=value["epoch"],
+            holder=value["holder"],
+            holder_incarnation=value["holder_incarnation"],
+        )
+
+
+def _outside(ranges: Iterable[KeyRange], first: int, last: int):
+    for item in ranges:
+        if item.last < first or item.first > last:
+            yield item
+            continue
+        if item.first < first:
+            yield attrs.evolve(item, last=first - 1)
+        if item.last > last:
+            yield attrs.evolve(item, first=last + 1)
--- /dev/null
+++ b/packages/core/src/fireflystand_core/replica.py
@@ -0,0 +1,113 @@
+"""Keep a copy of one kind of the store's objects, with the age of its proof."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+__all__ = ["KindReplica", "ObjectChange"]
+
+# Revisions for which a deletion is remembered. A peer's push of an older version
+# may arrive within seconds of it; a store takes hundreds of writes a second.
+DELETIONS_KEPT = 100_000
+
+
+@attrs.frozen
+class ObjectChange:
+    """Carry one change of an object; ``value`` is None once it was deleted."""
+
+    name: str
+    version: int
+    value: Any
+
+
+@attrs.define
+class KindReplica:
+    """Hold the objects of a kind, complete as of a revision of the store.
+
+    ``changed`` is the revision of the last change and ``confirmed_at`` the latest
+    moment (seconds) at which the copy is known to have been complete. No object
+    ever goes back to an older version.
+    """
+
+    kind: str
+    revision: int = 0
+    changed: int = 0
+    confirmed_at: float = float("-inf")
+    by_name: dict[str, ObjectChange] = attrs.field(factory=dict)
+    deleted_by_name: dict[str, int] = attrs.field(factory=dict)
+
+    def replace(
+        self, revision: int, items: Iterable[ObjectChange], asked_at: float
+    ) -> list[ObjectChange]:
+        """Take over a complete list and return what changed."""
+        if revision < self.revision:
+            return []
+        new_by_name = {item.name: item for item in items}
+        changes = [
+            ObjectChange(name, revision, None)
+            for name, known in self.by_name.items()
+            if name not in new_by_name and known.version <= revision
+        ]
+        changes += [item for item in new_by_name.values() if self._is_newer(item)]
+        self._take(changes)
+        self._confirm(revision, asked_at)
+        return changes
+
+    def apply(
+        self,
+        since: int,
+        revision: int,
+        events: Iterable[ObjectChange],
+        asked_at: float,
+    ) -> list[ObjectChange]:
+        """Apply the changes after ``since`` and return those that were new.
+
+        Without the changes up to ``since`` the copy takes what it is told, but is
+        not complete as of the revision.
+        """
+        latest_by_name: dict[str, ObjectChange] = {}
+        for event in events:
+            latest_by_name[event.name] = event
+        changes = [event for event in latest_by_name.values() if self._is_newer(event)]
+        self._take(changes)
+        if since <= self.revision <= revision:
+            self._confirm(revision, asked_at)
+        return changes
+
+    def _is_newer(self, change: ObjectChange) -> bool:
+        known = self.by_name.get(change.name)
+        if known is not None:
+            return change.version > known.version
+        return change.value is not None and change.version > self._deleted_at(change)
+
+    def _deleted_at(self, change: ObjectChange) -> int:
+        return self.deleted_by_name.get(change.name, 0)
+
+    def _take(self, changes: list[ObjectChange]) -> None:
+        for change in changes:
+            self.changed = max(self.changed, change.version)
+            if change.value is None:
+                self.by_name.pop(change.name, None)
+                self.deleted_by_name[change.name] = change.version
+            else:
+                self.by_name[change.name] = change
+
+    def _confirm(self, revision: int, asked_at: float) -> None:
+        self.revision = revision
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        # Nothing older than the revision can arrive as new any more.
+        self.deleted_by_name = {
+            name: version
+            for name, version in self.deleted_by_name.items()
+            if version > revision - DELETIONS_KEPT
+        }
+
+    def confirm(self, revision: int, changed: int, at: float) -> bool:
+        """Take over the proof of a peer's copy; False if that copy holds changes."""
+        if changed > self.revision:
+            return False
+        if revision >= self.revision > 0:
+            self.revision = revision
+            self.confirmed_at = max(self.confirmed_at, at)
+        return True
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/mesh.py
@@ -0,0 +1,184 @@
+"""Keep in touch with the other instances."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import trio
+
+from fireflystand_core.messages import Beat, KindProof
+from fireflystand_core.sharding import rendezvous_order
+
+from ..events import PEER_LOST, PEER_REGAINED, emit
+from ..peers import PeerLink, PeerNetwork, PeerUnavailableError
+from .clock import lease_clock
+from .state import RoutingState
+
+__all__ = ["BEAT_INTERVAL", "Mesh"]
+
+BEAT_INTERVAL = 0.5  # seconds; a lost peer is noticed within three of them
+BEAT_TIMEOUT = 0.7  # seconds; a frozen or cut off peer answers nothing
+BEATS_AT_ONCE = 24  # peers asked in one interval, so that the cost stays bounded
+LIVE_ROUNDS = 2.6  # missed rounds of beats until a peer counts as lost
+
+
+class Mesh:
+    """Own the beats between instances and the set of those that live."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        state: RoutingState,
+        *,
+        random: Random | None = None,
+    ) -> None:
+        self.network = network
+        self.own_id = network.hello.instance
+        self.incarnation = network.hello.incarnation
+        self._state = state
+        self._random = random or Random()
+        self._on_proofs: Callable[[str, Beat], None] = lambda peer, beat: None
+        self._on_lost: Callable[[str], None] = lambda peer: None
+        self._heard_at_by_id: dict[str, float] = {}
+        self._lost_since_by_id: dict[str, float] = {}
+        self._round: list[str] = []
+        self._homes_by_name: dict[str, str] = {}
+        self.generation = 0  # counts changes of the set of live instances
+        self.incarnations_by_id: dict[str, str] = {}
+        network.handle(Beat, self._answer_beat)
+        network.on_stream_end = self._stream_ended
+
+    def listen(
+        self,
+        on_proofs: Callable[[str, Beat], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        """Report the peers' beats, and each peer that is lost."""
+        self._on_proofs = on_proofs
+        self._on_lost = on_lost
+
+    @property
+    def live(self) -> list[str]:
+        """Return the instances in touch, with this one."""
+        return [self.own_id, *self._heard_at_by_id]
+
+    def is_live(self, instance: str) -> bool:
+        """Tell whether an instance is in touch."""
+        return instance == self.own_id or instance in self._heard_at_by_id
+
+    def lost_for(self, instance: str) -> float:
+        """Return for how many seconds an instance has been lost; 0 if it is not."""
+        if self.is_live(instance):
+            return 0.0
+        now = lease_clock()
+        return now - self._lost_since_by_id.setdefault(instance, now)
+
+    @property
+    def visible_share(self) -> float:
+        """Return the part of the registered instances that is in touch."""
+        registered = set(self._state.instances_by_id) | {self.own_id}
+        return len(registered & set(self.live)) / len(registered)
+
+    def home(self, name: str) -> str:
+        """Return the instance that decides about ``name``."""
+        home = self._homes_by_name.get(name)
+        if home is None:
+            home = rendezvous_order(name, self.live)[0]
+            self._homes_by_name[name] = home
+        return home
+
+    def rank(self, name: str) -> int:
+        """Return this instance's place in the order for ``name``; 0 is first."""
+        return rendezvous_order(name, self.live).index(self.own_id)
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for peer in self._next_peers():
+                    nursery.start_soon(self._beat, peer)
+                self._expire()
+                await trio.sleep(BEAT_INTERVAL)
+
+    def _next_peers(self) -> Iterable[str]:
+        peers = set(self._state.instances_by_id) - {self.own_id}
+        self._round = [peer for peer in self._round if peer in peers]
+        if not self._round:
+            self._round = sorted(peers)
+            self._random.shuffle(self._round)
+        chosen = self._round[:BEATS_AT_ONCE]
+        self._round = self._round[BEATS_AT_ONCE:]
+        return chosen
+
+    def refresh_addresses(self) -> None:
+        """Take over the registered addresses of the peers."""
+        for record in self._state.instances_by_id.values():
+            if record.id != self.own_id:
+                self.network.set_address(record.id, record.address)
+        for peer in list(self.network.addresses_by_id):
+            if peer not in self._state.instances_by_id and ":" not in peer:
+                self.network.forget(peer)
+                self._lose(peer, "not registered")
+
+    def beat(self) -> Beat:
+        """Return this instance's beat."""
+        proofs = [
+            KindProof(kind, replica.revision, replica.changed, self._age(kind))
+            for kind, replica in self._state.replicas_by_kind.items()
+            if replica.revision
+        ]
+        return Beat(self.own_id, self.incarnation, proofs)
+
+    def _age(self, kind: str) -> float:
+        return round(self._state.proof_age(kind), 4)
+
+    async def _beat(self, peer: str) -> None:
+        try:
+            answer = await self.network.request(peer, self.beat(), BEAT_TIMEOUT)
+        except PeerUnavailableError as error:
+            if error.refused:
+                self._lose(peer, "connection refused")
+            elif error.step == "Beat":
+                # The stream may have gone silent while new ones work.
+                self.network.reset(peer)
+            return
+        if isinstance(answer, Beat):
+            self._take_beat(answer)
+
+    async def _answer_beat(self, beat: Beat, link: PeerLink) -> Beat:
+        self._take_beat(beat)
+        return self.beat()
+
+    def _take_beat(self, beat: Beat) -> None:
+        peer = beat.instance
+        if peer == self.own_id:
+            return
+        if peer not in self._heard_at_by_id:
+            self._live_changed()
+            self._lost_since_by_id.pop(peer, None)
+            emit(PEER_REGAINED, peer=peer, incarnation=beat.incarnation)
+        self._heard_at_by_id[peer] = lease_clock()
+        self.incarnations_by_id[peer] = beat.incarnation
+        self._on_proofs(peer, beat)
+
+    def _expire(self) -> None:
+        rounds = 1 + len(self._state.instances_by_id) // BEATS_AT_ONCE
+        oldest = lease_clock() - BEAT_INTERVAL * LIVE_ROUNDS * rounds
+        for peer, heard_at in list(self._heard_at_by_id.items()):
+            if heard_at < oldest:
+                self._lose(peer, "no beats")
+
+    def _live_changed(self) -> None:
+        self._homes_by_name.clear()
+        self.generation += 1
+
+    def _stream_ended(self, peer: str, refused: bool) -> None:
+        if refused:
+            self._lose(peer, "connection refused")
+
+    def _lose(self, peer: str, reason: str) -> None:
+        if self._heard_at_by_id.pop(peer, None) is None:
+            return
+        self._live_changed()
+        self._lost_since_by_id.setdefault(peer, lease_clock())
+        emit(PEER_LOST, peer=peer, reason=reason)
+        self._on_lost(peer)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -0,0 +1,311 @@
+"""Assemble one instance that keeps everything it agrees on in the store."""
+
+import uuid
+from random import Random
+
+import attrs
+import trio
+
+from fireflystand_core.exceptions import (
+    ProtocolError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from fireflystand_core.messages import Hello
+from fireflystand_core.replica import ObjectChange
+
+from ..entry import CallerInterface, EntryServer
+from ..events import (
+    INSTANCE_STARTED,
+    INSTANCE_STOPPED,
+    INSTANCE_STOPPING,
+    REGISTRATION_FAILED,
+    emit,
+)
+from ..forward import Forwarder
+from ..health import HealthServer, Readiness
+from ..http_client import split_address
+from ..metrics import Metrics
+from ..peers import PeerNetwork
+from .clock import lease_clock
+from .crashes import CrashWatch
+from .flow import DispatchFlow
+from .mesh import Mesh
+from .ownership import OwnershipHost
+from .ports import (
+    CONFIGURATION,
+    INSTANCES,
+    TARGETS,
+    DispatchSettings,
+    ReadTable,
+    ReadTarget,
+    StorePort,
+    TargetControlPort,
+)
+from .quotas import SharedRates
+from .ranges import RangeCoordinator
+from .replicas import ReplicaKeeper
+from .slots import SlotClient, SlotHost
+from .state import RoutingState
+from .work import WorkLog
+
+__all__ = ["DispatchNode"]
+
+REGISTER_RETRY = 0.3  # seconds
+CONNECTIONS_PER_TARGET = 8  # an instance's part of what a target accepts in total
+# Callers are sent elsewhere after two failed probes, one a second.
+STOP_NOTICE = 2.3  # seconds between failing readiness and closing the listener
+STOP_RESERVE = 0.4  # seconds of the grace period left for closing
+SEED_INTERVAL = 0.5  # seconds between two questions to the seeds
+EXPIRE_INTERVAL = 0.1  # seconds
+# A registered instance that nobody reaches is gone for good, not restarting.
+FORGET_AFTER = 20.0  # seconds
+FORGET_INTERVAL = 2.0  # seconds
+
+
+class DispatchNode:
+    """Own every part of one instance."""
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        store: StorePort,
+        control: TargetControlPort,
+        read_table: ReadTable,
+        read_target: ReadTarget,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.control = control
+        self.readiness = Readiness()
+        self.metrics = Metrics(None)
+        self.state = RoutingState(read_table, read_target)
+        random = Random(uuid.uuid4().int)
+        hello = Hello(
+            settings.instance,
+            uuid.uuid4().hex,
+            settings.data_centre,
+            settings.peer_address,
+        )
+        self.network = PeerNetwork(hello)
+        self.mesh = Mesh(self.network, self.state, random=random)
+        self.keeper = ReplicaKeeper(store, self.state, self.mesh)
+        self.slot_host = SlotHost(self.state, self.mesh, random)
+        slots = SlotClient(self.slot_host, self.mesh, self.state, settings.data_centre)
+        self.mesh.listen(self.keeper.take_proofs, self.slot_host.instance_lost)
+        self.rates = SharedRates(self.state, self.mesh)
+        self.crashes = CrashWatch(self.mesh)
+        self.work = WorkLog(self.state, self.mesh)
+        self.ownership = OwnershipHost(self.state, self.mesh, self._coordinator)
+        self.work.take_own = self.ownership.take_report
+        self.forwarder = Forwarder(CONNECTIONS_PER_TARGET, settings.target_interface)
+        self.flow = DispatchFlow(
+            settings=settings,
+            state=self.state,
+            rates=self.rates,
+            slots=slots,
+            crashes=self.crashes,
+            forwarder=self.forwarder,
+            work=self.work,
+            metrics=self.metrics,
+            random=random,
+        )
+        self.entry = self._entry()
+        self.health = self._health()
+        self.state.listeners.append(self._note_deaths)
+        self._known_processes: dict[str, int] = {}
+        self._scope = trio.CancelScope()
+
+    def _coordinator(self, service: str) -> RangeCoordinator:
+        bounds = self.settings.bounds
+        return RangeCoordinator(
+            service,
+            store=self.store,
+            control=self.control,
+            state=self.state,
+            mesh=self.mesh,
+            holds=bounds.holds,
+            longest_hold=bounds.longest_hold,
+            push=self.keeper.push,
+            store_age=lambda: self.keeper.store_age,
+        )
+
+    def _entry(self) -> EntryServer:
+        host, port = split_address(self.settings.caller_address)
+        return EntryServer(
+            self.flow,
+            self.metrics,
+            interface=self._caller_interface,
+            host=host,
+            port=port,
+            grace_period=STOP_NOTICE,
+            drain_timeout=max(
+                0.5, self.settings.bounds.stop_grace - STOP_NOTICE - STOP_RESERVE
+            ),
+        )
+
+    def _caller_interface(self) -> CallerInterface:
+        interface = self.settings.caller_interface
+        table = self.state.table
+        if table is None:
+            return interface
+        limits = table.limits
+        return attrs.evolve(
+            interface,
+            header_limit=limits.header_bytes,
+            header_timeout=limits.header_timeout,
+            idle_timeout=limits.idle_timeout,
+        )
+
+    def _health(self) -> HealthServer:
+        conditions = self.readiness.conditions_by_name
+        conditions["configuration"] = self._why_without_configuration
+        host, port = split_address(self.settings.ready_address)
+        return HealthServer(
+            self.readiness,
+            state=self.summary,
+            explain=lambda service, key: {},
+            host=host,
+            port=port,
+            ready_path=self.settings.ready_path,
+        )
+
+    def _why_without_configuration(self) -> str:
+        if self.state.table is None:
+            return "no configuration is known"
+        age = self.state.proof_age(CONFIGURATION)
+        if age > self.settings.bounds.api_key_withdrawal:
+            return "API keys are not confirmed"
+        return ""
+
+    def summary(self) -> dict:
+        """Return what this instance believes, for operators."""
+        table = self.state.table
+        return {
+            "instance": self.settings.instance,
+            "configuration": table.version if table else None,
+            "live": self.mesh.live,
+            "targets": sorted(self.state.targets_by_id),
+            "coordinates": [
+                service
+                for service, coordinator in (
+                    self.ownership.coordinators_by_service.items()
+                )
+                if coordinator.leading
+            ],
+        }
+
+    def _note_deaths(self, kind: str) -> None:
+        """Blame requests for the end of the target that ran them."""
+        if kind != TARGETS:
+            return
+        current = {t.id: t.started_at for t in self.state.targets_by_id.values()}
+        for target, started_at in self._known_processes.items():
+            if current.get(target) != started_at:
+                self.crashes.note_dead(target)
+        self._known_processes = current
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until stopped."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                await self.health.start(nursery)
+                await self.network.start(nursery)
+                await self.forwarder.start(nursery)
+                for run in (
+                    self.keeper.run,
+                    self.mesh.run,
+                    self.slot_host.run,
+                    self.work.run,
+                    self.ownership.run,
+                    self._register,
+                    self._ask_seeds,
+                    self._expire,
+                    self._forget_instances,
+                ):
+                    nursery.start_soon(run)
+                await self.entry.start(nursery)
+                emit(
+                    INSTANCE_STARTED,
+                    instance=self.settings.instance,
+                    incarnation=self.network.hello.incarnation,
+                    data_centre=self.settings.data_centre,
+                )
+                task_status.started()
+
+    async def stop(self) -> None:
+        """Stop gracefully: hand over, finish requests, then close everything."""
+        leading = [
+            c for c in self.ownership.coordinators_by_service.values() if c.leading
+        ]
+        emit(INSTANCE_STOPPING, groups=len(leading))
+        self.readiness.stop()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.ownership.stop)
+            nursery.start_soon(self.entry.close)
+        with trio.move_on_after(STOP_RESERVE / 2):
+            await self.store.close()
+            await self.control.close()
+            await self.forwarder.close()
+        self._scope.cancel()
+        emit(INSTANCE_STOPPED, instance=self.settings.instance)
+
+    async def _register(self) -> None:
+        """Write where this process listens, and keep that entry."""
+        hello = self.network.hello
+        value = {
+            "incarnation": hello.incarnation,
+            "address": self.network.address,
+            "data_centre": hello.data_centre,
+        }
+        while True:
+            known = self.state.instances_by_id.get(hello.instance)
+            if known is not None and known.incarnation == hello.incarnation:
+                await self.state.wait_for_change(FORGET_INTERVAL)
+                continue
+            try:
+                version = await self.store.put(INSTANCES, hello.instance, value, None)
+            except (
+                StoreUnavailableError,
+                StoreConflictError,
+                ProtocolError,
+            ) as error:
+                emit(REGISTRATION_FAILED, error)
+                await trio.sleep(REGISTER_RETRY)
+                continue
+            change = ObjectChange(hello.instance, version, value)
+            self.state.apply(INSTANCES, version, version, [change], lease_clock())
+
+    async def _ask_seeds(self) -> None:
+        """Learn from seeds while the store has not told the configuration."""
+        own = self.settings.peer_address
+        seeds = [seed for seed in self.settings.seeds if seed != own]
+        await trio.sleep(SEED_INTERVAL)
+        while self.state.table is None and seeds:
+            for seed in seeds:
+                await self.keeper.pull_from(seed)
+            await trio.sleep(SEED_INTERVAL)
+
+    async def _expire(self) -> None:
+        while True:
+            await trio.sleep(EXPIRE_INTERVAL)
+            self.state.expire()
+
+    async def _forget_instances(self) -> None:
+        """Delete the entries of instances that were removed for good."""
+        while True:
+            await trio.sleep(FORGET_INTERVAL)
+            if self.mesh.visible_share < 0.5 or self.mesh.rank("registry") > 0:
+                continue
+            replica = self.state.replicas_by_kind[INSTANCES]
+            for name, change in list(replica.by_name.items()):
+                if self.mesh.lost_for(name) < FORGET_AFTER:
+                    continue
+                try:
+                    await self.store.delete(INSTANCES, name, change.version)
+                except (
+                    StoreUnavailableError,
+                    StoreConflictError,
+                    ProtocolError,
+                ) as error:
+                    emit(REGISTRATION_FAILED, error)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/ownership.py
@@ -0,0 +1,81 @@
+"""Run the coordinators of all services that are divided by key."""
+
+from collections.abc import Callable
+
+import trio
+
+from fireflystand_core.messages import (
+    CoordinatorResigned,
+    RangesFrozen,
+    WorkReport,
+)
+
+from ..peers import PeerLink
+from .mesh import Mesh
+from .ports import CONFIGURATION
+from .ranges import RangeCoordinator
+from .state import FrozenRange, RoutingState
+
+__all__ = ["OwnershipHost"]
+
+
+class OwnershipHost:
+    """Own one coordinator for each keyed service of the configuration."""
+
+    def __init__(
+        self,
+        state: RoutingState,
+        mesh: Mesh,
+        make: Callable[[str], RangeCoordinator],
+    ) -> None:
+        self.coordinators_by_service: dict[str, RangeCoordinator] = {}
+        self._state = state
+        self._make = make
+        self._nursery: trio.Nursery | None = None
+        mesh.network.handle(RangesFrozen, self._take_freeze)
+        mesh.network.handle(CoordinatorResigned, self._take_resignation)
+        mesh.network.handle(WorkReport, self._take_report)
+        state.listeners.append(self._state_changed)
+
+    async def run(self) -> None:
+        """Coordinate until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            self._state_changed(CONFIGURATION)
+            await trio.sleep_forever()
+
+    def _state_changed(self, kind: str) -> None:
+        if kind != CONFIGURATION or self._state.table is None or not self._nursery:
+            return
+        for policy in self._state.table.services_by_name.values():
+            if policy.keyed and policy.name not in self.coordinators_by_service:
+                coordinator = self._make(policy.name)
+                self.coordinators_by_service[policy.name] = coordinator
+                self._nursery.start_soon(coordinator.run)
+
+    def take_report(self, report: WorkReport) -> None:
+        """Take in a report of the work of a service."""
+        coordinator = self.coordinators_by_service.get(report.service)
+        if coordinator is not None:
+            coordinator.load.take(report)
+
+    async def stop(self) -> None:
+        """Give all claims up."""
+        async with trio.open_nursery() as nursery:
+            for coordinator in self.coordinators_by_service.values():
+                nursery.start_soon(coordinator.stop)
+
+    async def _take_freeze(self, message: RangesFrozen, link: PeerLink) -> None:
+        until = trio.current_time() + message.seconds
+        self._state.freeze(
+            FrozenRange(message.service, message.first, message.last, until)
+        )
+
+    async def _take_resignation(
+        self, message: CoordinatorResigned, link: PeerLink
+    ) -> None:
+        coordinator = self.coordinators_by_service.get(message.service)
+        if coordinator is not None:
+            coordinator.note_resigned(message.epoch)
+
+    async def _take_report(self, report: WorkReport, link: PeerLink) -> None:
+        self.take_report(report)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -0,0 +1,161 @@
+"""Define what the router needs of the system it runs on."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+from fireflystand_core.ranges import HoldTiming, KeyRange
+from fireflystand_core.replica import ObjectChange
+from fireflystand_core.traffic import RoutingTable, TargetRecord
+
+from ..entry import CallerInterface
+from ..fields import Fields
+from ..forward import TargetInterface
+
+__all__ = [
+    "CONFIGURATION",
+    "DEPARTURES",
+    "INSTANCES",
+    "KINDS",
+    "RANGES",
+    "TARGETS",
+    "CallerFields",
+    "DispatchBounds",
+    "DispatchSettings",
+    "GrantRefusedError",
+    "KindSnapshot",
+    "ReadTable",
+    "ReadTarget",
+    "StorePort",
+    "TargetControlPort",
+    "TargetFields",
+]
+
+CONFIGURATION = "configuration"
+DEPARTURES = "departures"  # data centres whose targets get no new work
+TARGETS = "targets"
+RANGES = "ranges"
+INSTANCES = "instances"
+KINDS = (CONFIGURATION, DEPARTURES, TARGETS, RANGES, INSTANCES)
+
+
+@attrs.frozen
+class KindSnapshot:
+    """Hold objects, or changes, of a kind up to a revision of the store."""
+
+    revision: int
+    items: list[ObjectChange]
+
+
+class StorePort(Protocol):
+    """Call the object store.
+
+    Every method raises StoreUnavailableError if the store refused the call or its
+    answer did not arrive; a write may take effect then, also later.
+    """
+
+    async def list(self, kind: str) -> KindSnapshot:
+        """Return all objects of a kind."""
+
+    async def watch(self, kind: str, since: int, wait: float) -> KindSnapshot | None:
+        """Return the changes after a revision, waiting up to ``wait`` seconds.
+
+        Return None if the store no longer has all changes since then.
+        """
+
+    async def get(self, kind: str, name: str) -> ObjectChange | None:
+        """Return the latest version of an object."""
+
+    async def put(self, kind: str, name: str, value: Any, version: int | None) -> int:
+        """Write an object and return its new version.
+
+        Version 0 creates the object, None writes whatever is there. Raise
+        StoreConflictError if the store has another version.
+        """
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete an object of the given version."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class GrantRefusedError(Exception):
+    """Report a grant that the target refused because it knows a higher fence."""
+
+
+class TargetControlPort(Protocol):
+    """Give key ranges to targets and take them back.
+
+    Every method raises ConnectionFailedError if no answer arrived; the target may
+    have acted on the call, or act on it later.
+    """
+
+    async def grant(self, address: str, item: KeyRange, hold: float) -> None:
+        """Let a target hold a range for ``hold`` seconds from the call's arrival."""
+
+    async def release(self, address: str, item: KeyRange, timeout: float) -> str:
+        """End a target's hold; return its handover once its work on it has ended."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+ReadTable = Callable[[Any], RoutingTable]
+ReadTarget = Callable[[ObjectChange], TargetRecord | None]
+
+
+@attrs.frozen
+class CallerFields:
+    """Name the request fields of callers, in lower case."""
+
+    request_id: bytes = b"fireflystand-request-id"
+    deadline: bytes = b"fireflystand-deadline-ms"
+    routing_key: bytes = b"fireflystand-routing-key"
+    authorization: bytes = b"authorization"
+    scheme: bytes = b"bearer"
+
+
+@attrs.frozen
+class TargetFields:
+    """Name the request fields that the router sets for targets.
+
+    ``read_load`` returns what a response told of its target's load.
+    """
+
+    account: bytes = b"Fireflystand-Client-Account"
+    expected_target: bytes = b"Fireflystand-Target"
+    read_load: Callable[[Fields], list[float] | None] = lambda fields: None
+
+
+@attrs.frozen
+class DispatchBounds:
+    """Hold the bounds that operators set; times in seconds."""
+
+    api_key_withdrawal: float = 5.0  # until a withdrawn API key is refused everywhere
+    retry_share: float = 0.1  # requests sent again, as a part of all requests
+    retry_window: float = 10.0
+    retry_slack: float = 20.0  # requests sent again in a window beyond the share
+    stop_grace: float = 6.0  # from the signal to stop to the end of the process
+    holds: HoldTiming = attrs.field(factory=HoldTiming)
+    longest_hold: float = 10.0
+
+
+@attrs.frozen
+class DispatchSettings:
+    """Hold what one process is told; addresses are ``IP:port``."""
+
+    instance: str
+    data_centre: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str = ""
+    seeds: tuple[str, ...] = ()
+    bounds: DispatchBounds = attrs.field(factory=DispatchBounds)
+    caller_interface: CallerInterface = attrs.field(factory=CallerInterface)
+    caller_fields: CallerFields = attrs.field(factory=CallerFields)
+    target_interface: TargetInterface = attrs.field(factory=TargetInterface)
+    target_fields: TargetFields = attrs.field(factory=TargetFields)
+    ready_path: str = "/fireflystand/v1/ready"
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -0,0 +1,247 @@
+"""Obtain slots at targets from the desks that count them."""
+
+from random import Random
+
+import attrs
+import trio
+
+from fireflystand_core.dispatch import (
+    Desk,
+    SlotAsk,
+    SlotGranted,
+    SlotRefused,
+    SlotResult,
+    TargetLoad,
+)
+from fireflystand_core.messages import (
+    SlotGrant,
+    SlotRefusal,
+    SlotRequest,
+    SlotReturn,
+    SlotWithdrawal,
+)
+
+from ..events import PEER_CALL_FAILED, emit
+from ..peers import PeerLink, PeerUnavailableError
+from .mesh import Mesh
+from .state import RoutingState
+
+__all__ = ["Slot", "SlotClient", "SlotHost"]
+
+TICK = 0.05  # seconds between two looks at what waits
+# Answers of a desk arrive with the deadline at the latest, and a moment later if
+# the desk's clock started after this one.
+ANSWER_SLACK = 0.1  # seconds
+
+
+@attrs.frozen
+class Slot:
+    """Hold a slot and the instance whose desk counts it."""
+
+    service: str
+    number: int
+    target: str
+    home: str
+
+
+class SlotHost:
+    """Own the desks of all services for the targets that this instance counts."""
+
+    def __init__(self, state: RoutingState, mesh: Mesh, random: Random) -> None:
+        self.desks_by_service: dict[str, Desk] = {}
+        self._state = state
+        self._mesh = mesh
+        self._random = random
+        self._waiters: dict[str, trio.MemorySendChannel] = {}
+        mesh.network.handle(SlotRequest, self._answer)
+        mesh.network.handle(SlotReturn, self._take_return)
+        mesh.network.handle(SlotWithdrawal, self._take_withdrawal)
+        state.listeners.append(self._state_changed)
+
+    def _desk(self, service: str) -> Desk:
+        desk = self.desks_by_service.get(service)
+        if desk is None:
+            desk = self.desks_by_service[service] = Desk(self._random.random)
+        return desk
+
+    def _state_changed(self, kind: str) -> None:
+        """Follow the targets that may get work."""
+        if self._state.table is None:
+            return
+        now = trio.current_time()
+        usable_by_service: dict[str, set[str]] = {}
+        for target in self._state.targets_by_id.values():
+            if not self._state.usable(target.id):
+                continue
+            usable_by_service.setdefault(target.service, set()).add(target.id)
+            policy = self._state.table.services_by_name.get(target.service)
+            rate = policy.warmup_rate if policy else 0.0
+            self._desk(target.service).set_target(target, rate, now)
+        for service, desk in self.desks_by_service.items():
+            usable = usable_by_service.get(service, set())
+            for target_id in set(desk.targets_by_id) - usable:
+                self._deliver(desk.remove_target(target_id))
+
+    async def run(self) -> None:
+        """Turn away what waits too long, until cancelled."""
+        while True:
+            await trio.sleep(TICK)
+            now = trio.current_time()
+            for desk in self.desks_by_service.values():
+                self._deliver(desk.tick(now))
+
+    async def acquire(self, service: str, ask: SlotAsk) -> SlotGranted | SlotRefused:
+        """Wait for a decision; a cancelled call withdraws the ask."""
+        send, receive = trio.open_memory_channel(1)
+        self._waiters[ask.id] = send
+        desk = self._desk(service)
+        try:
+            self._deliver(desk.ask(ask, trio.current_time()))
+            return await receive.receive()
+        except trio.Cancelled:
+            self.withdraw(service, ask.id)
+            raise
+        finally:
+            self._waiters.pop(ask.id, None)
+
+    def _deliver(self, decisions: list[SlotGranted | SlotRefused]) -> None:
+        for decision in decisions:
+            waiter = self._waiters.pop(decision.ask.id, None)
+            if waiter is not None:
+                waiter.send_nowait(decision)
+
+    def withdraw(self, service: str, ask_id: str) -> None:
+        """Drop an ask, or free the slot that it was given."""
+        now = trio.current_time()
+        self._deliver(self._desk(service).withdraw(ask_id, now))
+
+    def give_back(self, service: str, result: SlotResult) -> None:
+        """Free a slot of one of the own desks."""
+        self._deliver(self._desk(service).give_back(result, trio.current_time()))
+
+    def instance_lost(self, instance: str) -> None:
+        """Free what a lost instance held."""
+        now = trio.current_time()
+        for desk in self.desks_by_service.values():
+            self._deliver(desk.release_instance(instance, now))
+
+    async def _answer(
+        self, request: SlotRequest, link: PeerLink
+    ) -> SlotGrant | SlotRefusal:
+        now = trio.current_time()
+        ask = SlotAsk(
+            id=request.ask_id,
+            instance=link.hello.instance,
+            target=request.target,
+            priority=request.priority,
+            aim_at=now + request.aim_left,
+            end_at=now + request.time_left,
+            data_centre=request.data_centre,
+        )
+        decision = await self.acquire(request.service, ask)
+        if isinstance(decision, SlotGranted):
+            return SlotGrant(decision.number, decision.target)
+        return SlotRefusal(decision.reason, decision.retry_after)
+
+    async def _take_return(self, message: SlotReturn, link: PeerLink) -> None:
+        self.give_back(message.service, result_of(message))
+
+    async def _take_withdrawal(self, message: SlotWithdrawal, link: PeerLink) -> None:
+        self.withdraw(message.service, message.ask_id)
+
+
+def result_of(message: SlotReturn) -> SlotResult:
+    """Return what a message tells of a request that had a slot."""
+    load = None
+    if message.load is not None:
+        running, waiting, slots, pace = message.load
+        load = TargetLoad(int(running), int(waiting), int(slots), pace)
+    return SlotResult(message.number, message.seconds, message.shed, load)
+
+
+class SlotClient:
+    """Ask the desk of a target for a slot, wherever it is."""
+
+    def __init__(
+        self, host: SlotHost, mesh: Mesh, state: RoutingState, data_centre: str
+    ) -> None:
+        self._host = host
+        self._mesh = mesh
+        self._state = state
+        self._data_centre = data_centre
+        self._number = 0
+
+    def _next_id(self) -> str:
+        self._number += 1
+        return f"{self._mesh.own_id}/{self._mesh.incarnation[:8]}/{self._number}"
+
+    async def acquire(
+        self,
+        service: str,
+        target: str,
+        priority: int,
+        aim_at: float,
+        end_at: float,
+    ) -> Slot | SlotRefusal:
+        """Wait for a slot at a target, or at any if ``target`` is empty."""
+        name = f"{service}/{target}"
+        ask_id = self._next_id()
+        home = self._mesh.home(name)
+        if home != self._mesh.own_id:
+            now = trio.current_time()
+            request = SlotRequest(
+                service=service,
+                ask_id=ask_id,
+                target=target,
+                priority=priority,
+                aim_left=aim_at - now,
+                time_left=end_at - now,
+                data_centre=self._data_centre,
+            )
+            try:
+                answer = await self._ask_peer(home, request)
+            except PeerUnavailableError as error:
+                # Without its desk a request goes by the own count: two desks may
+                # overfill a target's queue for a moment, and no request waits.
+                emit(PEER_CALL_FAILED, error, message="slot-request")
+            else:
+                if isinstance(answer, SlotGrant):
+                    return Slot(service, answer.number, answer.target, home)
+                return answer
+        ask = SlotAsk(
+            id=ask_id,
+            instance=self._mesh.own_id,
+            target=target,
+            priority=priority,
+            aim_at=aim_at,
+            end_at=end_at,
+            data_centre=self._data_centre,
+        )
+        decision = await self._host.acquire(service, ask)
+        if isinstance(decision, SlotGranted):
+            return Slot(service, decision.number, decision.target, self._mesh.own_id)
+        return SlotRefusal(decision.reason, decision.retry_after)
+
+    async def _ask_peer(self, home: str, request: SlotRequest):
+        timeout = max(ANSWER_SLACK, request.time_left + ANSWER_SLACK)
+        try:
+            return await self._mesh.network.request(home, request, timeout)
+        except trio.Cancelled:
+            withdrawal = SlotWithdrawal(request.service, request.ask_id)
+            self._send(home, withdrawal)
+            raise
+
+    def give_back(self, slot: Slot, result: SlotReturn) -> None:
+        """Return a slot to its desk."""
+        if slot.home == self._mesh.own_id:
+            self._host.give_back(slot.service, result_of(result))
+        else:
+            self._send(slot.home, result)
+
+    def _send(self, home: str, message: SlotReturn | SlotWithdrawal) -> None:
+        try:
+            self._mesh.network.send(home, message)
+        except PeerUnavailableError as error:
+            # The desk frees the slot when it notices the loss of the stream, or at
+            # the request's deadline.
+            emit(PEER_CALL_FAILED, error, message="slot-return")
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -11,7 +11,8 @@
 from ..framing import MalformedMessageError, RequestFramer
 from ..metrics import DEPARTED, MALFORMED, Metrics
 from .body import CallerBody
-from .flow import RequestFlow
+from .caller_interface import CallerInterface
+from .flow import Flow
 from .refusals import RequestRefusedError
 
 __all__ = ["CallerConnection"]
@@ -19,8 +20,6 @@
 READ_SIZE = 65536
 BUFFER_LIMIT = 64 * 1024  # unread bytes of a caller
 SEND_SIZE = 64 * 1024  # queued bytes that are sent at once
-HEADER_TIMEOUT = 10.0  # seconds for a whole header section
-IDLE_TIMEOUT = 60.0  # seconds between requests
 REFUSAL_TIMEOUT = 5.0  # seconds to write a refusal
 LINGER_TIMEOUT = 1.0  # seconds in which unread bytes are discarded
 
@@ -29,15 +28,20 @@
     """Own a caller's connection; one task reads from it, another answers."""
 
     def __init__(
-        self, stream: trio.SocketStream, flow: RequestFlow, metrics: Metrics
+        self,
+        stream: trio.SocketStream,
+        flow: Flow,
+        metrics: Metrics,
+        interface: CallerInterface | None = None,
     ) -> None:
+        self._interface = interface or CallerInterface()
         self.request_id = ""
         self.started = False
         self.busy = False
         self._stream = stream
         self._flow = flow
         self._metrics = metrics
-        self._framer = RequestFramer()
+        self._framer = RequestFramer(self._interface.header_limit)
         self._http = h11.Connection(h11.SERVER)
         self._queued = bytearray()
         self._readable = trio.Event()
@@ -130,11 +134,12 @@
         header_deadline = None
         while (head := self._framer.read_head()) is None:
             if not self._framer.buffer:
-                limit = trio.current_time() + IDLE_TIMEOUT
+                limit = trio.current_time() + self._interface.idle_timeout
                 if self._departed or self._draining:
                     return None
             elif header_deadline is None:
-                limit = header_deadline = trio.current_time() + HEADER_TIMEOUT
+                header_deadline = trio.current_time() + self._interface.header_timeout
+                limit = header_deadline
             with trio.CancelScope(deadline=limit) as scope:
                 self._idle_scope = None if self._framer.buffer else scope
                 await self._wait()
@@ -194,7 +199,7 @@
         if self.started:
             return self.abort()
         body = refusal.body(self.request_id)
-        headers = refusal.headers(self.request_id, len(body))
+        headers = refusal.headers(self.request_id, len(body), self._interface)
         if not refusal.close and (self._draining or not self._framer.complete):
             headers.append(("Connection", "close"))
         self.started = True
@@ -225,8 +230,9 @@
         if length is not None:
             headers.append((b"Content-Length", str(length).encode()))
         headers.append(VIA)
-        headers.append((b"Fireflystand-Outcome", b"answered"))
-        headers.append((b"Fireflystand-Request-Id", self.request_id.encode()))
+        if self._interface.own_fields:
+            headers.append((b"Fireflystand-Outcome", b"answered"))
+            headers.append((b"Fireflystand-Request-Id", self.request_id.encode()))
         if close or self._draining or not self._framer.complete:
             headers.append((b"Connection", b"close"))
         self.started = True
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -35,7 +35,7 @@
 from .refusals import RequestRefusedError
 from .requests import FINGERPRINT_BYTES, CallerRequest, fingerprint_of, read_request
 
-__all__ = ["RequestFlow", "Responder"]
+__all__ = ["Flow", "RequestFlow", "Responder"]
 
 KEPT_BODY_LIMIT = 64 * 1024  # bytes
 ATTEMPT_LIMIT = 5
@@ -72,6 +72,15 @@
         """Break the connection off so that the response is seen as incomplete."""
 
 
+class Flow(Protocol):
+    """Answer the requests of callers."""
+
+    async def run(
+        self, event: h11.Request, body: CallerBody, responder: Responder
+    ) -> None:
+        """Answer one request; a cancelled call means that the caller left."""
+
+
 @attrs.define
 class _Progress:
     """Tell how far a request came before its deadline."""
--- a/packages/router/src/fireflystand_router/entry/refusals.py
+++ b/packages/router/src/fireflystand_router/entry/refusals.py
@@ -1,11 +1,12 @@
 """Describe the responses that the router makes itself."""
 
 import json
-import math
 import re
 
 from fireflystand_core.exceptions import FireflystandError
 
+from .caller_interface import CallerInterface
+
 __all__ = ["RequestRefusedError"]
 
 
@@ -41,18 +42,25 @@
         }
         return json.dumps(value).encode()
 
-    def headers(self, request_id: str, size: int) -> list[tuple[str, str]]:
+    def headers(
+        self,
+        request_id: str,
+        size: int,
+        interface: CallerInterface | None = None,
+    ) -> list[tuple[str, str]]:
         """Return the response fields for a body of ``size`` bytes."""
+        interface = interface or CallerInterface()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(size)),
-            ("Fireflystand-Outcome", self.outcome),
-            ("Fireflystand-Request-Id", request_id),
-            ("Fireflystand-Reason", self.reason),
-            *self.fields.items(),
         ]
+        if interface.own_fields:
+            headers.append(("Fireflystand-Outcome", self.outcome))
+            headers.append(("Fireflystand-Request-Id", request_id))
+            headers.append(("Fireflystand-Reason", self.reason))
+        headers.extend(self.fields.items())
         if self.retry_after is not None:
-            headers.append(("Retry-After", str(max(1, math.ceil(self.retry_after)))))
+            headers.append(("Retry-After", interface.retry_after(self.retry_after)))
         if self.close:
             headers.append(("Connection", "close"))
         return headers
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -12,8 +12,9 @@
     emit,
 )
 from ..metrics import CONNECTIONS, Metrics
+from .caller_interface import CallerInterface
 from .connection import CallerConnection
-from .flow import RequestFlow
+from .flow import Flow
 
 __all__ = ["EntryServer"]
 
@@ -28,9 +29,10 @@
 
     def __init__(
         self,
-        flow: RequestFlow,
+        flow: Flow,
         metrics: Metrics,
         *,
+        interface: Callable[[], CallerInterface] = CallerInterface,
         host: str = "127.0.0.1",
         port: int = 0,
         connection_limit: int = CONNECTION_LIMIT,
@@ -39,6 +41,7 @@
     ) -> None:
         self._flow = flow
         self._metrics = metrics
+        self._interface = interface
         self._host = host
         self._port = port
         self.connection_limit = connection_limit
@@ -79,7 +82,8 @@
     async def _handle(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self.connection_limit:
             return await trio.aclose_forcefully(stream)
-        connection = CallerConnection(stream, self._flow, self._metrics)
+        interface = self._interface()
+        connection = CallerConnection(stream, self._flow, self._metrics, interface)
         self._connections.add(connection)
         self._metrics.gauge(CONNECTIONS, len(self._connections))
         try:
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -157,3 +157,147 @@
 RETURN_GIVEN_UP = define_event(
     4021, "WARNING", "permit return given up", "service", "group", "permit_id"
 )
+REQUEST_TURNED_AWAY = define_event(
+    6001,
+    "INFO",
+    "request refused, not run",
+    "request_id",
+    "status",
+    "reason",
+    "route",
+    "service",
+    "account",
+    "target",
+    "attempts",
+    "waited",
+    "configuration",
+    "proof_age",
+)
+REQUEST_FAILED = define_event(
+    6002,
+    "WARNING",
+    "request failed after it was sent",
+    "request_id",
+    "status",
+    "reason",
+    "route",
+    "service",
+    "account",
+    "target",
+    "attempts",
+    "waited",
+    "configuration",
+    "proof_age",
+)
+REQUEST_REPEATED = define_event(
+    6003, "INFO", "request sent again", "request_id", "target", "reason", "attempts"
+)
+CRASH_SUSPECTED = define_event(
+    6004,
+    "WARNING",
+    "request blamed for the end of a target",
+    "fingerprint",
+    "target",
+    "crashes",
+)
+CONFIGURATION_APPLIED = define_event(
+    6010, "INFO", "configuration applied", "version", "revision"
+)
+CONFIGURATION_UNREADABLE = define_event(
+    6011, "ERROR", "configuration cannot be read", "revision"
+)
+DEPARTURES_CHANGED = define_event(
+    6012, "INFO", "data centres out of service changed", "data_centres", "revision"
+)
+TARGET_ENTRY_CHANGED = define_event(
+    6013,
+    "INFO",
+    "entry of a target changed",
+    "target",
+    "service",
+    "address",
+    "leaving",
+    "cold_for",
+    "revision",
+)
+TARGET_ENTRY_ENDED = define_event(
+    6014, "INFO", "entry of a target ended", "target", "service", "revision"
+)
+ENTRY_UNREADABLE = define_event(
+    6015, "ERROR", "object of the store cannot be read", "kind", "name"
+)
+STORE_LOST = define_event(6020, "WARNING", "store does not answer", "kind", "age")
+STORE_REGAINED = define_event(6021, "INFO", "store answers again", "kind", "revision")
+PEER_LOST = define_event(6022, "WARNING", "peer lost", "peer", "reason")
+PEER_REGAINED = define_event(6023, "INFO", "peer in touch", "peer", "incarnation")
+PEER_CALL_FAILED = define_event(6024, "INFO", "message to a peer failed", "message")
+REGISTRATION_FAILED = define_event(6025, "WARNING", "registration failed")
+COORDINATOR_CLAIMED = define_event(
+    6030,
+    "INFO",
+    "instance coordinates the key ranges of a service",
+    "service",
+    "epoch",
+    "predecessor",
+    "ranges",
+    "waits_for_predecessor",
+)
+COORDINATOR_ENDED = define_event(
+    6031,
+    "INFO",
+    "instance coordinates a service no more",
+    "service",
+    "epoch",
+    "reason",
+)
+AUTHORITY_ENDED = define_event(
+    6032, "WARNING", "store has not confirmed the coordinator", "service", "epoch"
+)
+AUTHORITY_RETURNED = define_event(
+    6033, "INFO", "store confirms the coordinator again", "service", "epoch"
+)
+RANGE_RELEASED = define_event(
+    6034,
+    "INFO",
+    "target released a key range",
+    "service",
+    "first",
+    "last",
+    "target",
+    "fence",
+    "handover",
+)
+RANGE_GIVEN = define_event(
+    6035,
+    "INFO",
+    "key range given to a target",
+    "service",
+    "first",
+    "last",
+    "source",
+    "target",
+    "fence",
+    "handover",
+)
+GRANT_REFUSED = define_event(
+    6036,
+    "WARNING",
+    "target refused a grant",
+    "service",
+    "target",
+    "first",
+    "last",
+    "fence",
+)
+TARGET_SILENT = define_event(
+    6037,
+    "WARNING",
+    "target does not answer grants",
+    "service",
+    "target",
+    "address",
+    "seconds",
+)
+RECORD_WRITE_FAILED = define_event(
+    6038, "WARNING", "record of key ranges not written or read", "service", "what"
+)
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -9,6 +9,7 @@
 from ..events import CANCEL_FAILED, emit
 from ..http_client import ConnectionFailedError, ControlClient
 from .exchange import BrokenExchangeError, Exchange, ForwardRequest
+from .interface import TargetInterface
 from .pool import FRESH_IDLE_LIMIT, IDLE_LIMIT, TargetPool
 
 __all__ = ["Failure", "Forwarder"]
@@ -33,8 +34,13 @@
 class Forwarder:
     """Own the connection pools of all targets."""
 
-    def __init__(self, connections: int = CONNECTIONS_PER_TARGET) -> None:
+    def __init__(
+        self,
+        connections: int = CONNECTIONS_PER_TARGET,
+        interface: TargetInterface | None = None,
+    ) -> None:
         self.pools_by_address: dict[str, TargetPool] = {}
+        self._interface = interface or TargetInterface()
         self._connections = connections
         self._nursery: trio.Nursery | None = None
         self._cancels = trio.Semaphore(CANCELS_AT_ONCE)
@@ -61,7 +67,9 @@
         A cancelled call also cancels the request at the target.
         """
         pool = self._pool(request.address)
-        idle_limit = IDLE_LIMIT if request.repeatable else FRESH_IDLE_LIMIT
+        idle_limit = request.idle_limit
+        if idle_limit is None:
+            idle_limit = IDLE_LIMIT if request.repeatable else FRESH_IDLE_LIMIT
         try:
             connection = await pool.take(idle_limit)
         except (OSError, trio.TooSlowError) as error:
@@ -70,7 +78,7 @@
         if trio.current_time() > request.send_before:
             pool.put_back(connection)
             return Failure(NotRun("permit expired before the request was sent"))
-        exchange = Exchange(pool, connection, request)
+        exchange = Exchange(pool, connection, request, self._interface)
         try:
             await exchange.start(self._nursery)
         except BrokenExchangeError as error:
@@ -106,11 +114,13 @@
         if exchange.ended:
             return
         exchange.abort()
+        if not self._interface.cancel_path:
+            return
         exchange.request.cancelling = True
         self._nursery.start_soon(self._cancel_at_target, exchange.request)
 
     async def _cancel_at_target(self, request: ForwardRequest) -> None:
-        path = f"/fireflystand/requests/{request.request_id}"
+        path = f"{self._interface.cancel_path}{request.request_id}"
         acknowledged = False
         async with self._cancels:
             client = ControlClient(request.address, CANCEL_TIMEOUT)
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -10,6 +10,7 @@
 
 from ..fields import VIA, Fields, end_to_end_fields
 from ..framing import MalformedMessageError, check_head
+from .interface import TargetInterface
 from .pool import PooledConnection, TargetPool
 
 __all__ = ["BrokenExchangeError", "Exchange", "ForwardRequest"]
@@ -44,6 +45,7 @@
     send_before: float
     repeatable: bool
     rest: Callable[[], Awaitable[bytes]] | None = None
+    idle_limit: float | None = None  # seconds a connection to use may have been idle
     handed: bool = False  # set once bytes may have reached the target
     cancelling: bool = False  # set while the target is asked to stop
     on_cancelled: Callable[[bool], None] | None = None  # True if it acknowledged
@@ -53,9 +55,14 @@
     """Own a connection until its response ended or was given up."""
 
     def __init__(
-        self, pool: TargetPool, connection: PooledConnection, request: ForwardRequest
+        self,
+        pool: TargetPool,
+        connection: PooledConnection,
+        request: ForwardRequest,
+        interface: TargetInterface,
     ) -> None:
         self.request = request
+        self._interface = interface
         self.status = 0
         self.fields: Fields = []
         self.length: int | None = None
@@ -67,12 +74,12 @@
         self._http = connection.http
         self._received = 0
         self._ended = False
-        self._outcome_field = b""
+        self._outcome_field: bytes | None = None
 
     @property
     def refused_by_target(self) -> bool:
         """Tell whether the target said that it did not run the request."""
-        return self.status in (421, 503) and self._outcome_field == b"not-run"
+        return self._interface.states_not_run(self.status, self._outcome_field)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Send the request and return once the final response head arrived."""
@@ -96,7 +103,7 @@
         request = self.request
         left = max(1, int((request.deadline - trio.current_time()) * 1000))
         headers = [*request.fields, *request.control, VIA]
-        headers.append((b"Fireflystand-Deadline-Ms", str(left).encode()))
+        headers.append((self._interface.deadline_field, str(left).encode()))
         if request.length is None:
             headers.append((b"Transfer-Encoding", b"chunked"))
         elif request.length or request.method not in BODYLESS_METHODS:
@@ -132,6 +139,9 @@
         for _ in range(INFORMATIONAL_LIMIT):
             head = await self._receive_head(buffer)
             found = check_head(head)
+            if self._is_stale(head):
+                await self._skip_body(buffer, found)
+                continue
             self._http.receive_data(head)
             event = self._http.next_event()
             if isinstance(event, h11.Response):
@@ -153,18 +163,38 @@
         del buffer[: end + 4]
         return head
 
+    def _is_stale(self, head: bytes) -> bool:
+        """Tell whether a head answers an earlier request of the connection."""
+        name = b"\r\n" + self._interface.request_id_field + b":"
+        start = head.lower().find(name)
+        if start < 0:
+            return False
+        value = head[start + len(name) :].partition(b"\r\n")[0].strip()
+        return value != self.request.request_id.encode()
+
+    async def _skip_body(self, buffer: bytearray, found) -> None:
+        """Read over the body of a stale response."""
+        if b"content-length" not in found:
+            raise MalformedMessageError("response belongs to another request")
+        left = int(found[b"content-length"][0])
+        while True:
+            taken = min(left, len(buffer))
+            del buffer[:taken]
+            left -= taken
+            if left == 0:
+                return
+            received = await self._connection.stream.receive_some(READ_SIZE)
+            if not received:
+                raise MalformedMessageError("connection ended before the response")
+            buffer += received
+
     def _take_response(self, event: h11.Response, found) -> None:
         self.status = event.status_code
-        own: dict[bytes, bytes] = {}
         for name, value in event.headers:
-            if name.startswith(b"fireflystand-"):
-                own[name] = value
-        echoed = own.get(b"fireflystand-request-id")
-        if echoed not in (None, self.request.request_id.encode()):
-            raise MalformedMessageError("response belongs to another request")
-        self._outcome_field = own.get(b"fireflystand-outcome", b"")
+            if name == self._interface.not_run_field:
+                self._outcome_field = value
         bodyless = self.request.method == b"HEAD" or event.status_code in (204, 304)
-        if not found and not bodyless:
+        if not found and not bodyless and not self._interface.answers_without_length:
             # The end of such a body can't be told from a target that died.
             raise MalformedMessageError("response without a length")
         if b"content-length" in found:
--- a/packages/router/src/fireflystand_router/health.py
+++ b/packages/router/src/fireflystand_router/health.py
@@ -16,6 +16,7 @@
 READ_SIZE = 16 * 1024  # bytes
 REQUEST_TIMEOUT = 10.0  # seconds
 CONNECTION_LIMIT = 64
+READY_PATH = "/fireflystand/v1/ready"
 
 
 @attrs.define(eq=False)
@@ -52,7 +53,11 @@
         explain: Callable[[str, str], Any],
         host: str = "127.0.0.1",
         port: int = 0,
+        ready_path: str = READY_PATH,
+        pages_by_path: dict[str, Callable[[], str]] | None = None,
     ) -> None:
+        self._ready_path = ready_path
+        self._pages_by_path = pages_by_path or {}
         self._readiness = readiness
         self._state = state
         self._explain = explain
@@ -111,7 +116,9 @@
         path, _, query = request.target.decode("ascii").partition("?")
         if path == "/fireflystand/v1/live":
             return 200, {"live": True}
-        if path == "/fireflystand/v1/ready":
+        if path in self._pages_by_path:
+            return 200, self._pages_by_path[path]()
+        if path == self._ready_path:
             reasons = self._readiness.reasons()
             return (503 if reasons else 200), {"ready": not reasons, "reasons": reasons}
         if path == "/fireflystand/v1/state":
@@ -128,9 +135,10 @@
 
 
 def _encode(http: h11.Connection, status: int, value: Any) -> bytes:
-    body = json.dumps(value, default=str).encode()
+    is_text = isinstance(value, str)
+    body = (value if is_text else json.dumps(value, default=str)).encode()
     headers = [
-        ("Content-Type", "application/json"),
+        ("Content-Type", "text/plain" if is_text else "application/json"),
         ("Content-Length", str(len(body))),
         ("Connection", "close"),
     ]
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -44,7 +44,14 @@
 class _Sender:
     """Own the outgoing stream to one peer and match answers to requests."""
 
-    def __init__(self, peer: str, address: str, hello: Hello) -> None:
+    def __init__(
+        self,
+        peer: str,
+        address: str,
+        hello: Hello,
+        on_end: Callable[[str, bool], None],
+    ) -> None:
+        self._on_end = on_end
         self.peer = peer
         self.address = address
         self._hello = hello
@@ -101,6 +108,7 @@
             waiter.close()
         self._waiting.clear()
         self._outgoing.close()
+        self._on_end(self.peer, self.error.refused)
 
     def send(self, message: object) -> None:
         """Queue a message that expects no answer."""
@@ -164,6 +172,7 @@
         self.address = ""
         self.addresses_by_id: dict[str, str] = {}
         self.links_by_id: dict[str, PeerLink] = {}
+        self.on_stream_end: Callable[[str, bool], None] = lambda peer, refused: None
         self._handlers: dict[type, Handler] = {}
         self._senders: dict[str, _Sender] = {}
         self._nursery: trio.Nursery | None = None
@@ -183,6 +192,15 @@
         if sender is not None:
             sender.close()
 
+    def _stream_ended(self, instance: str, refused: bool) -> None:
+        self.on_stream_end(instance, refused)
+
+    def reset(self, instance: str) -> None:
+        """End the stream to a peer, so that the next message opens another."""
+        sender = self._senders.pop(instance, None)
+        if sender is not None:
+            sender.close()
+
     def forget(self, instance: str) -> None:
         """Drop an instance that no longer exists."""
         self.addresses_by_id.pop(instance, None)
@@ -242,7 +260,7 @@
             raise PeerUnavailableError(
                 "peer has no known address", step="connect", peer=instance
             )
-        sender = _Sender(instance, address, self.hello)
+        sender = _Sender(instance, address, self.hello, self._stream_ended)
         self._senders[instance] = sender
         self._nursery.start_soon(sender.run)
         return sender
