Place keys by the cost of their work and let late requests wait

Change: moves lower the cost of work (queue formula, squared); the desk refuses only what cannot end before its deadline; two watchers a kind with waits of 8 s; copies between instances are compressed; keep-alive probes on control connections.

--- a/packages/core/src/fireflystand_core/accounts/shared_rate.py
+++ b/packages/core/src/fireflystand_core/accounts/shared_rate.py
@@ -7,8 +7,9 @@
 
 __all__ = ["AccountPurse", "RateDesk"]
 
-# The tokens that instances hold unspent come on top of the bucket.
-BURST_SHARE = 0.8
+# Operators allow a tenth beyond the rate; a part of it makes up for tokens that are
+# drawn and not spent in time.
+RATE_FACTOR = 1.05
 DRAW_SECONDS = 0.3  # seconds of its own demand that an instance draws at once
 MAX_DRAW = 16  # tokens
 LEAST_REFUSAL_WAIT = 0.02  # seconds
@@ -22,14 +23,15 @@
     """
 
     def __init__(self, rate: float, burst: float, share: float, now: float) -> None:
-        burst = max(1.0, burst * BURST_SHARE) * share
-        self._bucket = TokenBucket(rate * share, burst, now, burst / 2)
+        burst = max(1.0, burst) * share
+        self._bucket = TokenBucket(rate * RATE_FACTOR * share, burst, now, burst / 2)
 
     def change(self, rate: float, burst: float, share: float, now: float) -> None:
         """Apply the account's settings and the part of the fleet in sight."""
-        burst = max(1.0, burst * BURST_SHARE) * share
-        if (rate * share, burst) != (self._bucket.rate, self._bucket.burst):
-            self._bucket.change(rate * share, burst, now)
+        rate *= RATE_FACTOR * share
+        burst = max(1.0, burst) * share
+        if (rate, burst) != (self._bucket.rate, self._bucket.burst):
+            self._bucket.change(rate, burst, now)
 
     def limit_burst(self, share: float) -> None:
         """Keep at most a part of the burst, as another desk may have given the rest."""
--- a/packages/core/src/fireflystand_core/dispatch/desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/desk.py
@@ -3,8 +3,9 @@
 The desk answers load beyond what the targets take: a burst of callers, a key or an
 account with most of the traffic, targets that turn slow or silent. Requests wait
 here, not at the targets, so that urgent ones overtake and none is sent that cannot
-end in time. A request that would miss its target latency is refused at once, with
-the time at which there will be room.
+end in time. Requests that can still meet their target latency go first, late ones
+take what is left. A request that cannot end before its deadline is refused at once,
+with the time at which there will be room.
 """
 
 from collections.abc import Callable
@@ -19,14 +20,12 @@
 __all__ = ["Desk", "SlotAsk", "SlotGranted", "SlotRefused", "SlotResult"]
 
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
-# Estimates are means; half of the requests take longer than their estimate says.
-AIM_MARGIN = 1.0
 LATE_MARGIN = 0.8  # part of the time left that may pass until the expected end
 SHORTEST_RETURN = 0.05  # seconds of the shortest Retry-After
 HOLD_SLACK = 0.5  # seconds after its deadline at which a lost slot is freed
 # A target in another data centre is chosen only if it is expected to be this much
 # faster: bytes between data centres are billed.
-DISTANCE_FACTOR = 1.3
+DISTANCE_FACTOR = 3.0
 
 
 @attrs.frozen
@@ -113,10 +112,6 @@
         room = ask.end_at - now
         if expected > room or start + expected > room * LATE_MARGIN and start > 0:
             return [self._turned_away(ask, "no room before the deadline", start, now)]
-        in_time = ask.aim_at - now
-        if start > 0 and start + expected > in_time * AIM_MARGIN:
-            reason = "no room within the target latency"
-            return [self._turned_away(ask, reason, start, now)]
         self.waiting_by_id[ask.id] = ask
         return self.dispatch(now)
 
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -48,15 +48,16 @@
     instance: str
     incarnation: str
     proofs: list[KindProof]
+    store_lost: bool = False  # whether the store turns the sender away
 
 
 @attrs.frozen
 class CopiedObject:
-    """Carry one object of the store as JSON text."""
+    """Carry one object of the store as compressed JSON; empty once deleted."""
 
     name: str
     version: int
-    value: str
+    value: bytes
 
 
 @message("replica-pull")
@@ -70,10 +71,7 @@
 @message("replica-copy")
 @attrs.frozen
 class ReplicaCopy:
-    """Carry the changes of a kind after the revision ``since``, or all objects if 0.
-
-    An empty ``value`` of an object is its deletion.
-    """
+    """Carry the changes of a kind after the revision ``since``, or all objects if 0."""
 
     kind: str
     since: int
--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -1,5 +1,6 @@
 """Choose which key ranges move, from the load of targets and keys."""
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -12,12 +13,16 @@
     "initial_moves",
     "joining_moves",
     "levelling_moves",
+    "work_cost",
 ]
 
-# A target above this part of its slots delays requests that come in bursts.
-BUSY_SHARE = 0.65
-# Moves between targets of similar load do not pay for the pause of the keys.
-LEAST_GAP_SHARE = 0.25
+# A move pauses its keys for the time that running work takes. It pays off if it
+# takes away more than this part of the cost of the two targets.
+LEAST_GAIN = 0.1
+SATURATED = 0.95  # load beyond which the queue grows and its formula ends
+SATURATION_SLOPE = 20.0  # growth of the relative wait beyond that load
+# Parts of the source's work that are tried as the size of a move.
+CUT_SHARES = (0.1, 0.2, 0.35, 0.5)
 MOVES_PER_ROUND = 4
 
 
@@ -35,9 +40,18 @@
 class LoadView:
     """Hold work in busy slots: seconds of work a second, measured lately."""
 
-    slots_by_target: Mapping[str, float]
+    slots_by_target: Mapping[str, int]
     work_by_key: Mapping[int, float]
-    data_centres_by_target: Mapping[str, str] = attrs.field(factory=dict)
+    speeds_by_target: Mapping[str, float] = attrs.field(factory=dict)
+
+    def room(self, target: str) -> float:
+        """Return a target's slots, counted as slots of mean speed."""
+        return self.slots_by_target[target] * self.speeds_by_target.get(target, 1.0)
+
+    def cost(self, target: str, work: float) -> float:
+        """Return what an amount of work costs its callers at a target."""
+        speed = self.speeds_by_target.get(target, 1.0)
+        return work_cost(work, self.slots_by_target[target], speed)
 
     def work_of(self, item: KeyRange) -> float:
         """Return the work of a range."""
@@ -51,6 +65,21 @@
         )
 
 
+def work_cost(work: float, slots: int, speed: float) -> float:
+    """Return the work times the square of its relative duration.
+
+    The duration is that of a queue with ``slots`` servers (Sakasegawa's formula,
+    1977). The square stands for answers that come too late: their share grows
+    about twice as fast as the duration.
+    """
+    load = work / (slots * speed)
+    steady = min(load, SATURATED)
+    waiting = steady ** math.sqrt(2 * (slots + 1)) / (slots * (1 - steady))
+    if load > SATURATED:
+        waiting += (load - SATURATED) * SATURATION_SLOPE
+    return work * ((1 + waiting) / speed) ** 2
+
+
 def initial_moves(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
     """Divide the ranges without an owner among the targets by room.
 
@@ -64,10 +93,8 @@
     for item in record.ranges:
         if item.target in sizes:
             sizes[item.target] += item.size
-    total_slots = sum(load.slots_by_target.values()) or 1.0
-    wanted = {
-        t: KEY_SPACE * load.slots_by_target[t] / total_slots - sizes[t] for t in targets
-    }
+    total = sum(load.room(t) for t in targets)
+    wanted = {t: KEY_SPACE * load.room(t) / total - sizes[t] for t in targets}
     moves = []
     for item in record.ranges:
         if not item.target:
@@ -142,34 +169,33 @@
 def levelling_moves(
     record: RangeRecord, load: LoadView, fixed: frozenset[str] = frozenset()
 ) -> list[PlannedMove]:
-    """Move busy keys from overloaded targets to idle ones.
+    """Move busy keys from loaded or slow targets to idle or fast ones.
 
-    Answers a few neighbouring keys that get much of the traffic: the range is cut
-    between its busy keys, and the cut part goes to the target with most room.
-    Targets in ``fixed`` take part in a move already.
+    Answers a few neighbouring keys that get much of the traffic, and targets of
+    different speeds: the range is cut between its busy keys, and the cut part goes
+    where its work costs callers least. Targets in ``fixed`` take part in a move
+    already.
     """
-    work = {t: 0.0 for t in load.slots_by_target}
-    keys_by_target: dict[str, list[int]] = {}
-    for key in sorted(load.work_by_key):
-        owner = record.owner(key).target
-        if owner in work:
-            work[owner] += load.work_by_key[key]
-            keys_by_target.setdefault(owner, []).append(key)
+    work, keys_by_target = _work_by_target(record, load)
     moves: list[PlannedMove] = []
     used = set(fixed)
-    for source in sorted(work, key=lambda t: _share(t, work, load), reverse=True):
-        if len(moves) >= MOVES_PER_ROUND or _share(source, work, load) < BUSY_SHARE:
+    by_cost = sorted(
+        (t for t in work if t not in used),
+        key=lambda t: _marginal_cost(load, t, work[t]),
+        reverse=True,
+    )
+    for source in by_cost:
+        if len(moves) >= MOVES_PER_ROUND:
             break
-        if source in used:
+        if source in used or not work[source]:
             continue
         free = [t for t in work if t not in used and t != source]
         if not free:
             break
-        destination = min(free, key=lambda t: (_share(t, work, load), t))
-        gap = _share(source, work, load) - _share(destination, work, load)
-        if gap < LEAST_GAP_SHARE:
-            break
-        amount = gap * load.slots_by_target[destination] / 2
+        destination = min(free, key=lambda t: (_marginal_cost(load, t, work[t]), t))
+        amount = _best_amount(load, work, source, destination)
+        if not amount:
+            continue
         move = _cut(record, load, keys_by_target.get(source, []), amount)
         if move is not None:
             moves.append(attrs.evolve(move, source=source, destination=destination))
@@ -177,8 +203,39 @@
     return moves
 
 
-def _share(target: str, work: dict[str, float], load: LoadView) -> float:
-    return work[target] / max(0.1, load.slots_by_target[target])
+def _work_by_target(
+    record: RangeRecord, load: LoadView
+) -> tuple[dict[str, float], dict[str, list[int]]]:
+    work = dict.fromkeys(load.slots_by_target, 0.0)
+    keys_by_target: dict[str, list[int]] = {}
+    for key in sorted(load.work_by_key):
+        owner = record.owner(key).target
+        if owner in work:
+            work[owner] += load.work_by_key[key]
+            keys_by_target.setdefault(owner, []).append(key)
+    return work, keys_by_target
+
+
+def _marginal_cost(load: LoadView, target: str, work: float) -> float:
+    """Return the cost of a little more work for each unit of it."""
+    step = 0.05 * load.slots_by_target[target]
+    return (load.cost(target, work + step) - load.cost(target, work)) / step
+
+
+def _best_amount(
+    load: LoadView, work: Mapping[str, float], source: str, destination: str
+) -> float:
+    """Return how much work to move; 0 if no amount gains enough."""
+    before = load.cost(source, work[source]) + load.cost(destination, work[destination])
+    best, best_cost = 0.0, before * (1 - LEAST_GAIN)
+    for share in CUT_SHARES:
+        amount = share * work[source]
+        after = load.cost(source, work[source] - amount) + load.cost(
+            destination, work[destination] + amount
+        )
+        if after < best_cost:
+            best, best_cost = amount, after
+    return best
 
 
 def _cut(
--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -12,7 +12,7 @@
 
 __all__ = ["ServiceLoad"]
 
-MEMORY = 2.0  # seconds over which past work loses most of its weight
+MEMORY = 3.0  # seconds over which past work loses most of its weight
 FORGOTTEN = 0.002  # busy slots below which a key is dropped
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
 SLOWEST, FASTEST = 0.2, 2.0  # bounds of a target's measured speed
@@ -60,11 +60,9 @@
         return min(FASTEST, max(SLOWEST, self.mean.seconds / known.seconds))
 
     def view(self, targets: Mapping[str, TargetRecord]) -> LoadView:
-        """Return the load with each target's room in slots of mean speed."""
+        """Return the load of the targets that may own keys."""
         return LoadView(
-            slots_by_target={
-                target_id: max(0.1, target.slots * self.speed(target_id))
-                for target_id, target in targets.items()
-            },
+            slots_by_target={t.id: t.slots for t in targets.values()},
             work_by_key=self.work_by_key,
+            speeds_by_target={t: self.speed(t) for t in targets},
         )
--- a/packages/router/src/fireflystand_router/dispatch/mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/mesh.py
@@ -42,6 +42,8 @@
         self._lost_since_by_id: dict[str, float] = {}
         self._round: list[str] = []
         self._homes_by_name: dict[str, str] = {}
+        self.store_lost = False  # whether calls of this instance to the store fail
+        self._cut_from_store: set[str] = set()
         self.generation = 0  # counts changes of the set of live instances
         self.incarnations_by_id: dict[str, str] = {}
         network.handle(Beat, self._answer_beat)
@@ -90,6 +92,12 @@
         """Return this instance's place in the order for ``name``; 0 is first."""
         return rendezvous_order(name, self.live).index(self.own_id)
 
+    def watch_rank(self, name: str) -> int:
+        """Return this instance's place among those that reach the store."""
+        able = [i for i in self.live if i not in self._cut_from_store]
+        order = rendezvous_order(name, able)
+        return order.index(self.own_id)
+
     async def run(self) -> None:
         """Beat until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -126,7 +134,7 @@
             for kind, replica in self._state.replicas_by_kind.items()
             if replica.revision
         ]
-        return Beat(self.own_id, self.incarnation, proofs)
+        return Beat(self.own_id, self.incarnation, proofs, self.store_lost)
 
     def _age(self, kind: str) -> float:
         return round(self._state.proof_age(kind), 4)
@@ -158,6 +166,10 @@
             emit(PEER_REGAINED, peer=peer, incarnation=beat.incarnation)
         self._heard_at_by_id[peer] = lease_clock()
         self.incarnations_by_id[peer] = beat.incarnation
+        if beat.store_lost:
+            self._cut_from_store.add(peer)
+        else:
+            self._cut_from_store.discard(peer)
         self._on_proofs(peer, beat)
 
     def _expire(self) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -64,9 +64,9 @@
 # store take 4 to 9 s; holds outlast the authority, and requests with an API key are
 # not served after 4 s without the store in any case.
 AUTHORITY = 6.0  # seconds
-CONFIRM_INTERVAL = 1.0  # seconds
+CONFIRM_INTERVAL = 1.5  # seconds
 # A coordinator that the store turns away hands over if others reach the store.
-HAND_OVER_AFTER = 1.5  # seconds without the store
+HAND_OVER_AFTER = 2.5  # seconds without the store
 CLAIM_DELAY = 0.3  # seconds by which the next candidate waits longer
 ALONE_DELAY = 3.0  # seconds that an instance waits that sees few of the others
 # A target that answers no grant for this long is given up; with a third of the
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -1,6 +1,7 @@
 """Keep the copies of the store current, from the store or from peers."""
 
 import json
+import zlib
 
 import trio
 
@@ -17,22 +18,20 @@
 
 __all__ = ["ReplicaKeeper"]
 
-# Instances that watch a kind; the others hear from these. Three of them make it
-# unlikely that a store that turns some instances away leaves nobody watching.
-WATCHERS = 3
+# Instances that watch a kind; the others hear from these. An instance that the
+# store turns away leaves its place to the next one.
+WATCHERS = 2
 # The wait of a watch bounds the age of its proof: API keys need the freshest one.
 CONFIGURATION_WAIT = 1.0  # seconds
-WATCH_WAIT = 2.0  # seconds
-# An instance watches by itself once the proofs of others are this old: two waits
+WATCH_WAIT = 8.0  # seconds
+# An instance watches by itself once the proofs of others are this old: one wait
 # and two beats between instances.
 CONFIGURATION_AGE_LIMIT = 2.6  # seconds
-AGE_LIMIT = 5.0  # seconds
+AGE_LIMIT = 10.0  # seconds
 IDLE_INTERVAL = 0.25  # seconds between two looks at the proofs of others
 FIRST_BACKOFF = 0.1  # seconds after a failed call, doubled for each further one
 LONGEST_BACKOFF = 0.8  # seconds
 PULL_TIMEOUT = 0.5  # seconds
-# A short proof is asked for when a watch may be held up on a silent connection.
-LOST_AFTER = 1.5  # seconds without an answer until the store counts as lost
 
 
 class ReplicaKeeper:
@@ -83,7 +82,9 @@
         limit = CONFIGURATION_AGE_LIMIT if kind == CONFIGURATION else AGE_LIMIT
         if self._state.proof_age(kind) > limit:
             return True
-        return self._mesh.rank(f"watch/{kind}") < WATCHERS
+        if kind in self._failing_kinds:
+            return True
+        return self._mesh.watch_rank(f"watch/{kind}") < WATCHERS
 
     async def _fetch(self, kind: str) -> None:
         replica = self._state.replicas_by_kind[kind]
@@ -92,7 +93,7 @@
         snapshot = None
         if since:
             wait = CONFIGURATION_WAIT if kind == CONFIGURATION else WATCH_WAIT
-            if self._state.proof_age(kind) > AGE_LIMIT:
+            if kind in self._failing_kinds or self._state.proof_age(kind) > AGE_LIMIT:
                 wait = 0.0
             snapshot = await self._store.watch(kind, since, wait)
         if snapshot is not None:
@@ -114,12 +115,14 @@
     def _note_failure(self, kind: str, error: Exception) -> None:
         if kind not in self._failing_kinds:
             self._failing_kinds.add(kind)
-            emit(STORE_LOST, error, kind=kind, age=round(self.store_age, 2))
+            self._mesh.store_lost = True
+            emit(STORE_LOST, error, kind=kind, age=round(min(self.store_age, 1e6), 2))
 
     def _note_success(self, kind: str) -> None:
         self.store_heard_at = lease_clock()
         if kind in self._failing_kinds:
             self._failing_kinds.discard(kind)
+            self._mesh.store_lost = bool(self._failing_kinds)
             revision = self._state.replicas_by_kind[kind].revision
             emit(STORE_REGAINED, kind=kind, revision=revision)
 
@@ -128,7 +131,8 @@
     ) -> None:
         """Send changes to the peers in touch."""
         age = max(0.0, self._state.proof_age(kind))
-        copy = ReplicaCopy(kind, since, revision, age, [_copied(c) for c in changes])
+        items = [_copied(change) for change in changes]
+        copy = ReplicaCopy(kind, since, revision, min(age, 1e6), items)
         for peer in self._mesh.live:
             if peer == self._mesh.own_id:
                 continue
@@ -182,7 +186,7 @@
         if copy.kind not in self._state.replicas_by_kind:
             return
         items = [
-            ObjectChange(item.name, item.version, json.loads(item.value or "null"))
+            ObjectChange(item.name, item.version, _value(item.value))
             for item in copy.items
         ]
         confirmed_at = lease_clock() - copy.age
@@ -195,5 +199,11 @@
 
 
 def _copied(change: ObjectChange) -> CopiedObject:
-    value = "" if change.value is None else json.dumps(change.value)
-    return CopiedObject(change.name, change.version, value)
+    if change.value is None:
+        return CopiedObject(change.name, change.version, b"")
+    text = json.dumps(change.value, separators=(",", ":"))
+    return CopiedObject(change.name, change.version, zlib.compress(text.encode(), 1))
+
+
+def _value(data: bytes) -> object:
+    return json.loads(zlib.decompress(data)) if data else None
--- a/packages/router/src/fireflystand_router/http_client.py
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -9,10 +9,20 @@
 
 from fireflystand_core.exceptions import FireflystandError
 
-__all__ = ["ConnectionFailedError", "ControlClient", "Response", "split_address"]
+__all__ = [
+    "ConnectionFailedError",
+    "ControlClient",
+    "Response",
+    "probe_while_idle",
+    "split_address",
+]
 
 READ_SIZE = 65536
 MAX_BODY_BYTES = 2 * 1024 * 1024
+# A silent connection ends within three seconds, before what it carries is needed.
+PROBE_AFTER = 1  # seconds without traffic
+PROBE_INTERVAL = 1  # seconds
+PROBES = 2
 
 
 class ConnectionFailedError(FireflystandError):
@@ -42,6 +52,15 @@
     return host, int(port)
 
 
+def probe_while_idle(socket: trio.socket.SocketType) -> None:
+    """Let the kernel end a connection whose peer has gone silent."""
+    options = trio.socket
+    socket.setsockopt(options.SOL_SOCKET, options.SO_KEEPALIVE, 1)
+    socket.setsockopt(options.IPPROTO_TCP, options.TCP_KEEPIDLE, PROBE_AFTER)
+    socket.setsockopt(options.IPPROTO_TCP, options.TCP_KEEPINTVL, PROBE_INTERVAL)
+    socket.setsockopt(options.IPPROTO_TCP, options.TCP_KEEPCNT, PROBES)
+
+
 class ControlClient:
     """Own one connection to a peer and send one request at a time."""
 
@@ -104,6 +123,7 @@
         except BaseException:
             socket.close()
             raise
+        probe_while_idle(socket)
         self._stream = trio.SocketStream(socket)
         self._connection = h11.Connection(h11.CLIENT)
 
