Serve a request with a body behind others and compare copies of empty kinds

Change: a turn keeps whether its own request has a body; each target has its own queue at the desk; neighbouring ranges of one owner are joined; tasks of a claim end with it.

--- a/packages/core/src/fireflystand_core/dispatch/desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/desk.py
@@ -81,16 +81,25 @@
 
 
 class Desk:
-    """Own the queue and the slots of the targets of one service."""
+    """Own the queues and the slots of the targets of one service.
+
+    Requests for one target wait in its queue, those that any target may run in a
+    queue of their own, named by the empty text.
+    """
 
     def __init__(self, spread: Callable[[], float] = lambda: 0.5) -> None:
         self.targets_by_id: dict[str, TargetSlots] = {}
-        self.waiting_by_id: dict[str, SlotAsk] = {}
         self.mean = MeanDuration(INITIAL_MEAN)
+        self._queues_by_target: dict[str, dict[str, SlotAsk]] = {}
         self._targets_by_number: dict[int, TargetSlots] = {}
         self._numbers = count(1)
         self._spread = spread
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(len(queue) for queue in self._queues_by_target.values())
+
     def set_target(self, record: TargetRecord, warmup_rate: float, now: float) -> None:
         """Add a target or take over its newer entry."""
         known = self.targets_by_id.get(record.id)
@@ -102,10 +111,10 @@
     def remove_target(self, target: str) -> list[Decision]:
         """Drop a target; requests that wait for it are turned away."""
         self.targets_by_id.pop(target, None)
+        queue = self._queues_by_target.pop(target, {})
         return [
-            self._refuse(ask, "target is gone", SHORTEST_RETURN)
-            for ask in list(self.waiting_by_id.values())
-            if ask.target == target
+            SlotRefused(ask, "target is gone", SHORTEST_RETURN)
+            for ask in queue.values()
         ]
 
     def ask(self, ask: SlotAsk, now: float) -> list[Decision]:
@@ -116,28 +125,25 @@
         room = ask.end_at - now
         if expected > room or start + expected > room * LATE_MARGIN and start > 0:
             return [self._turned_away(ask, "no room before the deadline", start, now)]
-        self.waiting_by_id[ask.id] = ask
-        return self.dispatch(now)
+        self._queues_by_target.setdefault(ask.target, {})[ask.id] = ask
+        return self._dispatch(ask.target, now)
 
     def _estimate(self, ask: SlotAsk, now: float) -> tuple[float, float]:
         """Return the seconds until the request could start, and those it takes."""
-        targets = self._candidates(ask)
+        targets = self._candidates(ask.target)
         if not targets:
             return float("inf"), self.mean.seconds
         mean = sum(target.mean.seconds for target in targets) / len(targets)
-        ahead = [
-            mean
-            for other in self.waiting_by_id.values()
-            if other.target == ask.target and other.priority <= ask.priority
-        ]
+        queue = self._queues_by_target.get(ask.target, {})
+        ahead = [mean for other in queue.values() if other.priority <= ask.priority]
         running = [left for target in targets for left in target.running(now)]
         free = sum(target.free_slots(now) for target in targets)
-        held = sum(target.next_room(now) for target in targets) / len(targets)
+        held = min(target.next_room(now) for target in targets)
         return start_delay(running, free, ahead, mean) + held, mean
 
-    def _candidates(self, ask: SlotAsk) -> list[TargetSlots]:
-        if ask.target:
-            return [self.targets_by_id[ask.target]]
+    def _candidates(self, target: str) -> list[TargetSlots]:
+        if target:
+            return [self.targets_by_id[target]]
         return [t for t in self.targets_by_id.values() if not t.record.leaving]
 
     def _turned_away(
@@ -149,27 +155,22 @@
         wait = max(SHORTEST_RETURN, wait) * (0.75 + 0.5 * self._spread())
         return SlotRefused(ask, reason, wait)
 
-    def _refuse(self, ask: SlotAsk, reason: str, retry_after: float) -> SlotRefused:
-        self.waiting_by_id.pop(ask.id, None)
-        return SlotRefused(ask, reason, retry_after)
-
-    def dispatch(self, now: float) -> list[Decision]:
-        """Grant free slots to the waiting requests, the most urgent first."""
+    def _dispatch(self, target: str, now: float) -> list[Decision]:
+        """Grant free slots to the requests of a queue, the most urgent first."""
+        queue = self._queues_by_target.get(target)
+        if not queue:
+            return []
         decisions: list[Decision] = []
-        full: set[str] = set()
-        for ask in sorted(self.waiting_by_id.values(), key=self._urgency(now)):
-            if ask.target in full:
-                continue
-            target = self._choose(ask, now)
-            if target is None:
-                full.add(ask.target)
-                continue
-            del self.waiting_by_id[ask.id]
-            if now + target.mean.seconds / 2 > ask.end_at:
+        for ask in sorted(queue.values(), key=self._urgency(now)):
+            slots = self._choose(ask, now)
+            if slots is None:
+                break
+            del queue[ask.id]
+            if now + slots.mean.seconds / 2 > ask.end_at:
                 reason = "no time left for the work"
                 decisions.append(SlotRefused(ask, reason, SHORTEST_RETURN))
-                continue
-            decisions.append(self._grant(ask, target, now))
+            else:
+                decisions.append(self._grant(ask, slots, now))
         return decisions
 
     def _urgency(self, now: float) -> Callable[[SlotAsk], tuple]:
@@ -182,7 +183,7 @@
         return key
 
     def _choose(self, ask: SlotAsk, now: float) -> TargetSlots | None:
-        free = [t for t in self._candidates(ask) if t.free_slots(now) > 0]
+        free = [t for t in self._candidates(ask.target) if t.free_slots(now) > 0]
         if not free:
             return None
 
@@ -219,12 +220,16 @@
             target.note_load(result.load, now)
         if result.shed:
             target.note_shed(now)
-        return self.dispatch(now)
+        return self._freed(target, now)
+
+    def _freed(self, target: TargetSlots, now: float) -> list[Decision]:
+        return [*self._dispatch(target.record.id, now), *self._dispatch("", now)]
 
     def withdraw(self, ask_id: str, now: float) -> list[Decision]:
         """Drop a request whose caller has left, with the slot it may hold."""
-        if self.waiting_by_id.pop(ask_id, None) is not None:
-            return []
+        for queue in self._queues_by_target.values():
+            if queue.pop(ask_id, None) is not None:
+                return []
         for number, target in self._targets_by_number.items():
             if target.held_by_number[number].ask_id == ask_id:
                 return self.give_back(SlotResult(number), now)
@@ -232,24 +237,41 @@
 
     def release_instance(self, instance: str, now: float) -> list[Decision]:
         """Free what a lost instance held: targets end work with its connection."""
-        for ask in list(self.waiting_by_id.values()):
-            if ask.instance == instance:
-                del self.waiting_by_id[ask.id]
-        for number, target in list(self._targets_by_number.items()):
-            if target.held_by_number[number].instance == instance:
-                del self._targets_by_number[number]
-                target.give_back(number)
-        return self.dispatch(now)
+        for queue in self._queues_by_target.values():
+            for ask in [a for a in queue.values() if a.instance == instance]:
+                del queue[ask.id]
+        lost = [
+            (number, target)
+            for number, target in self._targets_by_number.items()
+            if target.held_by_number[number].instance == instance
+        ]
+        return self._free_all(lost, now)
+
+    def _free_all(
+        self, slots: list[tuple[int, TargetSlots]], now: float
+    ) -> list[Decision]:
+        decisions: list[Decision] = []
+        for number, target in slots:
+            del self._targets_by_number[number]
+            target.give_back(number)
+            decisions += self._freed(target, now)
+        return decisions
 
     def tick(self, now: float) -> list[Decision]:
         """Turn away what cannot be served any more and free lost slots."""
-        for number, target in list(self._targets_by_number.items()):
-            if target.held_by_number[number].expires_at <= now:
-                del self._targets_by_number[number]
-                target.give_back(number)
-        refused = [
-            self._refuse(ask, "no slot before the deadline", SHORTEST_RETURN)
-            for ask in list(self.waiting_by_id.values())
-            if now + self.mean.seconds / 2 > ask.end_at
+        expired = [
+            (number, target)
+            for number, target in self._targets_by_number.items()
+            if target.held_by_number[number].expires_at <= now
         ]
-        return [*refused, *self.dispatch(now)]
+        decisions = self._free_all(expired, now)
+        for target, queue in list(self._queues_by_target.items()):
+            if not queue:
+                continue
+            for ask in list(queue.values()):
+                if now + self.mean.seconds / 2 > ask.end_at:
+                    del queue[ask.id]
+                    reason = "no slot before the deadline"
+                    decisions.append(SlotRefused(ask, reason, SHORTEST_RETURN))
+            decisions += self._dispatch(target, now)
+        return decisions
--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -167,20 +167,26 @@
 
 
 def levelling_moves(
-    record: RangeRecord, load: LoadView, limit: int = MOVES_PER_ROUND
+    record: RangeRecord,
+    load: LoadView,
+    limit: int = MOVES_PER_ROUND,
+    least_load: float = 0.0,
 ) -> list[PlannedMove]:
     """Move busy keys from loaded or slow targets to idle or fast ones.
 
     Answers a few neighbouring keys that get much of the traffic, and targets of
     different speeds: the range is cut between its busy keys, and the cut parts go
     where their work costs callers least. One busy target may give parts to several
-    others in one round. Loads are counted by key, so a move shows at once.
+    others in one round. Loads are counted by key, so a move shows at once. Targets
+    whose load is below ``least_load`` of their room keep their keys.
     """
     work, keys_by_target = _work_by_target(record, load)
     moves: list[PlannedMove] = []
     settled: set[str] = set()
     while len(moves) < limit:
-        sources = [t for t in work if t not in settled and work[t] > 0]
+        sources = [
+            t for t in work if t not in settled and work[t] > least_load * load.room(t)
+        ]
         if not sources or len(work) < 2:
             break
         source = max(sources, key=lambda t: _marginal_cost(load, t, work[t]))
@@ -268,16 +274,15 @@
 ) -> PlannedMove | None:
     """Return the run of neighbouring keys whose work is nearest to ``amount``."""
     best, best_error = None, amount
-    for start, first in enumerate(keys):
-        item = record.owner(first)
-        total = 0.0
-        for key in keys[start:]:
-            if key > item.last:
-                break
-            total += load.work_by_key[key]
-            error = abs(total - amount)
-            if error < best_error:
-                best, best_error = PlannedMove(first, key, "", ""), error
-            if total > amount:
-                break
+    start, total = 0, 0.0
+    for end, key in enumerate(keys):
+        if key > record.owner(keys[start]).last:
+            start, total = end, 0.0
+        total += load.work_by_key[key]
+        while start < end and total - load.work_by_key[keys[start]] >= amount:
+            total -= load.work_by_key[keys[start]]
+            start += 1
+        error = abs(total - amount)
+        if error < best_error:
+            best, best_error = PlannedMove(keys[start], key, "", ""), error
     return best
--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -70,14 +70,13 @@
         last: int,
         target: str,
         started_at: int = 0,
-        handover: str = "",
     ) -> "RangeRecord":
         """Give the keys to a target under a new fence."""
         fence = self.next_fence
-        given = KeyRange(first, last, target, started_at, fence, handover)
+        given = KeyRange(first, last, target, started_at, fence if target else 0)
         ranges = [*_outside(self.ranges, first, last), given]
         ranges.sort(key=lambda item: item.first)
-        return attrs.evolve(self, ranges=tuple(ranges), next_fence=fence + 1)
+        return attrs.evolve(self, ranges=_merged(ranges), next_fence=fence + 1)
 
     def claim(self, holder: str, incarnation: str) -> "RangeRecord":
         """Start the epoch of another coordinator."""
@@ -100,7 +99,10 @@
             "holder": self.holder,
             "holder_incarnation": self.holder_incarnation,
             "next_fence": self.next_fence,
-            "ranges": [list(attrs.astuple(item)) for item in self.ranges],
+            "ranges": [
+                [item.first, item.last, item.target, item.started_at, item.fence]
+                for item in self.ranges
+            ],
         }
 
     @classmethod
@@ -125,3 +127,19 @@
             yield attrs.evolve(item, last=first - 1)
         if item.last > last:
             yield attrs.evolve(item, first=last + 1)
+
+
+def _merged(ranges: list[KeyRange]) -> tuple[KeyRange, ...]:
+    """Join neighbouring ranges of one owner under the highest of their fences.
+
+    No other target had any of their keys under that fence or a higher one.
+    """
+    merged: list[KeyRange] = []
+    for item in ranges:
+        last = merged[-1] if merged else None
+        if last and (last.target, last.started_at) == (item.target, item.started_at):
+            fence = max(last.fence, item.fence)
+            merged[-1] = attrs.evolve(last, last=item.last, fence=fence)
+        else:
+            merged.append(item)
+    return tuple(merged)
--- a/packages/core/src/fireflystand_core/replica.py
+++ b/packages/core/src/fireflystand_core/replica.py
@@ -114,10 +114,9 @@
 
     def confirm(self, revision: int, changed: int, at: float) -> "CopyState":
         """Compare with a peer's copy and take over its proof if nothing is missing."""
-        if changed > self.changed:
-            return CopyState.OLDER
         if changed > self.revision:
-            return CopyState.INCOMPLETE
+            is_older = changed > self.changed
+            return CopyState.OLDER if is_older else CopyState.INCOMPLETE
         if revision >= self.revision > 0:
             self.revision = revision
             self.confirmed_at = max(self.confirmed_at, at)
--- /dev/null
+++ b/packages/core/src/fireflystand_core/traffic/tests/test_traffic.py
@@ -0,0 +1,111 @@
+"""Test routes, weights, copies of the store and shared rates."""
+
+import unittest
+
+from fireflystand_core.accounts import RateDesk
+from fireflystand_core.replica import CopyState, KindReplica, ObjectChange
+from fireflystand_core.traffic import (
+    ClientAccount,
+    EntryLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    WeightedChoice,
+    WeightedService,
+)
+
+
+def route(prefix: str, *services: tuple[str, float]) -> Route:
+    """Return a route of the host a.example."""
+    parts = services or (("s", 1.0),)
+    return Route(
+        name=prefix,
+        host="a.example",
+        prefix=prefix,
+        kind=RequestKind.SAFE,
+        services=tuple(WeightedService(*part) for part in parts),
+        timeout=1.0,
+        target_latency=0.5,
+    )
+
+
+class RouteTests(unittest.TestCase):
+    """Guard against requests that run by another route than the longest prefix."""
+
+    def test_longest_prefix_of_the_host(self):
+        routes = [route("/"), route("/a/"), route("/a/b/")]
+        accounts = [ClientAccount("x", ("k1", "k2"))]
+        table = RoutingTable(1, routes, [], accounts, EntryLimits())
+        for path, expected in (
+            ("/a/b/c", "/a/b/"),
+            ("/a/bc/d", "/a/"),
+            ("/ab", "/"),
+            ("/a/b/", "/a/b/"),
+        ):
+            self.assertEqual(table.route("A.EXAMPLE", path).prefix, expected)
+        self.assertIsNone(table.route("b.example", "/a/"))
+        self.assertEqual(table.account("k2").name, "x")
+
+    def test_weights_hold_in_short_spans(self):
+        choice = WeightedChoice()
+        divided = route("/", ("s1", 75), ("s2", 25))
+        chosen = [choice.choose(divided) for _ in range(40)]
+        self.assertEqual(chosen.count("s1"), 30)
+        self.assertEqual(chosen[:4].count("s2"), 1)
+
+
+class ReplicaTests(unittest.TestCase):
+    """Guard against copies that go back, or count as complete without being so."""
+
+    def test_older_versions_change_nothing(self):
+        replica = KindReplica("k")
+        replica.replace(5, [ObjectChange("a", 5, 1)], 0.0)
+        self.assertEqual(replica.apply(5, 7, [ObjectChange("a", 4, 0)], 1.0), [])
+        self.assertEqual(replica.replace(3, [], 2.0), [])
+        self.assertEqual(replica.by_name["a"].value, 1)
+
+    def test_deleted_object_does_not_return_with_a_late_push(self):
+        replica = KindReplica("k")
+        replica.replace(5, [ObjectChange("a", 5, 1)], 0.0)
+        replica.apply(5, 9, [ObjectChange("a", 9, None)], 1.0)
+        self.assertEqual(replica.apply(5, 8, [ObjectChange("a", 8, 2)], 2.0), [])
+        self.assertNotIn("a", replica.by_name)
+
+    def test_push_without_the_changes_before_it_proves_nothing(self):
+        replica = KindReplica("k")
+        replica.replace(5, [], 0.0)
+        replica.apply(8, 9, [ObjectChange("a", 9, 1)], 3.0)
+        self.assertEqual((replica.revision, replica.confirmed_at), (5, 0.0))
+        self.assertEqual(replica.by_name["a"].value, 1)
+
+    def test_proof_of_a_peer_counts_only_without_missing_changes(self):
+        replica = KindReplica("k")
+        replica.replace(5, [], 0.0)
+        self.assertIs(replica.confirm(8, 5, 4.0), CopyState.CURRENT)
+        self.assertEqual((replica.revision, replica.confirmed_at), (8, 4.0))
+        self.assertIs(replica.confirm(12, 11, 6.0), CopyState.OLDER)
+        self.assertEqual(replica.confirmed_at, 4.0)
+
+
+class RateTests(unittest.TestCase):
+    """Guard against accounts that exceed their rate, or are held below it."""
+
+    def test_two_desks_of_a_divided_fleet_give_the_rate_together(self):
+        desks = [RateDesk(100, 100, share, 0.0) for share in (0.25, 0.75)]
+        given = 0
+        for step in range(500):
+            for desk in desks:
+                given += desk.draw(10, step / 100)[0]
+        self.assertLessEqual(given, (100 * 5 + 100) * 1.1)
+        self.assertGreaterEqual(given, 100 * 5)
+
+    def test_refusal_tells_when_there_is_a_token(self):
+        desk = RateDesk(10, 1, 1.0, 0.0)
+        desk.draw(10, 1.0)
+        given, retry_after = desk.draw(1, 1.0)
+        self.assertEqual(given, 0)
+        self.assertAlmostEqual(retry_after, 0.1, delta=0.02)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -289,7 +289,7 @@
             frozen = self._state.is_frozen(job.service, job.request.routing_key)
             if not frozen and owner is not None and owner.target:
                 until = min(until, job.began_at + OWNER_RETURN)
-            await self._state.wait_for_change(until - trio.current_time())
+            await self._state.wait_for_change(max(0.0, until - trio.current_time()))
         self._no_target(job, "the key has no owner")
 
     def _no_target(self, job: _Job, reason: str) -> None:
@@ -374,6 +374,9 @@
     def _forward_request(self, job: _Job, target: TargetRecord) -> ForwardRequest:
         names = self._settings.target_fields
         control = [(names.expected_target, target.id.encode())]
+        id_field = self._settings.target_interface.request_id_field
+        if not any(name == id_field for name, _ in job.request.fields):
+            control.append((id_field, job.request.id.encode()))
         if job.account is not None:
             control.append((names.account, job.account.name.encode()))
         repeatable = job.route.kind.repeatable
--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -12,7 +12,10 @@
 
 __all__ = ["ServiceLoad"]
 
-MEMORY = 2.0  # seconds over which past work loses most of its weight
+# Seconds over which past work loses most of its weight: the short one shows keys
+# that became busy, the long one evens out chance.
+SHORT_MEMORY = 1.5
+LONG_MEMORY = 8.0
 FORGOTTEN = 0.002  # busy slots below which a key is dropped
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
 SLOWEST, FASTEST = 0.2, 2.0  # bounds of a target's measured speed
@@ -24,9 +27,11 @@
     """Own what the instances reported."""
 
     mean: MeanDuration = attrs.field(factory=lambda: MeanDuration(INITIAL_MEAN))
-    work_by_key: dict[int, float] = attrs.field(factory=dict)
+    recent_by_key: dict[int, float] = attrs.field(factory=dict)
+    usual_by_key: dict[int, float] = attrs.field(factory=dict)
     means_by_target: dict[str, MeanDuration] = attrs.field(factory=dict)
     updated_at: float = 0.0
+    observed: float = 0.0  # seconds with reports
 
     def take(self, report: WorkReport) -> None:
         """Add a report."""
@@ -39,18 +44,27 @@
             for _ in range(min(count, SAMPLES_FOR_SPEED)):
                 known.add(mean)
         for key, count in report.keys:
-            work = count * self.mean.seconds / MEMORY
-            self.work_by_key[key] = self.work_by_key.get(key, 0.0) + work
+            work = count * self.mean.seconds
+            recent, usual = self.recent_by_key, self.usual_by_key
+            recent[key] = recent.get(key, 0.0) + work / SHORT_MEMORY
+            usual[key] = usual.get(key, 0.0) + work / self._long_memory()
+
+    def _long_memory(self) -> float:
+        """Return the long memory, shorter while there is less to remember."""
+        return max(SHORT_MEMORY, min(LONG_MEMORY, self.observed))
 
     def decay(self, now: float) -> None:
         """Let past work lose weight."""
-        factor = math.exp(-max(0.0, now - self.updated_at) / MEMORY)
+        elapsed = max(0.0, min(LONG_MEMORY, now - self.updated_at))
         self.updated_at = now
-        self.work_by_key = {
-            key: work * factor
-            for key, work in self.work_by_key.items()
-            if work * factor > FORGOTTEN
-        }
+        if self.usual_by_key:
+            self.observed += elapsed
+        self.recent_by_key = _decayed(
+            self.recent_by_key, math.exp(-elapsed / SHORT_MEMORY)
+        )
+        self.usual_by_key = _decayed(
+            self.usual_by_key, math.exp(-elapsed / self._long_memory())
+        )
 
     def speed(self, target: str) -> float:
         """Return how much faster than the mean a target works."""
@@ -59,10 +73,18 @@
             return 1.0
         return min(FASTEST, max(SLOWEST, self.mean.seconds / known.seconds))
 
-    def view(self, targets: Mapping[str, TargetRecord]) -> LoadView:
-        """Return the load of the targets that may own keys."""
+    def view(self, targets: Mapping[str, TargetRecord], *, recent: bool) -> LoadView:
+        """Return the recent or the usual load of the targets that may own keys."""
         return LoadView(
             slots_by_target={t.id: t.slots for t in targets.values()},
-            work_by_key=self.work_by_key,
+            work_by_key=self.recent_by_key if recent else self.usual_by_key,
             speeds_by_target={t: self.speed(t) for t in targets},
         )
+
+
+def _decayed(work_by_key: dict[int, float], factor: float) -> dict[int, float]:
+    return {
+        key: work * factor
+        for key, work in work_by_key.items()
+        if work * factor > FORGOTTEN
+    }
--- a/packages/router/src/fireflystand_router/dispatch/quotas.py
+++ b/packages/router/src/fireflystand_router/dispatch/quotas.py
@@ -86,16 +86,17 @@
                     return answer.tokens, answer.retry_after
             except PeerUnavailableError as error:
                 emit(PEER_CALL_FAILED, error, message="quota-draw")
-            return 0, DRAW_TIMEOUT
-        return self._give(account.name, tokens)
+            # Without the desk this instance goes on with its own part of the rate.
+            share = 1 / max(1, len(self._state.instances_by_id))
+            return self._give(account.name, tokens, share)
+        return self._give(account.name, tokens, self._mesh.visible_share)
 
-    def _give(self, name: str, tokens: int) -> tuple[int, float]:
+    def _give(self, name: str, tokens: int, share: float) -> tuple[int, float]:
         table = self._state.table
         account = table.accounts_by_name.get(name) if table else None
         if account is None:
             return 0, DRAW_TIMEOUT
         now = trio.current_time()
-        share = self._mesh.visible_share
         desk = self._desks_by_account.get(name)
         if desk is None:
             desk = RateDesk(account.rate, account.burst, share, now)
@@ -108,4 +109,5 @@
         return desk.draw(tokens, now)
 
     async def _answer(self, draw: QuotaDraw, link: PeerLink) -> QuotaDrawn:
-        return QuotaDrawn(*self._give(draw.account, draw.tokens))
+        share = self._mesh.visible_share
+        return QuotaDrawn(*self._give(draw.account, draw.tokens, share))
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -67,6 +67,7 @@
 CONFIRM_INTERVAL = 1.5  # seconds
 # A coordinator that the store turns away hands over if others reach the store.
 HAND_OVER_AFTER = 2.5  # seconds without the store
+MEETING_PERIOD = 1.6  # seconds after the start in which peers are met
 CLAIM_DELAY = 0.3  # seconds by which the next candidate waits longer
 ALONE_DELAY = 3.0  # seconds that an instance waits that sees few of the others
 # A target that answers no grant for this long is given up; with a third of the
@@ -76,7 +77,12 @@
 RETRY_INTERVAL = 0.2  # seconds after a grant without an answer
 RELEASE_TIMEOUT = 4.0  # seconds; a release is answered when running work has ended
 RELEASE_RETRY = 0.5  # seconds between releases to a target that does not answer
-LEVEL_INTERVAL = 0.5  # seconds between two plans
+PLAN_INTERVAL = 0.5  # seconds between two plans
+# Chance moves recent loads by a third, so calm targets are levelled by the usual
+# load, and only targets that are nearly full by the recent one.
+BUSY_LOAD = 0.75  # part of a target's room
+LEVEL_INTERVAL = 1.5  # seconds between two moves of the usual load
+MOVES_IN_CALM = 6
 MOVES_AT_ONCE = 64
 FREEZE_SLACK = 0.3  # seconds that a freeze lasts beyond the expected move
 GRANTS_PER_SECOND = 60.0  # renewals that a small instance sends beside its requests
@@ -131,6 +137,9 @@
         self._authorised = False
         self._next_confirm = 0.0
         self._next_plan = 0.0
+        self._next_levelling = 0.0
+        self._started_at = self._clock()
+        self._tasks: set[trio.CancelScope] = set()
         self._vacant_since: float | None = None
         self._resigned_epoch = -1
         self._stopping = False
@@ -152,12 +161,31 @@
                     await self._consider_claim()
                 await trio.sleep(STEP)
 
+    def _start_task(self, task: Callable, *arguments) -> None:
+        """Start a task that ends with the claim."""
+        scope = trio.CancelScope()
+        self._tasks.add(scope)
+        self._nursery.start_soon(self._run_task, scope, task, *arguments)
+
+    async def _run_task(
+        self, scope: trio.CancelScope, task: Callable, *arguments
+    ) -> None:
+        try:
+            with scope:
+                await task(*arguments)
+        finally:
+            self._tasks.discard(scope)
+
     # Claims
 
     async def _consider_claim(self) -> None:
         if not self._state.replicas_by_kind[RANGES].revision:
             return
+        settling = self._clock() - self._started_at < MEETING_PERIOD
         record = self._state.records_by_service.get(self.service)
+        if settling and record is not None and record.holder != self._mesh.own_id:
+            # The peers, and so the holder, are not all in touch yet.
+            return
         delay = self._claim_delay(record)
         if delay is None:
             self._vacant_since = None
@@ -210,7 +238,7 @@
         if previous_acts:
             others_until = now + AUTHORITY
         self.record, self._version = claimed, version
-        self._ledger = HoldLedger(self._timing())
+        self._ledger.timing = self._timing()
         self._contacts.clear()
         self._moving.clear()
         self._others_act_until = others_until
@@ -281,7 +309,7 @@
             return self._end("another instance claimed the service")
         if now >= self._next_confirm:
             self._next_confirm = now + CONFIRM_INTERVAL
-            self._nursery.start_soon(self._confirm)
+            self._start_task(self._confirm)
         self._note_authority(now)
         if not self._authorised:
             return
@@ -289,7 +317,7 @@
             return self.resign("the store turns this instance away")
         self._renew(now)
         if now >= self._next_plan:
-            self._next_plan = now + LEVEL_INTERVAL
+            self._next_plan = now + PLAN_INTERVAL
             self._plan(now)
 
     def _note_authority(self, now: float) -> None:
@@ -361,6 +389,10 @@
             epoch=self.record.epoch,
             reason=reason,
         )
+        # Another claim of this process may follow; what the tasks of this one know
+        # of other coordinators would be out of date then.
+        for scope in list(self._tasks):
+            scope.cancel()
         self.record = None
         self._authorised = False
         self._authority_until = float("-inf")
@@ -391,7 +423,7 @@
             if self._is_restarted(target):
                 continue
             contact.next_renewal = now + self._ledger.timing.renewal
-            self._nursery.start_soon(self._renew_target, target, contact)
+            self._start_task(self._renew_target, target, contact)
 
     def _is_restarted(self, target: TargetRecord) -> bool:
         """Tell whether the record names an earlier process of the target."""
@@ -440,7 +472,6 @@
         """Send one grant and tell whether the target took it."""
         sent_at = self._clock()
         timing = self._ledger.timing
-        # A grant must not outlast the authority by more than one hold.
         self._ledger.note_sent(target.id, sent_at)
         try:
             with trio.fail_after(GRANT_TIMEOUT):
@@ -491,7 +522,7 @@
             return
         record = self.record
         vacated = self._vacate(record, usable)
-        view = self.load.view(usable)
+        view = self.load.view(usable, recent=False)
         moves = initial_moves(vacated, view)
         if not moves:
             # Keys on their way count where they go.
@@ -500,7 +531,11 @@
                 planned = planned.assign(first, last, destination)
             moves = joining_moves(planned, view)
             if not moves:
-                moves = levelling_moves(planned, view)
+                recent = self.load.view(usable, recent=True)
+                moves = levelling_moves(planned, recent, least_load=BUSY_LOAD)
+            if not moves and now >= self._next_levelling:
+                self._next_levelling = now + LEVEL_INTERVAL
+                moves = levelling_moves(planned, view, MOVES_IN_CALM)
         self._start_moves(record, moves)
 
     def _assignable(self) -> dict[str, TargetRecord]:
@@ -530,11 +565,11 @@
             for part in self._parts(record, move):
                 self._moving[part.first, part.last] = move.destination
                 if part.target:
-                    self._nursery.start_soon(self._move, part, move.destination)
+                    self._start_task(self._move, part, move.destination)
                 else:
                     vacant.append((part, move.destination))
         if vacant:
-            self._nursery.start_soon(self._give_vacant, vacant)
+            self._start_task(self._give_vacant, vacant)
 
     def _parts(self, record: RangeRecord, move: PlannedMove) -> list[KeyRange]:
         """Return the owned parts of a move that are not moving already."""
@@ -574,7 +609,7 @@
         record = await self._change_record(change)
         if record is None:
             return []
-        return [record.owner(part.first) for part, _ in vacant]
+        return [_granted(record, part, "") for part, _ in vacant]
 
     async def _move(self, part: KeyRange, destination: str) -> None:
         try:
@@ -635,14 +670,9 @@
 
         The target then refuses what an earlier coordinator may still send.
         """
-        record = await self._change_record(
-            lambda record: record.assign(
-                part.first, part.last, target.id, target.started_at, part.handover
-            )
-        )
-        if record is None:
+        item = await self._assign(part, target, "")
+        if item is None:
             return part, False
-        item = record.owner(part.first)
         return item, await self._grant(target, item, contact)
 
     def _is_succeeded(self, part: KeyRange, target: TargetRecord | None) -> bool:
@@ -711,13 +741,22 @@
                 lambda record: record.assign(part.first, part.last, "")
             )
             return
+        item = await self._assign(part, target, handover)
+        if item is not None:
+            await self._grant_until_taken(part, target, item)
+
+    async def _assign(
+        self, part: KeyRange, target: TargetRecord, handover: str
+    ) -> KeyRange | None:
+        """Write a new owner and return the range as it is to be granted."""
         record = await self._change_record(
             lambda record: record.assign(
-                part.first, part.last, target.id, target.started_at, handover
+                part.first, part.last, target.id, target.started_at
             )
         )
-        if record is not None:
-            await self._grant_until_taken(part, target, record.owner(part.first))
+        if record is None:
+            return None
+        return _granted(record, part, handover)
 
     async def _grant_until_taken(
         self, part: KeyRange, target: TargetRecord, item: KeyRange
@@ -762,3 +801,13 @@
         if known is not None and known.epoch == epoch:
             self.record = known
             self._version = self._state.range_version(self.service)
+
+
+def _granted(record: RangeRecord, part: KeyRange, handover: str) -> KeyRange:
+    """Return a part under the fence of the range that holds it in the record."""
+    return attrs.evolve(
+        record.owner(part.first),
+        first=part.first,
+        last=part.last,
+        handover=handover,
+    )
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -0,0 +1,269 @@
+"""Run whole instances in one process, against a fake store and fake targets."""
+
+import attrs
+import h11
+import trio
+
+from fireflystand_core.exceptions import StoreConflictError, StoreUnavailableError
+from fireflystand_core.ranges import KeyRange
+from fireflystand_core.replica import ObjectChange
+from fireflystand_core.traffic import (
+    ClientAccount,
+    EntryLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    ServicePolicy,
+    TargetRecord,
+    WeightedService,
+)
+
+from ..node import DispatchNode
+from ..ports import (
+    CONFIGURATION,
+    TARGETS,
+    DispatchSettings,
+    KindSnapshot,
+)
+
+HOST = "a.example"
+
+
+class SharedStore:
+    """Hold objects for several instances, with watches."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects: dict[str, dict[str, ObjectChange]] = {}
+        self.history: list[tuple[str, ObjectChange]] = []
+        self.down = False
+        self._changed = trio.Event()
+
+    def write(self, kind: str, name: str, value) -> int:
+        """Write an object as its owner would."""
+        self.revision += 1
+        change = ObjectChange(name, self.revision, value)
+        of_kind = self.objects.setdefault(kind, {})
+        if value is None:
+            of_kind.pop(name, None)
+        else:
+            of_kind[name] = change
+        self.history.append((kind, change))
+        self._changed.set()
+        self._changed = trio.Event()
+        return self.revision
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("down", step="call")
+
+    async def list(self, kind):
+        await trio.sleep(0.002)
+        self._check()
+        return KindSnapshot(self.revision, list(self.objects.get(kind, {}).values()))
+
+    async def watch(self, kind, since, wait):
+        with trio.move_on_after(wait):
+            while not self._events(kind, since):
+                self._check()
+                await self._changed.wait()
+        self._check()
+        return KindSnapshot(self.revision, self._events(kind, since))
+
+    def _events(self, kind, since):
+        return [c for k, c in self.history if k == kind and c.version > since]
+
+    async def get(self, kind, name):
+        await trio.sleep(0.002)
+        self._check()
+        return self.objects.get(kind, {}).get(name)
+
+    async def put(self, kind, name, value, version):
+        await trio.sleep(0.002)
+        self._check()
+        known = self.objects.get(kind, {}).get(name)
+        if version is not None and version != (known.version if known else 0):
+            raise StoreConflictError("other version", step="put")
+        return self.write(kind, name, value)
+
+    async def delete(self, kind, name, version):
+        self._check()
+        self.write(kind, name, None)
+
+    async def close(self):
+        pass
+
+
+class SharedControl:
+    """Take grants and releases without checks."""
+
+    async def grant(self, address: str, item: KeyRange, hold: float) -> None:
+        await trio.sleep(0.001)
+
+    async def release(self, address: str, item: KeyRange, timeout: float) -> str:
+        await trio.sleep(0.001)
+        return "handover"
+
+    async def close(self) -> None:
+        pass
+
+
+@attrs.define(eq=False)
+class HttpTarget:
+    """Answer requests over HTTP and note them."""
+
+    work: float = 0.0  # seconds
+    status: int = 200
+    not_run: bool = False
+    breaks: bool = False
+    requests: list[dict[bytes, bytes]] = attrs.field(factory=list)
+    connections: int = 0
+
+    async def serve(self, stream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER)
+        async with stream:
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    connection.receive_data(await stream.receive_some(65536))
+                elif isinstance(event, h11.Request):
+                    fields = dict(event.headers)
+                    self.requests.append(fields | {b":target": event.target})
+                elif isinstance(event, h11.EndOfMessage):
+                    if not await self._answer(connection, stream, fields):
+                        return
+                    connection.start_next_cycle()
+                elif isinstance(event, h11.ConnectionClosed):
+                    return
+
+    async def _answer(self, connection, stream, fields) -> bool:
+        await trio.sleep(self.work)
+        if self.breaks:
+            return False
+        echoed = fields.get(b"fireflystand-request-id", b"")
+        headers = [("Content-Length", "2"), ("Fireflystand-Request-Id", echoed)]
+        if self.not_run:
+            headers.append(("Fireflystand-Outcome", "not-run"))
+        data = connection.send(h11.Response(status_code=self.status, headers=headers))
+        data += connection.send(h11.Data(data=b"ok"))
+        await stream.send_all(data + connection.send(h11.EndOfMessage()))
+        return True
+
+
+class Fleet:
+    """Own instances, targets and their store in one process."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.store = SharedStore()
+        self.nodes: list[DispatchNode] = []
+        self.targets: list[HttpTarget] = []
+        self.tables_by_version: dict[int, RoutingTable] = {}
+
+    async def add_target(self, service: str = "keyed", **fields) -> HttpTarget:
+        """Start a target and announce it."""
+        target = HttpTarget(**fields)
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(trio.serve_listeners, target.serve, listeners)
+        self.targets.append(target)
+        name = f"t{len(self.targets)}"
+        record = {
+            "service": service,
+            "address": f"127.0.0.1:{port}",
+            "data_centre": "x",
+            "slots": 4,
+        }
+        self.store.write(TARGETS, name, record)
+        return target
+
+    async def add_node(self) -> DispatchNode:
+        """Start an instance."""
+        settings = DispatchSettings(
+            instance=f"n{len(self.nodes) + 1}",
+            data_centre="x",
+            caller_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
+        )
+        node = DispatchNode(
+            settings, self.store, SharedControl(), self.read_table, read_record
+        )
+        await self.nursery.start(node.run)
+        self.nodes.append(node)
+        return node
+
+    def configure(self, version: int = 1, *, accounts=(), **route) -> None:
+        """Write a configuration with one keyed and one pooled route."""
+        values = {
+            "host": HOST,
+            "kind": RequestKind.SAFE,
+            "timeout": 2.0,
+            "target_latency": 0.5,
+            "max_attempts": 2,
+        } | route
+        routes = [
+            Route("keyed", prefix="/k/", services=_only("keyed"), **values),
+            Route("pooled", prefix="/p/", services=_only("pooled"), **values),
+        ]
+        services = [ServicePolicy("keyed", keyed=True), ServicePolicy("pooled")]
+        table = RoutingTable(version, routes, services, accounts, EntryLimits())
+        self.tables_by_version[version] = table
+        self.store.write(CONFIGURATION, "main", {"version": version})
+
+    def read_table(self, value: dict) -> RoutingTable:
+        """Return the table of a stored configuration."""
+        return self.tables_by_version[value["version"]]
+
+
+def read_record(change: ObjectChange) -> TargetRecord:
+    """Return the target of a stored record."""
+    return TargetRecord(id=change.name, version=change.version, **change.value)
+
+
+def _only(service: str) -> tuple[WeightedService, ...]:
+    return (WeightedService(service),)
+
+
+ACCOUNT = ClientAccount("shop", ("key-1",), rate=0.0)
+
+
+class Caller:
+    """Send requests on one kept connection."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def connect(cls, node: DispatchNode) -> "Caller":
+        """Connect to an instance."""
+        host, port = node.entry.address.rsplit(":", 1)
+        return cls(await trio.open_tcp_stream(host, int(port)))
+
+    async def ask(
+        self, path: str, *, method: str = "GET", key: int = 7, **fields: str
+    ) -> tuple[int, dict[bytes, bytes]]:
+        """Return the status and the fields of the response."""
+        headers = [
+            ("Host", HOST),
+            ("Fireflystand-Routing-Key", str(key)),
+            ("Fireflystand-Deadline-Ms", fields.pop("deadline", "2000")),
+            *((name.replace("_", "-"), value) for name, value in fields.items()),
+        ]
+        connection = self._connection
+        data = connection.send(h11.Request(method=method, target=path, headers=headers))
+        await self._stream.send_all(data + connection.send(h11.EndOfMessage()))
+        response = None
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await self._stream.receive_some(65536))
+            elif isinstance(event, h11.Response):
+                response = event
+            elif isinstance(event, h11.EndOfMessage):
+                if connection.our_state is h11.DONE:
+                    connection.start_next_cycle()
+                return response.status_code, dict(response.headers)
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -215,6 +215,10 @@
                 self._framer.buffer.clear()
                 await self._wait()
 
+    def stop_reading(self) -> None:
+        """Serve no further request, as a response announced the end."""
+        self._closing = True
+
     def is_last(self, turn: Turn) -> bool:
         """Tell whether no later request is being served."""
         return not self._turns or self._turns[-1] is turn
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -44,6 +44,7 @@
         self._interface = interface
         self._host = host
         self._port = port
+        self.address = ""
         self.connection_limit = connection_limit
         self._grace_period = grace_period
         self._drain_timeout = drain_timeout
@@ -68,9 +69,9 @@
         self._listeners = await trio.open_tcp_listeners(self._port, host=self._host)
         port = self._listeners[0].socket.getsockname()[1]
         self._accepting = await nursery.start(self._accept)
-        address = f"{self._host}:{port}"
-        emit(ENTRY_STARTED, address=address)
-        return address
+        self.address = f"{self._host}:{port}"
+        emit(ENTRY_STARTED, address=self.address)
+        return self.address
 
     async def _accept(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         with trio.CancelScope() as scope:
--- a/packages/router/src/fireflystand_router/entry/turn.py
+++ b/packages/router/src/fireflystand_router/entry/turn.py
@@ -38,6 +38,7 @@
         self._connection = connection
         self._framer = framer
         self._method = framer.method
+        self._bodyless = framer.complete
         self._previous = previous
         self._queued = bytearray()
         self._aborted = False
@@ -72,9 +73,9 @@
         body = refusal.body(self.request_id)
         interface = self._connection.interface
         headers = refusal.headers(self.request_id, len(body), interface)
-        if not refusal.close and self._must_close():
-            headers.append(("Connection", "close"))
         self.closes = self.closes or refusal.close
+        if self._must_close() and not refusal.close:
+            headers.append(("Connection", "close"))
         self.started = True
         self._send(h11.Response(status_code=refusal.status, headers=headers))
         if self._method != b"HEAD":
@@ -93,8 +94,12 @@
 
     def _must_close(self) -> bool:
         drains = self._connection.draining and self._connection.is_last(self)
-        if drains or not self._framer.complete:
+        # The framer may have begun the body of a later request.
+        if drains or not (self._bodyless or self._framer.complete):
             self.closes = True
+        if self.closes:
+            # A request that is read behind this response would be cut off.
+            self._connection.stop_reading()
         return self.closes
 
     async def permit_body(self) -> None:
@@ -114,8 +119,8 @@
         if self._connection.interface.own_fields:
             headers.append((b"Fireflystand-Outcome", b"answered"))
             headers.append((b"Fireflystand-Request-Id", self.request_id.encode()))
-        if close or self._must_close():
-            self.closes = True
+        self.closes = self.closes or close
+        if self._must_close():
             headers.append((b"Connection", b"close"))
         self.started = True
         self._send(h11.Response(status_code=status, headers=headers))
