Refuse at once what a target that is down cannot serve, and bound request logs

Change: the desk turns the queue of an unreachable target away and tries it again after 0.5 s; the pause after a shed request is 0.03 s; at most 40 lines a second an event; accounts fall back to their part of the rate without their desk. Tests: test_node.

--- a/packages/core/src/fireflystand_core/dispatch/desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/desk.py
@@ -74,6 +74,7 @@
     seconds: float | None = None
     complete: bool = True
     shed: bool = False
+    unreachable: bool = False
     load: TargetLoad | None = None
 
 
@@ -121,6 +122,8 @@
         """Grant a slot, let the request wait, or turn it away."""
         if ask.target and ask.target not in self.targets_by_id:
             return [SlotRefused(ask, "target is not known", SHORTEST_RETURN)]
+        if wait := self._unreachable_for(ask.target, now):
+            return [self._turned_away(ask, "target cannot be reached", wait, now)]
         start, expected = self._estimate(ask, now)
         room = ask.end_at - now
         if expected > room or start + expected > room * LATE_MARGIN and start > 0:
@@ -141,6 +144,9 @@
         held = min(target.next_room(now) for target in targets)
         return start_delay(running, free, ahead, mean) + held, mean
 
+    def _unreachable_for(self, target: str, now: float) -> float:
+        return self.targets_by_id[target].unreachable_for(now) if target else 0.0
+
     def _candidates(self, target: str) -> list[TargetSlots]:
         if target:
             return [self.targets_by_id[target]]
@@ -220,8 +226,18 @@
             target.note_load(result.load, now)
         if result.shed:
             target.note_shed(now)
+        if result.unreachable:
+            target.note_unreachable(now)
+            return self._turn_all_away(target, now)
         return self._freed(target, now)
 
+    def _turn_all_away(self, target: TargetSlots, now: float) -> list[Decision]:
+        """Turn the queue of a target away that takes no connection."""
+        wait = target.unreachable_for(now)
+        queue = self._queues_by_target.pop(target.record.id, {})
+        reason = "target cannot be reached"
+        return [self._turned_away(ask, reason, wait, now) for ask in queue.values()]
+
     def _freed(self, target: TargetSlots, now: float) -> list[Decision]:
         return [*self._dispatch(target.record.id, now), *self._dispatch("", now)]
 
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -9,7 +9,11 @@
 __all__ = ["HeldSlot", "TargetLoad", "TargetSlots"]
 
 COLD_BURST = 2.0  # requests a cold target gets at once
-SHED_PAUSE = 0.25  # seconds in which a target that shed a request gets no new one
+# A target that shed a request may do so by chance while it has room: a long pause
+# would then waste most of it.
+SHED_PAUSE = 0.03  # seconds in which it gets no new one
+# A target that refuses connections has ended or is starting.
+UNREACHABLE_PAUSE = 0.5  # seconds until the next request tries it
 LOAD_AGE_LIMIT = 0.5  # seconds after which a target's report says nothing any more
 SLOWEST_PACE = 10.0  # reports beyond this factor are taken as this factor
 
@@ -46,6 +50,7 @@
         self.held_by_number: dict[int, HeldSlot] = {}
         self.mean = MeanDuration(mean)
         self._paused_until = float("-inf")
+        self._unreachable_until = float("-inf")
         self._pace = 1.0
         self._pace_at = float("-inf")
         self._cold_until = now + record.cold_for
@@ -65,7 +70,9 @@
 
     def free_slots(self, now: float) -> int:
         """Return how many requests the target can take now."""
-        if self.record.leaving or now < self._paused_until:
+        if self.record.leaving or now < max(
+            self._paused_until, self._unreachable_until
+        ):
             return 0
         free = max(0, self.record.slots - len(self.held_by_number))
         if free and self.is_cold(now):
@@ -97,6 +104,14 @@
         """Pause after the target refused a request for want of room."""
         self._paused_until = now + SHED_PAUSE
 
+    def note_unreachable(self, now: float) -> None:
+        """Give no requests to the target for a while, as it takes no connection."""
+        self._unreachable_until = now + UNREACHABLE_PAUSE
+
+    def unreachable_for(self, now: float) -> float:
+        """Return the seconds until the target is tried again; 0 if it is not down."""
+        return max(0.0, self._unreachable_until - now)
+
     def expected(self, now: float) -> float:
         """Return the expected duration of a request that starts now."""
         recent = now - self._pace_at <= LOAD_AGE_LIMIT
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -125,6 +125,7 @@
     seconds: float | None = None
     complete: bool = True
     shed: bool = False
+    unreachable: bool = False
     load: list[float] | None = None
 
 
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -12,7 +12,7 @@
 
 from ..entry import RequestRefusedError, Responder
 from ..entry.body import CallerBody
-from ..events import REQUEST_FAILED, REQUEST_REPEATED, REQUEST_TURNED_AWAY, emit
+from ..events import REQUEST_FAILED, REQUEST_REPEATED, REQUEST_TURNED_AWAY, emit_limited
 from ..forward import BrokenExchangeError, Exchange, Failure, Forwarder, ForwardRequest
 from ..framing import MalformedMessageError
 from ..metrics import (
@@ -37,6 +37,7 @@
 PREFIX_BYTES = 64 * 1024  # bytes of a body that can be sent again
 UNKNOWN_WAIT = 0.3  # seconds until a caller returns to an instance that knows no routes
 OWNER_WAIT = 1.0  # seconds that a request waits for the owner of its key
+SHED_RETURN = 0.1  # seconds until a caller returns to a target that shed it
 OWNER_RETURN = 0.3  # seconds until a caller returns for a key without an owner
 ANSWER_MARGIN = 0.01  # seconds before its end at which a request is given up
 # The store may be a second late with changes and still answer that there are none.
@@ -65,6 +66,7 @@
     service: str = ""
     prefix: bytes = b""
     fingerprint: int = 0
+    tries: int = 0  # slots that were used
     attempts: int = 0  # targets that the request was sent to
     unsure: bool = False  # a target may have run it
     target: str = ""
@@ -139,7 +141,7 @@
         if sent:
             self._metrics.count(UNKNOWN)
         table = self._state.table
-        emit(
+        emit_limited(
             REQUEST_FAILED if sent else REQUEST_TURNED_AWAY,
             request_id=request_id,
             status=refusal.status,
@@ -255,7 +257,7 @@
             job.reason = failure.outcome.reason
             if not self._may_repeat(job, failure):
                 raise self._final(job, failure)
-            emit(
+            emit_limited(
                 REQUEST_REPEATED,
                 request_id=job.request.id,
                 target=target.id,
@@ -263,7 +265,7 @@
                 attempts=job.attempts,
             )
             self._metrics.count(RETRIES)
-            if key is not None and (failure.stale or failure.refused):
+            if key is not None and failure.stale:
                 await self._state.wait_for_change(RETRY_PAUSE)
             else:
                 await trio.sleep(RETRY_PAUSE)
@@ -324,6 +326,7 @@
         """Send the request once; return why there was no response, if so."""
         result = SlotReturn(slot.service, slot.number)
         job.target = target.id
+        job.tries += 1
         began_at = trio.current_time()
         forward = self._forward_request(job, target)
         earlier = job.unsure
@@ -331,7 +334,8 @@
             answer = await self._open(job, forward)
             if isinstance(answer, Failure):
                 self._learn(job, target, answer, earlier)
-                result = attrs.evolve(result, shed=answer.shed)
+                unreachable = not forward.handed
+                result = attrs.evolve(result, shed=answer.shed, unreachable=unreachable)
                 return answer
             load = self._settings.target_fields.read_load(answer.fields)
             await self._deliver(job, answer, responder)
@@ -413,7 +417,7 @@
             while part := await self._next_part(job, exchange, responder):
                 await responder.write(part)
         except (BrokenExchangeError, trio.TooSlowError) as error:
-            emit(
+            emit_limited(
                 REQUEST_FAILED,
                 error,
                 request_id=job.request.id,
@@ -452,15 +456,20 @@
             return False
         if job.attempts >= job.route.max_attempts:
             return False
-        if failure.refused:
-            return True
+        if not job.attempts or job.tries > job.route.max_attempts:
+            # No target was reached: another one may be, but a key has only one.
+            return (
+                not self._is_keyed(job.service) and job.tries <= job.route.max_attempts
+            )
         return self._budget(job).spend()
 
     def _final(self, job: _Job, failure: Failure) -> RequestRefusedError:
         reason = failure.outcome.reason
         if job.unsure:
             return self._failed(job, 502, reason)
-        return RequestRefusedError(503, reason, retry_after=OWNER_RETURN)
+        wait = SHED_RETURN if failure.shed else OWNER_RETURN
+        wait *= 0.5 + self._random.random()
+        return RequestRefusedError(503, reason, retry_after=wait)
 
     def _failed(self, job: _Job, status: int, reason: str) -> RequestRefusedError:
         return RequestRefusedError(status, reason, outcome="unknown")
--- a/packages/router/src/fireflystand_router/dispatch/quotas.py
+++ b/packages/router/src/fireflystand_router/dispatch/quotas.py
@@ -101,6 +101,7 @@
         if desk is None:
             desk = RateDesk(account.rate, account.burst, share, now)
             self._desks_by_account[name] = desk
+            self._generations_by_account[name] = self._mesh.generation
         desk.change(account.rate, account.burst, share, now)
         generation = self._mesh.generation
         if self._generations_by_account.get(name) != generation:
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -157,7 +157,12 @@
         running, waiting, slots, pace = message.load
         load = TargetLoad(int(running), int(waiting), int(slots), pace)
     return SlotResult(
-        message.number, message.seconds, message.complete, message.shed, load
+        number=message.number,
+        seconds=message.seconds,
+        complete=message.complete,
+        shed=message.shed,
+        unreachable=message.unreachable,
+        load=load,
     )
 
 
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
@@ -0,0 +1,174 @@
+"""Test whole instances against a fake store and fake targets."""
+
+import unittest
+
+import trio
+
+from fireflystand_core.traffic import ClientAccount, RequestKind
+
+from ..ports import CONFIGURATION, DEPARTURES, TARGETS
+from .node_support import Caller, Fleet
+
+
+class NodeTests(unittest.TestCase):
+    """Guard against wrong answers of a small fleet in one process."""
+
+    def play(self, scenario, *, nodes: int = 1, targets: int = 2, **fields) -> None:
+        """Start a fleet with targets of both services and run a scenario."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                fleet = Fleet(nursery)
+                fleet.configure()
+                for _ in range(targets):
+                    await fleet.add_target("keyed", **fields)
+                await fleet.add_target("pooled", **fields)
+                for _ in range(nodes):
+                    await fleet.add_node()
+                await trio.sleep(0.8)
+                await scenario(fleet)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_requests_reach_the_owner_of_their_key(self):
+        async def scenario(fleet):
+            caller = await Caller.connect(fleet.nodes[0])
+            for key in (1, 40000):
+                status, _ = await caller.ask("/k/x", key=key)
+                self.assertEqual(status, 200)
+            self.assertEqual([len(t.requests) for t in fleet.targets], [1, 1, 0])
+            self.assertEqual((await caller.ask("/p/x"))[0], 200)
+            self.assertEqual((await caller.ask("/none/"))[0], 404)
+
+        self.play(scenario)
+
+    def test_api_key_is_checked_and_withheld_from_targets(self):
+        async def scenario(fleet):
+            accounts = [ClientAccount("shop", ("key-1",))]
+            fleet.configure(2, accounts=accounts)
+            await trio.sleep(0.2)
+            caller = await Caller.connect(fleet.nodes[0])
+            bearer = {"Authorization": "Bearer key-1"}
+            self.assertEqual((await caller.ask("/k/x", **bearer))[0], 200)
+            self.assertEqual((await caller.ask("/k/x"))[0], 401)
+            seen = next(t for t in fleet.targets if t.requests).requests[0]
+            self.assertEqual(seen[b"fireflystand-client-account"], b"shop")
+            self.assertNotIn(b"authorization", seen)
+
+        self.play(scenario)
+
+    def test_unproved_api_keys_are_not_served(self):
+        """An instance cut from the store must not serve a withdrawn API key."""
+
+        async def scenario(fleet):
+            fleet.configure(2, accounts=[ClientAccount("shop", ("key-1",))])
+            await trio.sleep(0.2)
+            fleet.store.down = True
+            replica = fleet.nodes[0].state.replicas_by_kind[CONFIGURATION]
+            replica.confirmed_at -= 60
+            caller = await Caller.connect(fleet.nodes[0])
+            status, _ = await caller.ask("/k/x", Authorization="Bearer key-1")
+            self.assertEqual(status, 503)
+
+        self.play(scenario)
+
+    def test_rate_is_shared_and_only_excess_is_refused(self):
+        async def scenario(fleet):
+            account = ClientAccount("shop", ("key-1",), rate=5.0, burst=10.0)
+            fleet.configure(2, accounts=[account])
+            await trio.sleep(0.3)
+            callers = [await Caller.connect(node) for node in fleet.nodes]
+            statuses = []
+            for _ in range(15):
+                for caller in callers:
+                    status, _ = await caller.ask("/p/x", Authorization="Bearer key-1")
+                    statuses.append(status)
+            self.assertGreaterEqual(statuses.count(200), 5)
+            self.assertLessEqual(statuses.count(200), 30)
+            self.assertGreater(statuses.count(429), 0)
+            self.assertEqual(set(statuses), {200, 429})
+
+        self.play(scenario, nodes=2)
+
+    def test_unrepeatable_request_runs_once(self):
+        """An order whose target breaks off must not be sent again."""
+
+        async def scenario(fleet):
+            fleet.configure(2, kind=RequestKind.UNSAFE)
+            await trio.sleep(0.2)
+            caller = await Caller.connect(fleet.nodes[0])
+            status, _ = await caller.ask("/p/x", method="POST")
+            self.assertEqual(status, 502)
+            self.assertEqual(len(fleet.targets[2].requests), 1)
+
+        self.play(scenario, breaks=True)
+
+    def test_refused_request_is_sent_again_within_its_attempts(self):
+        async def scenario(fleet):
+            caller = await Caller.connect(fleet.nodes[0])
+            status, fields = await caller.ask("/p/x")
+            self.assertEqual(status, 503)
+            self.assertIn(b"retry-after", fields)
+            self.assertEqual(len(fleet.targets[2].requests), 2)
+
+        self.play(scenario, status=503, not_run=True)
+
+    def test_request_for_a_target_that_is_down_is_refused_at_once(self):
+        """A crashed owner: attempts at its address went on until the deadline."""
+
+        async def scenario(fleet):
+            record = fleet.store.objects[TARGETS]["t1"].value
+            fleet.store.write(TARGETS, "t1", record | {"address": "127.0.0.1:9"})
+            fleet.store.write(TARGETS, "t2", record | {"address": "127.0.0.1:9"})
+            await trio.sleep(0.2)
+            caller = await Caller.connect(fleet.nodes[0])
+            began_at = trio.current_time()
+            status, fields = await caller.ask("/k/x")
+            self.assertEqual(status, 503)
+            self.assertIn(b"retry-after", fields)
+            self.assertLess(trio.current_time() - began_at, 0.4)
+
+        self.play(scenario)
+
+    def test_departed_data_centre_gets_nothing(self):
+        async def scenario(fleet):
+            fleet.store.write(DEPARTURES, "x", {})
+            await trio.sleep(0.3)
+            caller = await Caller.connect(fleet.nodes[0])
+            self.assertEqual((await caller.ask("/p/x"))[0], 503)
+            fleet.store.write(DEPARTURES, "x", None)
+            await trio.sleep(1.0)
+            self.assertEqual((await caller.ask("/p/x"))[0], 200)
+            self.assertEqual((await caller.ask("/k/x"))[0], 200)
+
+        self.play(scenario)
+
+    def test_request_with_no_time_is_refused_not_failed(self):
+        async def scenario(fleet):
+            caller = await Caller.connect(fleet.nodes[0])
+            status, _ = await caller.ask("/k/x", deadline="30")
+            self.assertEqual(status, 503)
+            self.assertEqual(sum(len(t.requests) for t in fleet.targets), 0)
+
+        self.play(scenario)
+
+    def test_second_instance_takes_over(self):
+        """No majority: one instance alone goes on after the coordinator is lost."""
+
+        async def scenario(fleet):
+            first, second = fleet.nodes
+            coordinator = first.ownership.coordinators_by_service["keyed"]
+            leader, other = (first, second) if coordinator.leading else (second, first)
+            leader._scope.cancel()
+            await trio.sleep(4.5)
+            taken = other.ownership.coordinators_by_service["keyed"]
+            self.assertTrue(taken.leading)
+            caller = await Caller.connect(other)
+            self.assertEqual((await caller.ask("/k/x"))[0], 200)
+
+        self.play(scenario, nodes=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -2,6 +2,8 @@
 
 import json
 import sys
+import time
+from collections.abc import Callable
 from typing import TextIO
 
 import attrs
@@ -9,10 +11,22 @@
 
 from fireflystand_core.exceptions import FireflystandError
 
-__all__ = ["EVENTS_BY_NUMBER", "Event", "configure_log", "define_event", "emit"]
+__all__ = [
+    "EVENTS_BY_NUMBER",
+    "Event",
+    "LineLimiter",
+    "configure_log",
+    "define_event",
+    "emit",
+    "emit_limited",
+]
 
 EVENTS_BY_NUMBER: dict[int, "Event"] = {}
 
+# A line costs about a tenth of a request; 40 lines leave an overloaded instance
+# nine tenths of its processor time.
+LINES_PER_SECOND = 40
+
 
 @attrs.frozen
 class Event:
@@ -45,6 +59,44 @@
     logger.bind(event=event.number, fields=fields).log(event.level, event.text)
 
 
+class LineLimiter:
+    """Let a bounded number of lines of each event through, and count the others."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._second_by_event: dict[int, int] = {}
+        self._lines_by_event: dict[int, int] = {}
+        self._omitted_by_event: dict[int, int] = {}
+
+    def admit(self, event: Event) -> int | None:
+        """Return how many lines were left out before this one; None to leave it out."""
+        second = int(self._clock())
+        number = event.number
+        if self._second_by_event.get(number) != second:
+            self._second_by_event[number] = second
+            self._lines_by_event[number] = 0
+        self._lines_by_event[number] += 1
+        if self._lines_by_event[number] > LINES_PER_SECOND:
+            self._omitted_by_event[number] = self._omitted_by_event.get(number, 0) + 1
+            return None
+        return self._omitted_by_event.pop(number, 0)
+
+
+_limiter = LineLimiter()
+
+
+def emit_limited(
+    event: Event, error: Exception | None = None, **fields: object
+) -> None:
+    """Log an event that requests cause; at most some lines a second are written."""
+    omitted = _limiter.admit(event)
+    if omitted is None:
+        return
+    if omitted:
+        emit(LINES_OMITTED, number=event.number, count=omitted)
+    emit(event, error, **fields)
+
+
 def configure_log(
     sink: TextIO | None = None, *, as_json: bool = False, level: str = "INFO"
 ) -> None:
@@ -301,3 +353,6 @@
 RECORD_WRITE_FAILED = define_event(
     6038, "WARNING", "record of key ranges not written or read", "service", "what"
 )
+LINES_OMITTED = define_event(
+    6040, "WARNING", "lines of an event were left out", "number", "count"
+)
