--- a/packages/router/src/fireflystand_router/dispatch/crashes.py
+++ b/packages/router/src/fireflystand_router/dispatch/crashes.py
@@ -4,8 +4,8 @@
 
 from fireflystand_core.messages import CrashNotice
 
-from ..events import CRASH_SUSPECTED, PEER_CALL_FAILED, emit
-from ..peers import PeerLink, PeerUnavailableError
+from ..events import CRASH_SUSPECTED, emit
+from ..peers import PeerLink
 from .mesh import Mesh
 
 __all__ = ["CrashWatch"]
@@ -54,7 +54,7 @@
         self._broken = [b for b in self._broken if b[1] != target]
         for fingerprint in blamed:
             self._count(target, fingerprint)
-            self._tell(CrashNotice(fingerprint, target))
+            self._mesh.broadcast(CrashNotice(fingerprint, target))
 
     def _count(self, target: str, fingerprint: int) -> None:
         crashes = self._crashes_by_fingerprint.setdefault(fingerprint, {})
@@ -66,14 +66,5 @@
             crashes=len(crashes),
         )
 
-    def _tell(self, notice: CrashNotice) -> None:
-        for peer in self._mesh.live:
-            if peer == self._mesh.own_id:
-                continue
-            try:
-                self._mesh.network.send(peer, notice)
-            except PeerUnavailableError as error:
-                emit(PEER_CALL_FAILED, error, message="crash-notice")
-
     async def _take_notice(self, notice: CrashNotice, link: PeerLink) -> None:
         self._count(notice.target, notice.fingerprint)
--- a/packages/router/src/fireflystand_router/dispatch/mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/mesh.py
@@ -8,7 +8,7 @@
 from fireflystand_core.messages import Beat, KindProof
 from fireflystand_core.sharding import rendezvous_order
 
-from ..events import PEER_LOST, PEER_REGAINED, emit
+from ..events import PEER_CALL_FAILED, PEER_LOST, PEER_REGAINED, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError
 from .clock import lease_clock
 from .state import RoutingState
@@ -179,6 +179,16 @@
             if heard_at < oldest:
                 self._lose(peer, "no beats")
 
+    def broadcast(self, message: object) -> None:
+        """Send a message to all instances in touch; lost ones are left out."""
+        for peer in self.live:
+            if peer == self.own_id:
+                continue
+            try:
+                self.network.send(peer, message)
+            except PeerUnavailableError as error:
+                emit(PEER_CALL_FAILED, error, message=type(message).__name__)
+
     def _live_changed(self) -> None:
         self._homes_by_name.clear()
         self.generation += 1
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -42,7 +42,6 @@
     COORDINATOR_CLAIMED,
     COORDINATOR_ENDED,
     GRANT_REFUSED,
-    PEER_CALL_FAILED,
     RANGE_GIVEN,
     RANGE_RELEASED,
     RECORD_WRITE_FAILED,
@@ -50,7 +49,6 @@
     emit,
 )
 from ..http_client import ConnectionFailedError
-from ..peers import PeerUnavailableError
 from .clock import lease_clock
 from .load import ServiceLoad
 from .mesh import Mesh
@@ -361,13 +359,7 @@
         self._end(reason)
         self._resigned_epoch = epoch
         message = CoordinatorResigned(self.service, epoch)
-        for peer in self._mesh.live:
-            if peer == self._mesh.own_id:
-                continue
-            try:
-                self._mesh.network.send(peer, message)
-            except PeerUnavailableError as error:
-                emit(PEER_CALL_FAILED, error, message="coordinator-resigned")
+        self._mesh.broadcast(message)
 
     def note_resigned(self, epoch: int) -> None:
         """Note that the coordinator of an epoch acts no more."""
@@ -725,13 +717,7 @@
             )
         )
         message = RangesFrozen(self.service, part.first, part.last, seconds)
-        for peer in self._mesh.live:
-            if peer == self._mesh.own_id:
-                continue
-            try:
-                self._mesh.network.send(peer, message)
-            except PeerUnavailableError as error:
-                emit(PEER_CALL_FAILED, error, message="ranges-frozen")
+        self._mesh.broadcast(message)
 
     async def _give(self, part: KeyRange, destination: str, handover: str) -> None:
         target = self._state.usable(destination)
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -147,14 +147,8 @@
         age = max(0.0, self._state.proof_age(kind))
         items = [_copied(change) for change in changes]
         copy = ReplicaCopy(kind, since, revision, min(age, 1e6), items)
-        for peer in self._mesh.live:
-            if peer == self._mesh.own_id:
-                continue
-            try:
-                self._mesh.network.send(peer, copy)
-            except PeerUnavailableError as error:
-                # The peer pulls the change after its next beat.
-                emit(PEER_CALL_FAILED, error, message="replica-copy")
+        # A peer that misses it pulls the change after its next beat.
+        self._mesh.broadcast(copy)
 
     def take_proofs(self, peer: str, beat: Beat) -> None:
         """Compare a peer's copies with the own ones, and pull what is newer."""
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -152,6 +152,9 @@
     def is_live(self, instance: str) -> bool:
         return instance in self.live
 
+    def broadcast(self, message: object) -> None:
+        pass
+
 
 class World:
     """Own a store, targets and the coordinators that share them."""
