Put a fence of its own on a range before a new coordinator takes it from a target

Ruled out: the authority lease (the resigned one had stopped). Change: until every grant of an earlier coordinator has run out, the new one first grants the range under a new fence, also to targets whose entry has ended. Test: test_late_grant_of_a_resigned_coordinator_gives_no_key_back fails without it.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -235,6 +235,8 @@
         now = self._clock()
         if previous_acts:
             others_until = now + AUTHORITY
+        elif not record.holder:
+            others_until = float("-inf")
         self.record, self._version = claimed, version
         self._ledger.timing = self._timing()
         self._contacts.clear()
@@ -625,12 +627,16 @@
             self._ledger.forget(part.target)
             return ""
         contact = self._contact(part.target)
-        address = self._address_of(part.target, target)
+        last = target or self._state.last_records_by_target.get(part.target)
+        address = last.address if last is not None else ""
         self._freeze(part)
-        fenced = self._clock() >= self._others_act_until
+        # Grants of an earlier coordinator may be carried out late.
+        fenced = self._clock() >= self._ledger.free_after_silence(
+            "", self._others_act_until
+        )
         async with contact.lock:
-            if not fenced and target is not None:
-                part, fenced = await self._fence_off(part, target, contact)
+            if not fenced and last is not None:
+                part, fenced = await self._fence_off(part, last, contact)
         while self.may_act():
             if address:
                 handover = await self._release(part, address, contact)
@@ -671,24 +677,15 @@
         """Tell whether the process that holds a range is known to have ended."""
         if target is not None:
             return target.started_at != part.started_at
-        address = self._addresses_by_target.get(part.target)
-        if address is None:
+        known = self._state.last_records_by_target.get(part.target)
+        if known is None:
             return False
         # An address is given to another target only after its last one has ended.
         return any(
-            other.address == address and other.started_at > part.started_at
+            other.address == known.address and other.started_at > part.started_at
             for other in self._state.targets_by_id.values()
         )
 
-    def _address_of(self, target_id: str, target: TargetRecord | None) -> str | None:
-        if target is not None:
-            return target.address
-        return self._addresses_by_target.get(target_id)
-
-    @property
-    def _addresses_by_target(self) -> dict[str, str]:
-        return self._state.addresses_by_target
-
     async def _release(
         self, part: KeyRange, address: str, contact: _TargetContact
     ) -> str | None:
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -69,7 +69,7 @@
         self.replicas_by_kind = {kind: KindReplica(kind) for kind in KINDS}
         self.table: RoutingTable | None = None
         self.targets_by_id: dict[str, TargetRecord] = {}
-        self.addresses_by_target: dict[str, str] = {}  # also of targets that ended
+        self.last_records_by_target: dict[str, TargetRecord] = {}  # also of ended ones
         self.departed: frozenset[str] = frozenset()
         self.records_by_service: dict[str, RangeRecord] = {}
         self.instances_by_id: dict[str, InstanceRecord] = {}
@@ -214,7 +214,7 @@
                 revision=change.version,
             )
         self.targets_by_id[target.id] = target
-        self.addresses_by_target[target.id] = target.address
+        self.last_records_by_target[target.id] = target
 
     def _end_target(self, change: ObjectChange) -> None:
         known = self.targets_by_id.get(change.name)
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -1,5 +1,7 @@
 """Stand in for the store, targets and peers of a coordinator of key ranges."""
 
+from contextlib import suppress
+
 import attrs
 import trio
 
@@ -56,7 +58,9 @@
     reachable: bool = True
     answering: bool = True
     work: float = 0.0  # seconds that running work takes when keys are released
+    late: float = 0.0  # seconds after which unanswered grants are carried out
     holds: list[tuple[int, int, int, float]] = attrs.field(factory=list)
+    seen: list[tuple[int, int, int]] = attrs.field(factory=list)
 
     def held(self, key: int) -> bool:
         now = trio.current_time()
@@ -64,7 +68,7 @@
 
     def fence_seen(self, first: int, last: int) -> int:
         return max(
-            (fence for f, t, fence, _ in self.holds if f <= last and first <= t),
+            (fence for f, t, fence in self.seen if f <= last and first <= t),
             default=0,
         )
 
@@ -83,17 +87,32 @@
         target = self.by_id[address]
         await trio.sleep(self.grant_time)
         self._check_reachable(target, "grant")
+        arrived_at = trio.current_time()
+        if target.late:
+            trio.lowlevel.spawn_system_task(self._carry_out, target, item, hold)
+            raise self._failure(target, "grant")
+        self._apply(target, item, arrived_at + hold)
+        if not target.answering:
+            raise self._failure(target, "grant")
+
+    async def _carry_out(self, target: FakeTarget, item: KeyRange, hold: float):
+        until = trio.current_time() + hold
+        await trio.sleep(target.late)
+        with suppress(GrantRefusedError):
+            self._apply(target, item, until)
+
+    def _apply(self, target: FakeTarget, item: KeyRange, until: float) -> None:
         if target.fence_seen(item.first, item.last) > item.fence:
-            raise GrantRefusedError(address)
+            raise GrantRefusedError(target.id)
         self.grants += 1
+        target.seen.append((item.first, item.last, item.fence))
+        if until <= trio.current_time():
+            return
         self._check_owner(target, item)
-        until = trio.current_time() + hold
         target.holds = [
             h for h in target.holds if not (item.first <= h[0] and h[1] <= item.last)
         ]
         target.holds.append((item.first, item.last, item.fence, until))
-        if not target.answering:
-            raise self._failure(target, "grant")
 
     def _check_owner(self, target: FakeTarget, item: KeyRange) -> None:
         for key in {item.first, item.last, (item.first + item.last) // 2}:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -110,6 +110,35 @@
 
         play(scenario)
 
+    def test_late_grant_of_a_resigned_coordinator_gives_no_key_back(self):
+        """The store turned a coordinator away while its grants were held up."""
+
+        async def scenario(world, nursery):
+            first = world.coordinator("a")
+            nursery.start_soon(first.run)
+            await trio.sleep(3)
+            second = world.coordinator("b")
+            change = world.store.objects["ranges", SERVICE]
+            second.state.apply("ranges", 1, change.version, [change], 0.0)
+            second.mesh.live.append("a")
+            first.mesh.live.append("b")
+            nursery.start_soon(second.run)
+            await trio.sleep(2)
+            for target in world.targets:
+                target.late = 1.5
+            await trio.sleep(1.1)
+            await first.stop()
+            second.note_resigned(1)
+            for target in world.targets:
+                target.late = 0.0
+            await trio.sleep(0.3)
+            self.assertTrue(second.leading)
+            world.forget(second, "t0")
+            await trio.sleep(6)
+            self.assert_served(world)
+
+        play(scenario)
+
     def test_lost_answer_of_a_record_write_is_read_back(self):
         async def scenario(world, nursery):
             coordinator = world.coordinator()
