--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -29,6 +29,7 @@
 )
 
 HOST = "a.example"
+PATIENCE = 20.0  # seconds; tests also pass on a busy machine
 
 
 class SharedStore:
@@ -224,6 +225,32 @@
         """Return the table of a stored configuration."""
         return self.tables_by_version[value["version"]]
 
+    async def settle(self) -> None:
+        """Wait until all instances know the configuration, targets and owners."""
+        version = max(self.tables_by_version)
+        targets = len(self.store.objects.get(TARGETS, {}))
+
+        def settled(node: DispatchNode) -> bool:
+            state = node.state
+            record = state.records_by_service.get("keyed")
+            return (
+                state.table is not None
+                and state.table.version == version
+                and len(state.targets_by_id) == targets
+                and len(node.mesh.live) == len(self.nodes)
+                and record is not None
+                and all(item.target for item in record.ranges)
+            )
+
+        await eventually(lambda: all(settled(node) for node in self.nodes))
+
+
+async def eventually(condition) -> None:
+    """Wait until a condition holds; raise TooSlowError if it never does."""
+    with trio.fail_after(PATIENCE):
+        while not condition():
+            await trio.sleep(0.02)
+
 
 def read_record(change: ObjectChange) -> TargetRecord:
     """Return the target of a stored record."""
