--- a/packages/core/src/fireflystand_core/traffic/model.py
+++ b/packages/core/src/fireflystand_core/traffic/model.py
@@ -58,6 +58,7 @@
 
     name: str
     keyed: bool = False
+    health_path: str = "/health"
     max_connections: int = 16
     warmup: float = 0.0
     warmup_rate: float = 0.0  # requests a second that a cold target bears; 0 is any
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -223,6 +223,13 @@
             return "API keys are not confirmed"
         return ""
 
+    def health_path_of(self, target_id: str) -> str:
+        """Return the path at which a target tells its health and its id."""
+        target = self.state.last_records_by_target.get(target_id)
+        services = self.state.table.services_by_name if self.state.table else {}
+        policy = services.get(target.service) if target else None
+        return policy.health_path if policy else "/health"
+
     def summary(self) -> dict:
         """Return what this instance believes, for operators."""
         table = self.state.table
