Remove what the read of the change found written twice or unused

Cause: a read of the whole change: ending a peer's stream stood three times, the log fields of a request, dropping a target and the check for a target's new process twice; a contact's time of answer, an argument of a write and a retry window were never read. Change: PeerNetwork.reset, DispatchFlow._log with REQUEST_FIELDS, RoutingState._drop_target and one check serve all; the unused parts are gone.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -12,7 +12,13 @@
 
 from ..entry import RequestRefusedError, Responder
 from ..entry.body import CallerBody
-from ..events import REQUEST_FAILED, REQUEST_REPEATED, REQUEST_TURNED_AWAY, emit_limited
+from ..events import (
+    REQUEST_FAILED,
+    REQUEST_REPEATED,
+    REQUEST_TURNED_AWAY,
+    Event,
+    emit_limited,
+)
 from ..forward import BrokenExchangeError, Exchange, Failure, Forwarder, ForwardRequest
 from ..framing import MalformedMessageError
 from ..metrics import (
@@ -148,12 +154,34 @@
         sent = refusal.outcome == "unknown"
         if sent:
             self._metrics.count(UNKNOWN)
-        table = self._state.table
-        emit_limited(
+        self._log(
             REQUEST_FAILED if sent else REQUEST_TURNED_AWAY,
             request_id=request_id,
             status=refusal.status,
             reason=refusal.reason,
+            job=job,
+            began_at=began_at,
+        )
+
+    def _log(
+        self,
+        event: Event,
+        error: Exception | None = None,
+        *,
+        request_id: str,
+        status: int,
+        reason: str,
+        job: _Job | None,
+        began_at: float,
+    ) -> None:
+        """Write how a request ended, with what decided it."""
+        table = self._state.table
+        emit_limited(
+            event,
+            error,
+            request_id=request_id,
+            status=status,
+            reason=reason,
             route=job.route.name if job else "",
             service=job.service if job else "",
             account=job.account.name if job and job.account else "",
@@ -441,20 +469,14 @@
             while part := await self._next_part(job, exchange, responder):
                 await responder.write(part)
         except (BrokenExchangeError, trio.TooSlowError) as error:
-            emit_limited(
+            self._log(
                 REQUEST_FAILED,
                 error,
                 request_id=job.request.id,
                 status=exchange.status,
                 reason="response broke off",
-                route=job.route.name,
-                service=job.service,
-                account=job.account.name if job.account else "",
-                target=job.target,
-                attempts=job.attempts,
-                waited=round(trio.current_time() - job.began_at, 4),
-                configuration=self._state.table.version,
-                proof_age=round(self._state.proof_age(CONFIGURATION), 2),
+                job=job,
+                began_at=job.began_at,
             )
             self._metrics.count(UNKNOWN)
             return responder.abort()
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -135,8 +135,7 @@
 
     api_key_withdrawal: float = 5.0  # until a withdrawn API key is refused everywhere
     retry_share: float = 0.1  # requests sent again, as a part of all requests
-    retry_window: float = 10.0
-    retry_slack: float = 20.0  # requests sent again in a window beyond the share
+    retry_slack: float = 20.0  # requests sent again beyond the share, at once
     stop_grace: float = 6.0  # from the signal to stop to the end of the process
     holds: HoldTiming = attrs.field(factory=HoldTiming)
     longest_hold: float = 10.0
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -91,7 +91,6 @@
     """Hold what the coordinator knows of its calls to one target."""
 
     lock: trio.Lock = attrs.field(factory=trio.Lock)
-    answered_at: float = float("-inf")
     next_renewal: float = 0.0
     failing_since: float | None = None
     silent: bool = False
@@ -257,7 +256,6 @@
 
     async def _write(self, record: RangeRecord, version: int, step: str) -> int | None:
         """Write the record if it has the expected version; None if that failed."""
-        since = self._state.replicas_by_kind[RANGES].revision
         try:
             new_version = await self._store.put(
                 RANGES, self.service, record.to_value(), version
@@ -270,7 +268,7 @@
         except (StoreUnavailableError, ProtocolError) as error:
             emit(RECORD_WRITE_FAILED, error, service=self.service, what=step)
             return await self._settle(record)
-        self._share(record, new_version, since)
+        self._share(record, new_version)
         return new_version
 
     async def _settle(self, record: RangeRecord) -> int | None:
@@ -293,7 +291,7 @@
             self._state.apply(RANGES, since + 1, since + 1, [stored], self._clock())
         return stored
 
-    def _share(self, record: RangeRecord, version: int, since: int) -> None:
+    def _share(self, record: RangeRecord, version: int) -> None:
         """Tell this instance and the others of a record that was written."""
         change = ObjectChange(self.service, version, record.to_value())
         # Other objects may have changed since, so the copies are not complete.
@@ -465,13 +463,13 @@
     ) -> bool:
         """Send one grant and tell whether the target took it."""
         sent_at = self._clock()
-        timing = self._ledger.timing
         self._ledger.note_sent(target.id, sent_at)
         try:
             with trio.fail_after(GRANT_TIMEOUT):
-                await self._control.grant(target.address, item, timing.hold)
+                await self._control.grant(
+                    target.address, item, self._ledger.timing.hold
+                )
         except GrantRefusedError:
-            contact.answered_at = self._clock()
             emit(
                 GRANT_REFUSED,
                 service=self.service,
@@ -486,7 +484,6 @@
             self._ledger.note_unanswered(target.id, sent_at)
             self._note_silence(target, contact, sent_at)
             return False
-        contact.answered_at = self._clock()
         contact.failing_since = None
         return True
 
@@ -616,13 +613,7 @@
 
     async def _take_from(self, part: KeyRange) -> str | None:
         """End a target's hold on a range; return the handover, None if in vain."""
-        if not part.target:
-            return ""
         target = self._state.targets_by_id.get(part.target)
-        if target is not None and target.started_at != part.started_at:
-            # Another process of the target: the hold ended with the earlier one.
-            self._ledger.forget(part.target)
-            return ""
         if self._is_succeeded(part, target):
             self._ledger.forget(part.target)
             return ""
@@ -639,7 +630,7 @@
                 part, fenced = await self._fence_off(part, last, contact)
         while self.may_act():
             if address:
-                handover = await self._release(part, address, contact)
+                handover = await self._release(part, address)
                 if handover is not None:
                     free_at = self._ledger.free_after_release(
                         part.target, self._clock()
@@ -676,6 +667,7 @@
     def _is_succeeded(self, part: KeyRange, target: TargetRecord | None) -> bool:
         """Tell whether the process that holds a range is known to have ended."""
         if target is not None:
+            # The hold ended with the earlier process.
             return target.started_at != part.started_at
         known = self._state.last_records_by_target.get(part.target)
         if known is None:
@@ -686,14 +678,11 @@
             for other in self._state.targets_by_id.values()
         )
 
-    async def _release(
-        self, part: KeyRange, address: str, contact: _TargetContact
-    ) -> str | None:
+    async def _release(self, part: KeyRange, address: str) -> str | None:
         try:
             handover = await self._control.release(address, part, RELEASE_TIMEOUT)
         except (ConnectionFailedError, trio.TooSlowError):
             return None
-        contact.answered_at = self._clock()
         emit(
             RANGE_RELEASED,
             service=self.service,
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -224,27 +224,24 @@
             # The entry may have lapsed while its target could not reach the store.
             self._ends_by_target[change.name] = change.version
             return
-        del self.targets_by_id[change.name]
-        emit(
-            TARGET_ENTRY_ENDED,
-            target=change.name,
-            service=known.service,
-            revision=change.version,
-        )
+        self._drop_target(change.name, change.version)
+
+    def _drop_target(self, name: str, revision: int) -> None:
+        known = self.targets_by_id.pop(name, None)
+        if known is not None:
+            emit(
+                TARGET_ENTRY_ENDED,
+                target=name,
+                service=known.service,
+                revision=revision,
+            )
 
     def expire(self) -> None:
         """Drop the targets that did not return with the store."""
         if self._note_outage() or not self._ends_by_target:
             return
         for name, revision in self._ends_by_target.items():
-            known = self.targets_by_id.pop(name, None)
-            if known is not None:
-                emit(
-                    TARGET_ENTRY_ENDED,
-                    target=name,
-                    service=known.service,
-                    revision=revision,
-                )
+            self._drop_target(name, revision)
         self._ends_by_target.clear()
         self.notify(TARGETS)
 
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -209,10 +209,7 @@
 RETURN_GIVEN_UP = define_event(
     4021, "WARNING", "permit return given up", "service", "group", "permit_id"
 )
-REQUEST_TURNED_AWAY = define_event(
-    6001,
-    "INFO",
-    "request refused, not run",
+REQUEST_FIELDS = (
     "request_id",
     "status",
     "reason",
@@ -225,21 +222,17 @@
     "configuration",
     "proof_age",
 )
+REQUEST_TURNED_AWAY = define_event(
+    6001,
+    "INFO",
+    "request refused, not run",
+    *REQUEST_FIELDS,
+)
 REQUEST_FAILED = define_event(
     6002,
     "WARNING",
     "request failed after it was sent",
-    "request_id",
-    "status",
-    "reason",
-    "route",
-    "service",
-    "account",
-    "target",
-    "attempts",
-    "waited",
-    "configuration",
-    "proof_age",
+    *REQUEST_FIELDS,
 )
 REQUEST_REPEATED = define_event(
     6003, "INFO", "request sent again", "request_id", "target", "reason", "attempts"
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -188,9 +188,7 @@
         if self.addresses_by_id.get(instance) == address:
             return
         self.addresses_by_id[instance] = address
-        sender = self._senders.pop(instance, None)
-        if sender is not None:
-            sender.close()
+        self.reset(instance)
 
     def _stream_ended(self, instance: str, refused: bool) -> None:
         self.on_stream_end(instance, refused)
@@ -204,9 +202,7 @@
     def forget(self, instance: str) -> None:
         """Drop an instance that no longer exists."""
         self.addresses_by_id.pop(instance, None)
-        sender = self._senders.pop(instance, None)
-        if sender is not None:
-            sender.close()
+        self.reset(instance)
 
     async def start(self, nursery: trio.Nursery) -> str:
         """Listen for peers and return the address."""
