Halve the turns of the event loop that a request takes

Change: DirectStream sends without yielding and waits before it reads; the handlers of the dispatch path run in the task that reads the stream; answers are handed over by Promise; moves that wait for the store are written together; the ranges of a target are indexed; desks ignore changes of the key ranges.

--- a/packages/core/src/fireflystand_core/dispatch/desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/desk.py
@@ -169,7 +169,9 @@
     def _dispatch(self, target: str, now: float) -> list[Decision]:
         """Grant free slots to the requests of a queue, the most urgent first."""
         queue = self._queues_by_target.get(target)
-        if not queue:
+        if not queue or not any(
+            t.free_slots(now) > 0 for t in self._candidates(target)
+        ):
             return []
         decisions: list[Decision] = []
         for ask in sorted(queue.values(), key=self._urgency(now)):
--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -1,7 +1,8 @@
 """Record which target owns which range of a service's keys."""
 
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from functools import cached_property
 from typing import Any
 
 import attrs
@@ -89,7 +90,16 @@
 
     def owned_by(self, target: str) -> list[KeyRange]:
         """Return the ranges of a target."""
-        return [item for item in self.ranges if item.target == target]
+        return self.ranges_by_target.get(target, [])
+
+    @cached_property
+    def ranges_by_target(self) -> Mapping[str, list[KeyRange]]:
+        """Return the ranges of each target that has some, in order."""
+        ranges_by_target: dict[str, list[KeyRange]] = {}
+        for item in self.ranges:
+            if item.target:
+                ranges_by_target.setdefault(item.target, []).append(item)
+        return ranges_by_target
 
     def to_value(self) -> dict[str, Any]:
         """Return the form that is kept in the store."""
--- a/packages/router/src/fireflystand_router/dispatch/crashes.py
+++ b/packages/router/src/fireflystand_router/dispatch/crashes.py
@@ -5,7 +5,7 @@
 from fireflystand_core.messages import CrashNotice
 
 from ..events import CRASH_SUSPECTED, emit
-from ..peers import PeerLink
+from ..peers import PeerLink, Reply
 from .mesh import Mesh
 
 __all__ = ["CrashWatch"]
@@ -25,7 +25,7 @@
         self._mesh = mesh
         self._broken: list[tuple[float, str, int]] = []
         self._crashes_by_fingerprint: dict[int, dict[str, float]] = {}
-        mesh.network.handle(CrashNotice, self._take_notice)
+        mesh.network.handle_directly(CrashNotice, self._take_notice)
 
     def is_refused(self, fingerprint: int) -> bool:
         """Tell whether a request has crashed too many targets."""
@@ -66,5 +66,5 @@
             crashes=len(crashes),
         )
 
-    async def _take_notice(self, notice: CrashNotice, link: PeerLink) -> None:
+    def _take_notice(self, notice: CrashNotice, link: PeerLink, reply: Reply) -> None:
         self._count(notice.target, notice.fingerprint)
--- a/packages/router/src/fireflystand_router/dispatch/mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/mesh.py
@@ -9,7 +9,7 @@
 from fireflystand_core.sharding import rendezvous_order
 
 from ..events import PEER_CALL_FAILED, PEER_LOST, PEER_REGAINED, emit
-from ..peers import PeerLink, PeerNetwork, PeerUnavailableError
+from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
 from .clock import lease_clock
 from .state import RoutingState
 
@@ -46,7 +46,7 @@
         self._cut_from_store: set[str] = set()
         self.generation = 0  # counts changes of the set of live instances
         self.incarnations_by_id: dict[str, str] = {}
-        network.handle(Beat, self._answer_beat)
+        network.handle_directly(Beat, self._answer_beat)
         network.on_stream_end = self._stream_ended
 
     def listen(
@@ -153,9 +153,9 @@
         if isinstance(answer, Beat):
             self._take_beat(answer)
 
-    async def _answer_beat(self, beat: Beat, link: PeerLink) -> Beat:
+    def _answer_beat(self, beat: Beat, link: PeerLink, reply: Reply) -> None:
         self._take_beat(beat)
-        return self.beat()
+        reply(self.beat())
 
     def _take_beat(self, beat: Beat) -> None:
         peer = beat.instance
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -25,7 +25,6 @@
 from ..exposition import MetricsPage
 from ..forward import Forwarder
 from ..health import HealthServer, Readiness
-from ..http_client import split_address
 from ..metrics import (
     CONFIGURATION_VERSION,
     COORDINATED,
@@ -38,6 +37,7 @@
     Metrics,
 )
 from ..peers import PeerNetwork
+from ..streams import split_address
 from .clock import lease_clock
 from .crashes import CrashWatch
 from .flow import DispatchFlow
--- a/packages/router/src/fireflystand_router/dispatch/ownership.py
+++ b/packages/router/src/fireflystand_router/dispatch/ownership.py
@@ -10,7 +10,7 @@
     WorkReport,
 )
 
-from ..peers import PeerLink
+from ..peers import PeerLink, Reply
 from .mesh import Mesh
 from .ports import CONFIGURATION
 from .ranges import RangeCoordinator
@@ -32,9 +32,9 @@
         self._state = state
         self._make = make
         self._nursery: trio.Nursery | None = None
-        mesh.network.handle(RangesFrozen, self._take_freeze)
-        mesh.network.handle(CoordinatorResigned, self._take_resignation)
-        mesh.network.handle(WorkReport, self._take_report)
+        mesh.network.handle_directly(RangesFrozen, self._take_freeze)
+        mesh.network.handle_directly(CoordinatorResigned, self._take_resignation)
+        mesh.network.handle_directly(WorkReport, self._take_report)
         state.listeners.append(self._state_changed)
 
     async def run(self) -> None:
@@ -64,18 +64,18 @@
             for coordinator in self.coordinators_by_service.values():
                 nursery.start_soon(coordinator.stop)
 
-    async def _take_freeze(self, message: RangesFrozen, link: PeerLink) -> None:
+    def _take_freeze(self, message: RangesFrozen, link: PeerLink, reply: Reply) -> None:
         until = trio.current_time() + message.seconds
         self._state.freeze(
             FrozenRange(message.service, message.first, message.last, until)
         )
 
-    async def _take_resignation(
-        self, message: CoordinatorResigned, link: PeerLink
+    def _take_resignation(
+        self, message: CoordinatorResigned, link: PeerLink, reply: Reply
     ) -> None:
         coordinator = self.coordinators_by_service.get(message.service)
         if coordinator is not None:
             coordinator.note_resigned(message.epoch)
 
-    async def _take_report(self, report: WorkReport, link: PeerLink) -> None:
+    def _take_report(self, report: WorkReport, link: PeerLink, reply: Reply) -> None:
         self.take_report(report)
--- a/packages/router/src/fireflystand_router/dispatch/quotas.py
+++ b/packages/router/src/fireflystand_router/dispatch/quotas.py
@@ -8,7 +8,7 @@
 from fireflystand_core.traffic import ClientAccount
 
 from ..events import PEER_CALL_FAILED, emit
-from ..peers import PeerLink, PeerUnavailableError
+from ..peers import PeerLink, PeerUnavailableError, Reply
 from .mesh import Mesh
 from .state import RoutingState
 
@@ -33,7 +33,7 @@
         self._purses_by_account: dict[str, AccountPurse] = {}
         self._generations_by_account: dict[str, int] = {}
         self._drawing_by_account: dict[str, trio.Event] = {}
-        mesh.network.handle(QuotaDraw, self._answer)
+        mesh.network.handle_directly(QuotaDraw, self._answer)
 
     async def take(self, account: ClientAccount, patience: float) -> float | None:
         """Take one token; return when to ask again if there is none, in seconds."""
@@ -109,6 +109,6 @@
             desk.limit_burst(BURST_AFTER_CHANGE)
         return desk.draw(tokens, now)
 
-    async def _answer(self, draw: QuotaDraw, link: PeerLink) -> QuotaDrawn:
+    def _answer(self, draw: QuotaDraw, link: PeerLink, reply: Reply) -> None:
         share = self._mesh.visible_share
-        return QuotaDrawn(*self._give(draw.account, draw.tokens, share))
+        reply(QuotaDrawn(*self._give(draw.account, draw.tokens, share)))
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -49,6 +49,7 @@
     emit,
 )
 from ..http_client import ConnectionFailedError
+from ..promise import Promise
 from .clock import lease_clock
 from .load import ServiceLoad
 from .mesh import Mesh
@@ -96,6 +97,14 @@
     silent: bool = False
 
 
+@attrs.frozen
+class _WaitingChange:
+    """Hold a change of the record until it is written."""
+
+    change: Callable[[RangeRecord], RangeRecord]
+    result: Promise[RangeRecord | None] = attrs.field(factory=Promise)
+
+
 class RangeCoordinator:
     """Own the claim on one service and, while it holds, the grants to its targets."""
 
@@ -141,6 +150,7 @@
         self._resigned_epoch = -1
         self._stopping = False
         self._writing = trio.Lock()
+        self._waiting_changes: list[_WaitingChange] = []
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -385,6 +395,8 @@
         # of other coordinators would be out of date then.
         for scope in list(self._tasks):
             scope.cancel()
+        # Decided from a record that another coordinator may change from now on.
+        self._waiting_changes = []
         self.record = None
         self._authorised = False
         self._authority_until = float("-inf")
@@ -404,8 +416,7 @@
 
     def _renew(self, now: float) -> None:
         """Start the renewals that are due."""
-        targets = {item.target for item in self.record.ranges if item.target}
-        for target_id in targets:
+        for target_id in self.record.ranges_by_target:
             contact = self._contact(target_id)
             if contact.silent or now < contact.next_renewal:
                 continue
@@ -753,19 +764,43 @@
     async def _change_record(
         self, change: Callable[[RangeRecord], RangeRecord]
     ) -> RangeRecord | None:
-        """Write a changed record; None if that failed."""
+        """Write a changed record; None if that failed.
+
+        Changes that wait while another one is written are written together: each
+        write is priced, and every instance decodes the record after each of them.
+        """
+        waiting = _WaitingChange(change)
+        self._waiting_changes.append(waiting)
         async with self._writing:
-            if not self.may_act():
-                return None
-            epoch = self.record.epoch
-            changed = change(self.record)
-            version = await self._write(changed, self._version, "assign")
-            if self.record is None or self.record.epoch != epoch:
-                return None
-            if version is None:
-                return await self._recover_write(epoch)
-            self.record, self._version = changed, version
-            return changed
+            if not waiting.result.is_set:
+                await self._write_waiting()
+        return await waiting.result.wait()
+
+    async def _write_waiting(self) -> None:
+        """Write all changes that wait, and tell each of them the result."""
+        batch, self._waiting_changes = self._waiting_changes, []
+        written = None
+        try:
+            if self.may_act():
+                written = await self._write_changes([item.change for item in batch])
+        finally:
+            for item in batch:
+                item.result.set(written)
+
+    async def _write_changes(
+        self, changes: list[Callable[[RangeRecord], RangeRecord]]
+    ) -> RangeRecord | None:
+        epoch = self.record.epoch
+        changed = self.record
+        for change in changes:
+            changed = change(changed)
+        version = await self._write(changed, self._version, "assign")
+        if self.record is None or self.record.epoch != epoch:
+            return None
+        if version is None:
+            return await self._recover_write(epoch)
+        self.record, self._version = changed, version
+        return changed
 
     async def _recover_write(self, epoch: int) -> None:
         """Continue from the stored record after a write that may have failed."""
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -16,7 +16,7 @@
 from fireflystand_core.replica import CopyState, ObjectChange
 
 from ..events import PEER_CALL_FAILED, STORE_LOST, STORE_REGAINED, emit
-from ..peers import PeerLink, PeerUnavailableError
+from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import lease_clock
 from .mesh import Mesh
 from .ports import CONFIGURATION, INSTANCES, KINDS, RANGES, StorePort
@@ -54,8 +54,8 @@
         self._nursery: trio.Nursery | None = None
         self._failing_kinds: set[str] = set()
         self.store_heard_at = float("-inf")
-        mesh.network.handle(ReplicaPull, self._answer_pull)
-        mesh.network.handle(ReplicaCopy, self._take_push)
+        mesh.network.handle_directly(ReplicaPull, self._answer_pull)
+        mesh.network.handle_directly(ReplicaCopy, self._take_push)
 
     async def run(self) -> None:
         """Follow every kind until cancelled."""
@@ -199,13 +199,13 @@
             await self._pull(address, kind)
         self._mesh.network.forget(address)
 
-    async def _answer_pull(self, pull: ReplicaPull, link: PeerLink) -> ReplicaCopy:
+    def _answer_pull(self, pull: ReplicaPull, link: PeerLink, reply: Reply) -> None:
         replica = self._state.replicas_by_kind[pull.kind]
         items = [_copied(item) for item in replica.by_name.values()]
         age = max(0.0, self._state.proof_age(pull.kind))
-        return ReplicaCopy(pull.kind, 0, replica.revision, min(age, 1e6), items)
+        reply(ReplicaCopy(pull.kind, 0, replica.revision, min(age, 1e6), items))
 
-    async def _take_push(self, copy: ReplicaCopy, link: PeerLink) -> None:
+    def _take_push(self, copy: ReplicaCopy, link: PeerLink, reply: Reply) -> None:
         self._take_copy(copy)
 
     def _take_copy(self, copy: ReplicaCopy) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -1,5 +1,6 @@
 """Obtain slots at targets from the desks that count them."""
 
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -22,8 +23,10 @@
 )
 
 from ..events import PEER_CALL_FAILED, emit
-from ..peers import PeerLink, PeerUnavailableError
+from ..peers import PeerLink, PeerUnavailableError, Reply
+from ..promise import Promise
 from .mesh import Mesh
+from .ports import CONFIGURATION, DEPARTURES, TARGETS
 from .state import RoutingState
 
 __all__ = ["Slot", "SlotClient", "SlotHost"]
@@ -61,6 +64,18 @@
     home: str
 
 
+Decision = SlotGranted | SlotRefused
+
+
+@attrs.frozen
+class _Waiter:
+    """Hold who is told the decision on an ask; ``link`` if a peer asked."""
+
+    service: str
+    tell: Callable[[Decision], None]
+    link: PeerLink | None = None
+
+
 class SlotHost:
     """Own the desks of all services for the targets that this instance counts."""
 
@@ -69,10 +84,12 @@
         self._state = state
         self._mesh = mesh
         self._random = random
-        self._waiters: dict[str, trio.MemorySendChannel] = {}
-        mesh.network.handle(SlotRequest, self._answer)
-        mesh.network.handle(SlotReturn, self._take_return)
-        mesh.network.handle(SlotWithdrawal, self._take_withdrawal)
+        self._waiters_by_ask: dict[str, _Waiter] = {}
+        network = mesh.network
+        network.handle_directly(SlotRequest, self._answer)
+        network.handle_directly(SlotReturn, self._take_return)
+        network.handle_directly(SlotWithdrawal, self._take_withdrawal)
+        network.on_link_end = self._link_ended
         state.listeners.append(self._state_changed)
 
     def _desk(self, service: str) -> Desk:
@@ -83,7 +100,11 @@
 
     def _state_changed(self, kind: str) -> None:
         """Follow the targets that may get work."""
-        if self._state.table is None:
+        if self._state.table is None or kind not in (
+            CONFIGURATION,
+            DEPARTURES,
+            TARGETS,
+        ):
             return
         now = trio.current_time()
         usable_by_service: dict[str, set[str]] = {}
@@ -107,28 +128,36 @@
             for desk in self.desks_by_service.values():
                 self._deliver(desk.tick(now))
 
-    async def acquire(self, service: str, ask: SlotAsk) -> SlotGranted | SlotRefused:
+    async def acquire(self, service: str, ask: SlotAsk) -> Decision:
         """Wait for a decision; a cancelled call withdraws the ask."""
-        send, receive = trio.open_memory_channel(1)
-        self._waiters[ask.id] = send
-        desk = self._desk(service)
+        decision: Promise[Decision] = Promise()
+        self._ask(ask, _Waiter(service, decision.set))
         try:
-            self._deliver(desk.ask(ask, trio.current_time()))
-            return await receive.receive()
+            return await decision.wait()
         except trio.Cancelled:
             self.withdraw(service, ask.id)
             raise
-        finally:
-            self._waiters.pop(ask.id, None)
 
-    def _deliver(self, decisions: list[SlotGranted | SlotRefused]) -> None:
+    def _ask(self, ask: SlotAsk, waiter: _Waiter) -> None:
+        self._waiters_by_ask[ask.id] = waiter
+        desk = self._desk(waiter.service)
+        self._deliver(desk.ask(ask, trio.current_time()))
+
+    def _deliver(self, decisions: list[Decision]) -> None:
         for decision in decisions:
-            waiter = self._waiters.pop(decision.ask.id, None)
+            waiter = self._waiters_by_ask.pop(decision.ask.id, None)
             if waiter is not None:
-                waiter.send_nowait(decision)
+                waiter.tell(decision)
+
+    def _link_ended(self, link: PeerLink) -> None:
+        """Withdraw the asks whose answers cannot be sent any more."""
+        for ask_id, waiter in list(self._waiters_by_ask.items()):
+            if waiter.link is link:
+                self.withdraw(waiter.service, ask_id)
 
     def withdraw(self, service: str, ask_id: str) -> None:
         """Drop an ask, or free the slot that it was given."""
+        self._waiters_by_ask.pop(ask_id, None)
         now = trio.current_time()
         self._deliver(self._desk(service).withdraw(ask_id, now))
 
@@ -142,9 +171,7 @@
         for desk in self.desks_by_service.values():
             self._deliver(desk.release_instance(instance, now))
 
-    async def _answer(
-        self, request: SlotRequest, link: PeerLink
-    ) -> SlotGrant | SlotRefusal:
+    def _answer(self, request: SlotRequest, link: PeerLink, reply: Reply) -> None:
         now = trio.current_time()
         ask = SlotAsk(
             id=request.ask_id,
@@ -155,15 +182,21 @@
             end_at=now + request.time_left,
             data_centre=request.data_centre,
         )
-        decision = await self.acquire(request.service, ask)
-        if isinstance(decision, SlotGranted):
-            return SlotGrant(decision.number, decision.target)
-        return SlotRefusal(decision.reason, decision.retry_after)
 
-    async def _take_return(self, message: SlotReturn, link: PeerLink) -> None:
+        def tell(decision: Decision) -> None:
+            if isinstance(decision, SlotGranted):
+                reply(SlotGrant(decision.number, decision.target))
+            else:
+                reply(SlotRefusal(decision.reason, decision.retry_after))
+
+        self._ask(ask, _Waiter(request.service, tell, link))
+
+    def _take_return(self, message: SlotReturn, link: PeerLink, reply: Reply) -> None:
         self.give_back(message.service, result_of(message))
 
-    async def _take_withdrawal(self, message: SlotWithdrawal, link: PeerLink) -> None:
+    def _take_withdrawal(
+        self, message: SlotWithdrawal, link: PeerLink, reply: Reply
+    ) -> None:
         self.withdraw(message.service, message.ask_id)
 
 
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -6,11 +6,12 @@
 from ..events import MESSAGE_REFUSED, emit
 from ..framing import MalformedMessageError, RequestFramer
 from ..metrics import DEPARTED, MALFORMED, Metrics
+from ..streams import DirectStream
 from .body import CallerBody
 from .caller_interface import CallerInterface
 from .flow import Flow
 from .refusals import RequestRefusedError
-from .turn import Turn, reset_stream
+from .turn import Turn
 
 __all__ = ["CallerConnection"]
 
@@ -29,7 +30,7 @@
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        stream: DirectStream,
         flow: Flow,
         metrics: Metrics,
         interface: CallerInterface | None = None,
@@ -70,8 +71,7 @@
                     await self._linger()
                 nursery.cancel_scope.cancel()
         finally:
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(self.stream)
+            self.stream.close()
 
     def drain(self) -> None:
         """Close an idle connection now, a busy one after its responses."""
@@ -227,4 +227,4 @@
         """Break the connection off so that a response is seen as incomplete."""
         if not self._aborted:
             self._aborted = True
-            reset_stream(self.stream)
+            self.stream.reset()
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -12,6 +12,7 @@
     emit,
 )
 from ..metrics import CONNECTIONS, Metrics
+from ..streams import DirectStream
 from .caller_interface import CallerInterface
 from .connection import CallerConnection
 from .flow import Flow
@@ -83,6 +84,7 @@
     async def _handle(self, stream: trio.SocketStream) -> None:
         if len(self._connections) >= self.connection_limit:
             return await trio.aclose_forcefully(stream)
+        stream = DirectStream.take_over(stream)
         interface = self._interface()
         connection = CallerConnection(stream, self._flow, self._metrics, interface)
         self._connections.add(connection)
--- a/packages/router/src/fireflystand_router/entry/turn.py
+++ b/packages/router/src/fireflystand_router/entry/turn.py
@@ -1,7 +1,5 @@
 """Write the response to one request of a caller's connection."""
 
-import socket
-import struct
 from typing import TYPE_CHECKING
 
 import h11
@@ -14,7 +12,7 @@
 if TYPE_CHECKING:
     from .connection import CallerConnection
 
-__all__ = ["Turn", "reset_stream"]
+__all__ = ["Turn"]
 
 SEND_SIZE = 64 * 1024  # queued bytes that are sent at once
 REFUSAL_TIMEOUT = 5.0  # seconds to write a refusal
@@ -157,13 +155,3 @@
         self._queued.clear()
         if self._is_next:
             self._connection.abort()
-
-
-def reset_stream(stream: trio.SocketStream) -> None:
-    """Close a connection with a reset.
-
-    An HTTP/1.0 caller would take a plain close for the end of the response.
-    """
-    linger = struct.pack("ii", 1, 0)
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    stream.socket.close()
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -349,3 +349,6 @@
 LINES_OMITTED = define_event(
     6040, "WARNING", "lines of an event were left out", "number", "count"
 )
+PEER_ANSWER_DROPPED = define_event(
+    6041, "INFO", "answer to a peer not sent, its stream has ended", "message"
+)
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -3,7 +3,7 @@
 import h11
 import trio
 
-from ..http_client import split_address
+from ..streams import DirectStream, connect
 
 __all__ = ["PooledConnection", "TargetPool"]
 
@@ -17,18 +17,18 @@
 class PooledConnection:
     """Own one connection to a target."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: DirectStream) -> None:
         self.stream = stream
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since = trio.current_time()
 
     def is_quiet(self) -> bool:
         """Tell whether nothing arrived, neither bytes nor the end."""
-        return not self.stream.socket.is_readable()
+        return self.stream.is_quiet()
 
     def close(self) -> None:
         """Close the connection at once."""
-        self.stream.socket.close()
+        self.stream.close()
 
 
 class TargetPool:
@@ -71,14 +71,9 @@
     async def _connect(self) -> PooledConnection:
         while self._idle and len(self._idle) + self.in_use > self._limit:
             self._idle.pop(0).close()
-        socket = trio.socket.socket()
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                await socket.connect(split_address(self.address))
-        except BaseException:
-            socket.close()
-            raise
-        connection = PooledConnection(trio.SocketStream(socket))
+        with trio.fail_after(CONNECT_TIMEOUT):
+            stream = await connect(self.address)
+        connection = PooledConnection(stream)
         if not connection.is_quiet():
             connection.close()
             raise OSError("target sent bytes before the request")
--- a/packages/router/src/fireflystand_router/http_client.py
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -9,20 +9,16 @@
 
 from fireflystand_core.exceptions import FireflystandError
 
+from .streams import DirectStream, connect
+
 __all__ = [
     "ConnectionFailedError",
     "ControlClient",
     "Response",
-    "probe_while_idle",
-    "split_address",
 ]
 
 READ_SIZE = 65536
 MAX_BODY_BYTES = 2 * 1024 * 1024
-# A silent connection ends within three seconds, before what it carries is needed.
-PROBE_AFTER = 1  # seconds without traffic
-PROBE_INTERVAL = 1  # seconds
-PROBES = 2
 
 
 class ConnectionFailedError(FireflystandError):
@@ -46,28 +42,13 @@
         return json.loads(self.body)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def probe_while_idle(socket: trio.socket.SocketType) -> None:
-    """Let the kernel end a connection whose peer has gone silent."""
-    options = trio.socket
-    socket.setsockopt(options.SOL_SOCKET, options.SO_KEEPALIVE, 1)
-    socket.setsockopt(options.IPPROTO_TCP, options.TCP_KEEPIDLE, PROBE_AFTER)
-    socket.setsockopt(options.IPPROTO_TCP, options.TCP_KEEPINTVL, PROBE_INTERVAL)
-    socket.setsockopt(options.IPPROTO_TCP, options.TCP_KEEPCNT, PROBES)
-
-
 class ControlClient:
     """Own one connection to a peer and send one request at a time."""
 
     def __init__(self, address: str, timeout: float = 1.0) -> None:
         self.address = address
         self.timeout = timeout  # seconds
-        self._stream: trio.SocketStream | None = None
+        self._stream: DirectStream | None = None
         self._connection: h11.Connection | None = None
         self._lock = trio.Lock()
 
@@ -116,15 +97,8 @@
                     self.abort()
 
     async def _connect(self) -> None:
-        host, port = split_address(self.address)
-        socket = trio.socket.socket()
-        try:
-            await socket.connect((host, port))
-        except BaseException:
-            socket.close()
-            raise
-        probe_while_idle(socket)
-        self._stream = trio.SocketStream(socket)
+        self._stream = await connect(self.address)
+        self._stream.probe_while_idle()
         self._connection = h11.Connection(h11.CLIENT)
 
     async def _exchange(
@@ -189,7 +163,7 @@
     def abort(self) -> None:
         """Close the connection at once."""
         if self._stream is not None:
-            self._stream.socket.close()
+            self._stream.close()
         self._stream = None
         self._connection = None
 
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -25,7 +25,6 @@
 from .group_reports import GroupReports
 from .group_services import GroupServices
 from .health import HealthServer, Readiness
-from .http_client import split_address
 from .journal_writer import JournalClient, JournalReader, journal_numbers
 from .metrics import Metrics
 from .peers import PeerNetwork
@@ -37,6 +36,7 @@
 from .reports import InstanceReports
 from .settings import ProcessSettings
 from .store import StoreClient
+from .streams import split_address
 from .view import ClusterView
 from .watch import StoreWatcher
 from .witness_host import WitnessHost
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -1,7 +1,7 @@
 """Exchange messages with other instances over msgpack streams."""
 
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from functools import partial
 from itertools import count
 
 import attrs
@@ -10,15 +10,19 @@
 from fireflystand_core.exceptions import FireflystandError, ProtocolError
 from fireflystand_core.messages import Accepted, Decoder, Hello, encode
 
-from .http_client import split_address
+from .events import PEER_ANSWER_DROPPED, emit_limited
+from .promise import Promise
+from .streams import DirectStream, connect, split_address
 
-__all__ = ["PeerLink", "PeerNetwork", "PeerUnavailableError"]
+__all__ = ["PeerLink", "PeerNetwork", "PeerUnavailableError", "Reply"]
 
 READ_SIZE = 65536
 CONNECT_TIMEOUT = 1.0  # seconds
 MAX_QUEUED_MESSAGES = 10_000
 
 Handler = Callable[[object, "PeerLink"], Awaitable[object | None]]
+Reply = Callable[[object], None]
+DirectHandler = Callable[[object, "PeerLink", Reply], None]
 
 
 class PeerUnavailableError(FireflystandError):
@@ -56,7 +60,7 @@
         self.address = address
         self._hello = hello
         self._numbers = count(1)
-        self._waiting: dict[int, trio.MemorySendChannel] = {}
+        self._waiting: dict[int, Promise] = {}  # of an answer, None if none comes
         send, receive = trio.open_memory_channel(MAX_QUEUED_MESSAGES)
         self._queue: trio.MemorySendChannel = send
         self._outgoing: trio.MemoryReceiveChannel = receive
@@ -76,26 +80,24 @@
             self._fail("stream", None)
 
     async def _run(self) -> None:
-        host, port = split_address(self.address)
-        socket = trio.socket.socket()
-        with socket:
-            with trio.fail_after(CONNECT_TIMEOUT):
-                await socket.connect((host, port))
-            socket.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-            stream = trio.SocketStream(socket)
+        with trio.fail_after(CONNECT_TIMEOUT):
+            stream = await connect(self.address)
+        try:
             await stream.send_all(encode(0, self._hello))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_write_queued, stream, self._outgoing)
                 await self._read(stream)
                 nursery.cancel_scope.cancel()
+        finally:
+            stream.close()
 
-    async def _read(self, stream: trio.SocketStream) -> None:
+    async def _read(self, stream: DirectStream) -> None:
         decoder = Decoder(self.peer)
         while data := await stream.receive_some(READ_SIZE):
             for envelope in decoder.feed(data):
                 waiter = self._waiting.pop(envelope.correlation, None)
                 if waiter is not None:
-                    waiter.send_nowait(envelope.message)
+                    waiter.set(envelope.message)
 
     def _fail(self, step: str, error: Exception | None) -> None:
         self.error = PeerUnavailableError(
@@ -105,7 +107,7 @@
             refused=_is_refused(error),
         )
         for waiter in self._waiting.values():
-            waiter.close()
+            waiter.set(None)
         self._waiting.clear()
         self._outgoing.close()
         self._on_end(self.peer, self.error.refused)
@@ -117,22 +119,22 @@
     async def request(self, message: object, timeout: float) -> object:
         """Send a message and return its answer."""
         number = next(self._numbers)
-        send, receive = trio.open_memory_channel(1)
-        self._waiting[number] = send
+        waiter = self._waiting[number] = Promise()
         try:
             self._enqueue(encode(number, message), type(message).__name__)
             with trio.fail_after(timeout):
-                return await receive.receive()
+                answer = await waiter.wait()
         except trio.TooSlowError:
             raise PeerUnavailableError(
                 f"no answer within {timeout} s",
                 step=type(message).__name__,
                 peer=self.peer,
             ) from None
-        except trio.EndOfChannel:
-            raise self._ended() from None
         finally:
             self._waiting.pop(number, None)
+        if answer is None:
+            raise self._ended()
+        return answer
 
     def _enqueue(self, data: bytes, step: str) -> None:
         if self.error is not None:
@@ -173,7 +175,9 @@
         self.addresses_by_id: dict[str, str] = {}
         self.links_by_id: dict[str, PeerLink] = {}
         self.on_stream_end: Callable[[str, bool], None] = lambda peer, refused: None
+        self.on_link_end: Callable[[PeerLink], None] = lambda link: None
         self._handlers: dict[type, Handler] = {}
+        self._direct_handlers: dict[type, DirectHandler] = {}
         self._senders: dict[str, _Sender] = {}
         self._nursery: trio.Nursery | None = None
         self._listeners: list[trio.SocketListener] = []
@@ -183,6 +187,13 @@
         """Answer messages of a class through ``handler``."""
         self._handlers[message_class] = handler
 
+    def handle_directly(self, message_class: type, handler: DirectHandler) -> None:
+        """Answer messages of a class from the reading task, which costs no task each.
+
+        The handler answers through its last argument, at once or later.
+        """
+        self._direct_handlers[message_class] = handler
+
     def set_address(self, instance: str, address: str) -> None:
         """Note where an instance listens; a new address ends the old stream."""
         if self.addresses_by_id.get(instance) == address:
@@ -262,7 +273,7 @@
         return sender
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        stream = DirectStream.take_over(stream)
         decoder = Decoder()
         link: PeerLink | None = None
         send, receive = trio.open_memory_channel(MAX_QUEUED_MESSAGES)
@@ -274,17 +285,22 @@
                         if link is None:
                             link = self._open_link(envelope.message)
                             continue
-                        nursery.start_soon(self._answer, envelope, link, send)
+                        handler = self._direct_handlers.get(type(envelope.message))
+                        if handler is None:
+                            nursery.start_soon(self._answer, envelope, link, send)
+                            continue
+                        reply = partial(_reply, send, envelope.correlation)
+                        handler(envelope.message, link, reply)
                 nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, ProtocolError):
             pass
         finally:
             if link is not None:
                 link.lost.set()
+                self.on_link_end(link)
                 if self.links_by_id.get(link.hello.instance) is link:
                     del self.links_by_id[link.hello.instance]
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
+            stream.close()
 
     def _open_link(self, message: object) -> PeerLink:
         if not isinstance(message, Hello):
@@ -306,16 +322,22 @@
         answer = Accepted() if handler is None else None
         if handler is not None:
             answer = await handler(envelope.message, link)
-        if envelope.correlation != 0:
-            data = encode(envelope.correlation, answer or Accepted())
-            with suppress(
-                trio.BrokenResourceError, trio.ClosedResourceError, trio.WouldBlock
-            ):
-                answers.send_nowait(data)
+        _reply(answers, envelope.correlation, answer or Accepted())
+
+
+def _reply(answers: trio.MemorySendChannel, correlation: int, answer: object) -> None:
+    """Queue an answer, unless the message expects none or its stream has ended."""
+    if correlation == 0:
+        return
+    try:
+        answers.send_nowait(encode(correlation, answer))
+    except (trio.BrokenResourceError, trio.ClosedResourceError, trio.WouldBlock):
+        # The peer asks again on another stream, or goes on without the answer.
+        emit_limited(PEER_ANSWER_DROPPED, message=type(answer).__name__)
 
 
 async def _write_queued(
-    stream: trio.SocketStream, receive: trio.MemoryReceiveChannel
+    stream: DirectStream, receive: trio.MemoryReceiveChannel
 ) -> None:
     async with receive:
         async for data in receive:
--- a/packages/testing/src/fireflystand_testing/demo_parts.py
+++ b/packages/testing/src/fireflystand_testing/demo_parts.py
@@ -11,8 +11,8 @@
     ConnectionFailedError,
     ControlClient,
     Response,
-    split_address,
 )
+from fireflystand_router.streams import split_address
 
 from .fleet import free_address
 
--- a/packages/testing/src/fireflystand_testing/proxy.py
+++ b/packages/testing/src/fireflystand_testing/proxy.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from fireflystand_router.http_client import split_address
+from fireflystand_router.streams import split_address
 
 __all__ = ["FaultProxy", "LinkFaults"]
 
