--- a/packages/core/src/fireflystand_core/dispatch/estimates.py
+++ b/packages/core/src/fireflystand_core/dispatch/estimates.py
@@ -12,16 +12,24 @@
 
 
 class MeanDuration:
-    """Follow the mean duration of work in seconds."""
+    """Follow the mean duration of work in seconds.
 
-    def __init__(self, initial: float) -> None:
+    ``initial`` counts as much as ``prior`` samples.
+    """
+
+    def __init__(
+        self, initial: float, *, weight: float = WEIGHT, prior: int = 1
+    ) -> None:
         self.seconds = initial
         self.samples = 0
-
-    def add(self, seconds: float) -> None:
-        """Take in one duration."""
-        self.samples += 1
-        weight = max(WEIGHT, 1.0 / (self.samples + 1))
+        self._weight = weight
+        self._prior = prior
+
+    def add(self, seconds: float, count: int = 1) -> None:
+        """Take in a duration, or the mean of ``count`` durations."""
+        self.samples += count
+        usual = 1 - (1 - self._weight) ** count
+        weight = max(usual, count / (self.samples + self._prior))
         self.seconds += weight * (seconds - self.seconds)
 
 
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -186,7 +186,8 @@
 class WorkReport:
     """Report requests by key and work by target since the last report.
 
-    ``targets`` lists target, requests that ran and their seconds in total.
+    ``targets`` lists target, requests that ran, their seconds in total, and the same
+    at the usual pace of the target's machine.
     """
 
     service: str
--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -24,6 +24,9 @@
 # Parts of the source's work that are tried as the size of a move.
 CUT_SHARES = (0.1, 0.2, 0.35, 0.5)
 MOVES_PER_ROUND = 8
+# A key that overloads its owner alone gains nothing on another target unless that is
+# clearly faster. Measured speeds of equal targets differ by less than this factor.
+CLEARLY_FASTER = 1.25
 
 
 @attrs.frozen
@@ -212,12 +215,23 @@
     amount = _best_amount(load, work, source, destination)
     if not amount:
         return None
-    move = _cut(record, load, keys_by_target.get(source, []), amount)
+    fixed = _fixed_keys(load, keys_by_target.get(source, []), source, destination)
+    move = _cut(record, load, keys_by_target.get(source, []), amount, fixed)
     if move is None:
         return None
     return attrs.evolve(move, source=source, destination=destination)
 
 
+def _fixed_keys(
+    load: LoadView, keys: list[int], source: str, destination: str
+) -> frozenset[int]:
+    """Return the keys that fill the source alone, unless the destination is faster."""
+    room = load.room(source)
+    if load.room(destination) >= CLEARLY_FASTER * room:
+        return frozenset()
+    return frozenset(k for k in keys if load.work_by_key[k] >= SATURATED * room)
+
+
 def _account_for(
     move: PlannedMove,
     load: LoadView,
@@ -270,12 +284,19 @@
 
 
 def _cut(
-    record: RangeRecord, load: LoadView, keys: list[int], amount: float
+    record: RangeRecord,
+    load: LoadView,
+    keys: list[int],
+    amount: float,
+    fixed: frozenset[int],
 ) -> PlannedMove | None:
     """Return the run of neighbouring keys whose work is nearest to ``amount``."""
     best, best_error = None, amount
     start, total = 0, 0.0
     for end, key in enumerate(keys):
+        if key in fixed:
+            start, total = end + 1, 0.0
+            continue
         if key > record.owner(keys[start]).last:
             start, total = end, 0.0
         total += load.work_by_key[key]
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -405,7 +405,8 @@
             load = self._settings.target_fields.read_load(answer.exchange.fields)
             await self._deliver(job, answer.exchange, responder)
             seconds = trio.current_time() - answer.began_at
-            self._work.note_done(answer.slot.service, answer.slot.target, seconds)
+            pace = load[3] if load else 1.0
+            self._work.note_done(answer.slot.service, answer.slot.target, seconds, pace)
             result = attrs.evolve(result, seconds=seconds, load=load)
         except (RequestRefusedError, MalformedMessageError):
             # The caller's body failed while the target was receiving it.
--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -19,30 +19,42 @@
 FORGOTTEN = 0.002  # busy slots below which a key is dropped
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
 SLOWEST, FASTEST = 0.2, 2.0  # bounds of a target's measured speed
-SAMPLES_FOR_SPEED = 5  # requests before a target's speed is believed
+SERVICE_WEIGHT = 0.002  # of one request in the mean of a service
+# With this weight chance moves the mean of a target by about a tenth, and one that
+# turns five times as slow shows after some twenty requests.
+TARGET_WEIGHT = 0.03  # of one request
+PRIOR_REQUESTS = 10  # requests as which the service's mean counts for a new target
 
 
 @attrs.define
 class ServiceLoad:
     """Own what the instances reported."""
 
-    mean: MeanDuration = attrs.field(factory=lambda: MeanDuration(INITIAL_MEAN))
+    mean: MeanDuration = attrs.field(
+        factory=lambda: MeanDuration(INITIAL_MEAN, weight=SERVICE_WEIGHT)
+    )
     recent_by_key: dict[int, float] = attrs.field(factory=dict)
     usual_by_key: dict[int, float] = attrs.field(factory=dict)
-    means_by_target: dict[str, MeanDuration] = attrs.field(factory=dict)
+    # Durations at the usual pace of each target's machine: neighbours that slow it
+    # down for some tenths of a second are gone before keys have moved.
+    usual_mean: MeanDuration = attrs.field(
+        factory=lambda: MeanDuration(INITIAL_MEAN, weight=SERVICE_WEIGHT)
+    )
+    usual_means_by_target: dict[str, MeanDuration] = attrs.field(factory=dict)
     updated_at: float = 0.0
     observed: float = 0.0  # seconds with reports
 
     def take(self, report: WorkReport) -> None:
         """Add a report."""
-        for target, count, seconds in report.targets:
-            mean = seconds / count
-            self.mean.add(mean)
-            known = self.means_by_target.get(target)
+        for target, count, seconds, usual_seconds in report.targets:
+            self.mean.add(seconds / count, count)
+            self.usual_mean.add(usual_seconds / count, count)
+            known = self.usual_means_by_target.get(target)
             if known is None:
-                known = self.means_by_target[target] = MeanDuration(self.mean.seconds)
-            for _ in range(min(count, SAMPLES_FOR_SPEED)):
-                known.add(mean)
+                known = self.usual_means_by_target[target] = MeanDuration(
+                    self.usual_mean.seconds, weight=TARGET_WEIGHT, prior=PRIOR_REQUESTS
+                )
+            known.add(usual_seconds / count, count)
         for key, count in report.keys:
             work = count * self.mean.seconds
             recent, usual = self.recent_by_key, self.usual_by_key
@@ -68,17 +80,25 @@
 
     def speed(self, target: str) -> float:
         """Return how much faster than the mean a target works."""
-        known = self.means_by_target.get(target)
-        if known is None or known.samples < SAMPLES_FOR_SPEED:
+        known = self.usual_means_by_target.get(target)
+        if known is None:
             return 1.0
-        return min(FASTEST, max(SLOWEST, self.mean.seconds / known.seconds))
+        return min(FASTEST, max(SLOWEST, self.usual_mean.seconds / known.seconds))
 
     def view(self, targets: Mapping[str, TargetRecord], *, recent: bool) -> LoadView:
         """Return the recent or the usual load of the targets that may own keys."""
+        slots_by_target = {t.id: t.slots for t in targets.values()}
+        speeds_by_target = {t: self.speed(t) for t in targets}
+        # What no target can take is refused and asked for again and again; counted
+        # as work it would make the owner of such a key look ever more overloaded.
+        most = max(
+            (slots_by_target[t] * speeds_by_target[t] for t in targets), default=0.0
+        )
+        work_by_key = self.recent_by_key if recent else self.usual_by_key
         return LoadView(
-            slots_by_target={t.id: t.slots for t in targets.values()},
-            work_by_key=self.recent_by_key if recent else self.usual_by_key,
-            speeds_by_target={t: self.speed(t) for t in targets},
+            slots_by_target=slots_by_target,
+            work_by_key={key: min(work, most) for key, work in work_by_key.items()},
+            speeds_by_target=speeds_by_target,
         )
 
 
--- a/packages/router/src/fireflystand_router/dispatch/work.py
+++ b/packages/router/src/fireflystand_router/dispatch/work.py
@@ -12,6 +12,7 @@
 __all__ = ["WorkLog"]
 
 REPORT_INTERVAL = 0.5  # seconds; busy keys change within seconds
+LEAST_PACE = 0.1  # a machine ten times as fast as usual; guards against a pace of 0
 KEYS_PER_REPORT = 512  # the busiest keys; the others do not decide any move
 
 
@@ -30,12 +31,13 @@
         counts = self._keys_by_service.setdefault(service, {})
         counts[key] = counts.get(key, 0) + 1
 
-    def note_done(self, service: str, target: str, seconds: float) -> None:
-        """Count a request that a target has run."""
+    def note_done(self, service: str, target: str, seconds: float, pace: float) -> None:
+        """Count a request that a target has run; ``pace`` 1 is its usual one."""
         work = self._work_by_service.setdefault(service, {})
-        entry = work.setdefault(target, [0, 0.0])
+        entry = work.setdefault(target, [0, 0.0, 0.0])
         entry[0] += 1
         entry[1] += seconds
+        entry[2] += seconds / max(pace, LEAST_PACE)
 
     async def run(self) -> None:
         """Report to the coordinators until cancelled."""
@@ -52,7 +54,10 @@
             service=service,
             seconds=REPORT_INTERVAL,
             keys=[[key, count] for key, count in busiest],
-            targets=[[t, int(n), seconds] for t, (n, seconds) in work.items()],
+            targets=[
+                [target, int(count), seconds, usual]
+                for target, (count, seconds, usual) in work.items()
+            ],
         )
         record = self._state.records_by_service.get(service)
         holder = record.holder if record else ""
--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/experiment/loads.py
@@ -0,0 +1,110 @@
+"""Define the load patterns that the desk has to answer."""
+
+from collections.abc import Callable
+
+import attrs
+
+from .model import CallerClass, Load, ModelTarget
+
+__all__ = ["load_pattern", "loads_by_name"]
+
+loads_by_name: dict[str, Callable[[], Load]] = {}
+
+LOOKUP = CallerClass(
+    "lookup", 60.0, 0.09, 0.3, 2.0, 1.0, priority=2, late_worth=0.3, retries=2
+)
+ORDER = CallerClass(
+    "order",
+    15.0,
+    0.12,
+    0.4,
+    2.5,
+    1.2,
+    priority=1,
+    worth=2.0,
+    late_worth=0.6,
+    retries=2,
+    spread=0.3,
+)
+
+
+def load_pattern(name: str) -> Callable:
+    """Register a function that returns a load under a name."""
+
+    def register(make: Callable[[], Load]) -> Callable[[], Load]:
+        loads_by_name[name] = make
+        return make
+
+    return register
+
+
+def _on(target: str, item: CallerClass, rate: float) -> CallerClass:
+    return attrs.evolve(item, target=target, rate=rate)
+
+
+@load_pattern("hot-key")
+def hot_key() -> Load:
+    """Return a key with twice the load that its target can take."""
+    target = ModelTarget("t", 6)
+    return Load((target,), (_on("t", LOOKUP, 90.0), _on("t", ORDER, 8.0)))
+
+
+@load_pattern("busy")
+def busy() -> Load:
+    """Return a target at nine tenths of its capacity."""
+    target = ModelTarget("t", 6)
+    return Load((target,), (_on("t", LOOKUP, 30.0), _on("t", ORDER, 10.0)))
+
+
+@load_pattern("burst")
+def burst() -> Load:
+    """Return a calm target that gets twice its capacity for three seconds."""
+    target = ModelTarget("t", 6)
+    extra = attrs.evolve(_on("t", LOOKUP, 60.0), name="burst", since=10.0, until=13.0)
+    return Load((target,), (_on("t", LOOKUP, 20.0), _on("t", ORDER, 8.0), extra))
+
+
+@load_pattern("slow-target")
+def slow_target() -> Load:
+    """Return a target of half the speed at nine tenths of its capacity."""
+    target = ModelTarget("t", 6, speed=0.5)
+    return Load((target,), (_on("t", LOOKUP, 14.0), _on("t", ORDER, 5.0)))
+
+
+@load_pattern("few-slots")
+def few_slots() -> Load:
+    """Return a target with three slots and long work, a third beyond its capacity."""
+    target = ModelTarget("t", 3)
+    lookup = CallerClass("lookup", 10.0, 0.22, 0.6, 2.5, 2.5, 2, target="t")
+    order = CallerClass(
+        "order", 4.0, 0.29, 0.8, 3.0, 3.0, 1, 2.0, 0.2, spread=0.3, target="t"
+    )
+    return Load((target,), (lookup, order))
+
+
+@load_pattern("few-slots-calm")
+def few_slots_calm() -> Load:
+    """Return a target with three slots and long work at six tenths of its capacity."""
+    load = few_slots()
+    return attrs.evolve(
+        load,
+        classes=tuple(attrs.evolve(c, rate=c.rate * 0.45) for c in load.classes),
+    )
+
+
+@load_pattern("retry-storm")
+def retry_storm() -> Load:
+    """Return a hot key of which a third of the callers repeats at once."""
+    load = hot_key()
+    rude = attrs.evolve(
+        load.classes[0], name="rude", rate=30.0, patient=False, retries=6
+    )
+    return attrs.evolve(load, classes=(*load.classes, rude))
+
+
+@load_pattern("pooled-overload")
+def pooled_overload() -> Load:
+    """Return a pool of uneven targets that gets a third more than it can take."""
+    speeds = (0.5, 1.0, 1.0, 1.5)
+    targets = tuple(ModelTarget(f"t{i}", 6, speed) for i, speed in enumerate(speeds))
+    return Load(targets, (attrs.evolve(LOOKUP, rate=330.0, work=0.072),))
--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/experiment/model.py
@@ -0,0 +1,220 @@
+"""Model callers, targets and one desk in simulated time."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+import attrs
+
+from fireflystand_core.dispatch import Desk, SlotAsk, SlotGranted, SlotResult
+from fireflystand_core.traffic import TargetRecord
+
+__all__ = ["CallerClass", "ClassResult", "Load", "ModelTarget", "play"]
+
+CALLER_DELAY = 0.008  # seconds one way between callers and instances
+TICK = 0.1  # seconds between two looks of the desk at what waits
+NOISE_INTERVAL = 0.4  # seconds for which a machine's neighbours stay quiet or loud
+
+
+@attrs.frozen
+class CallerClass:
+    """Describe one kind of request; times in seconds, ``rate`` in requests a second."""
+
+    name: str
+    rate: float
+    work: float
+    aim: float
+    deadline: float
+    timeout: float
+    priority: int = 1
+    worth: float = 1.0
+    late_worth: float = 0.1
+    retries: int = 1
+    spread: float = 0.5
+    patient: bool = True  # whether Retry-After is honoured
+    target: str = ""  # empty if any target may run it
+    since: float = 0.0
+    until: float = float("inf")
+
+
+@attrs.frozen
+class ModelTarget:
+    """Describe a target; a part ``noise`` of the time work takes three times as long."""
+
+    id: str
+    slots: int
+    speed: float = 1.0
+    noise: float = 0.2
+
+
+@attrs.frozen
+class Load:
+    """Describe targets, callers and the length of one play in seconds."""
+
+    targets: tuple[ModelTarget, ...]
+    classes: tuple[CallerClass, ...]
+    seconds: float = 30.0
+
+
+@attrs.define
+class ClassResult:
+    """Count how the requests of one class ended."""
+
+    asked: int = 0
+    in_aim: int = 0
+    late: int = 0
+    failed: int = 0
+    refused: int = 0
+    held: float = 0.0  # seconds that refused requests were kept waiting
+    credit: float = 0.0
+    owed: float = 0.0
+
+    @property
+    def served(self) -> float:
+        """Return the share of the requests that got an answer."""
+        return (self.in_aim + self.late) / max(1, self.asked)
+
+    @property
+    def earned(self) -> float:
+        """Return the earned share of the credit."""
+        return self.credit / self.owed if self.owed else 0.0
+
+
+@attrs.define(eq=False)
+class _Request:
+    caller: CallerClass
+    first_at: float
+    tries: int = 0
+    asked_at: float = 0.0
+
+
+class _Play:
+    """Own the events of one play."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        self.results_by_class = {item.name: ClassResult() for item in load.classes}
+        self._load = load
+        self._random = Random(seed)
+        self._desk = Desk(Random(seed + 1).random)
+        self._events: list[tuple[float, int, Callable, tuple]] = []
+        self._numbers = count()
+        self._requests_by_ask: dict[str, _Request] = {}
+        self._loud_by_target: dict[str, bool] = {}
+        self._targets_by_id = {target.id: target for target in load.targets}
+        for target in load.targets:
+            record = TargetRecord(
+                id=target.id,
+                service="service",
+                address="10.0.0.1:1",
+                data_centre="",
+                slots=target.slots,
+                leaving=False,
+                started_at=0,
+                cold_for=0.0,
+                version=1,
+            )
+            self._desk.set_target(record, 0.0, 0.0)
+
+    def run(self) -> dict[str, ClassResult]:
+        for item in self._load.classes:
+            if item.rate > 0:
+                self._at(item.since + self._gap(item), self._arrive, item)
+        self._at(0.0, self._change_noise)
+        self._at(0.0, self._tick)
+        while self._events:
+            now, _, action, arguments = heapq.heappop(self._events)
+            action(now, *arguments)
+        return self.results_by_class
+
+    def _at(self, time: float, action: Callable, *arguments) -> None:
+        heapq.heappush(self._events, (time, next(self._numbers), action, arguments))
+
+    def _gap(self, item: CallerClass) -> float:
+        return self._random.expovariate(item.rate)
+
+    def _change_noise(self, now: float) -> None:
+        for target in self._load.targets:
+            self._loud_by_target[target.id] = self._random.random() < target.noise
+        if now < self._load.seconds:
+            self._at(now + NOISE_INTERVAL, self._change_noise)
+
+    def _tick(self, now: float) -> None:
+        self._deliver(self._desk.tick(now), now)
+        if now < self._load.seconds + 5.0:
+            self._at(now + TICK, self._tick)
+
+    def _arrive(self, now: float, item: CallerClass) -> None:
+        if now < min(self._load.seconds, item.until):
+            self._at(now + self._gap(item), self._arrive, item)
+            result = self.results_by_class[item.name]
+            result.asked += 1
+            result.owed += item.worth
+            self._at(now + CALLER_DELAY, self._ask, _Request(item, now))
+
+    def _ask(self, now: float, request: _Request) -> None:
+        item = request.caller
+        request.tries += 1
+        request.asked_at = now
+        end = min(request.first_at + item.deadline, now + item.timeout)
+        ask = SlotAsk(
+            id=str(next(self._numbers)),
+            instance="a",
+            target=item.target,
+            priority=item.priority,
+            aim_at=request.first_at + item.aim - CALLER_DELAY,
+            end_at=end - CALLER_DELAY,
+        )
+        self._requests_by_ask[ask.id] = request
+        self._deliver(self._desk.ask(ask, now), now)
+
+    def _deliver(self, decisions, now: float) -> None:
+        for decision in decisions:
+            request = self._requests_by_ask.pop(decision.ask.id)
+            if isinstance(decision, SlotGranted):
+                self._start(decision, request, now)
+            else:
+                self._refuse(request, decision.retry_after, now)
+
+    def _start(self, granted: SlotGranted, request: _Request, now: float) -> None:
+        target = self._targets_by_id[granted.target]
+        item = request.caller
+        seconds = item.work * self._random.lognormvariate(
+            -(item.spread**2) / 2, item.spread
+        )
+        seconds *= (3.0 if self._loud_by_target[target.id] else 1.0) / target.speed
+        end = min(now + seconds, granted.ask.end_at)
+        done = end == now + seconds
+        self._at(end, self._finish, granted.number, request, end - now, done)
+
+    def _finish(
+        self, now: float, number: int, request: _Request, seconds: float, done: bool
+    ) -> None:
+        result = self.results_by_class[request.caller.name]
+        item = request.caller
+        if not done:
+            result.failed += 1
+        elif now + CALLER_DELAY <= request.first_at + item.aim:
+            result.in_aim += 1
+            result.credit += item.worth
+        else:
+            result.late += 1
+            result.credit += item.late_worth
+        given_back = SlotResult(number, seconds, complete=done)
+        self._deliver(self._desk.give_back(given_back, now), now)
+
+    def _refuse(self, request: _Request, retry_after: float, now: float) -> None:
+        item = request.caller
+        result = self.results_by_class[item.name]
+        result.held += now - request.asked_at
+        left = request.first_at + item.deadline - now - 2 * CALLER_DELAY
+        wait = min(retry_after, left / 3) if item.patient else 0.0
+        if request.tries > item.retries or left <= 2 * CALLER_DELAY:
+            result.refused += 1
+        else:
+            self._at(now + 2 * CALLER_DELAY + wait, self._ask, request)
+
+
+def play(load: Load, seed: int = 1) -> dict[str, ClassResult]:
+    """Play a load against a desk and return the results by class."""
+    return _Play(load, seed).run()
