Take the speed of a target from the pace that it tells

The desk multiplies durations at pace 1 by the latest pace; before, it multiplied durations that contained the pace already. Test: test_load.

--- a/packages/core/src/fireflystand_core/dispatch/desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/desk.py
@@ -227,7 +227,8 @@
         target.give_back(result.number)
         if result.seconds is not None:
             if result.complete or result.seconds > target.mean.seconds:
-                target.note_done(result.seconds)
+                pace = result.load.pace if result.load is not None else 1.0
+                target.note_done(result.seconds, pace)
                 self.mean.add(result.seconds)
         if result.load is not None:
             target.note_load(result.load, now)
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -49,6 +49,7 @@
         self.record = record
         self.held_by_number: dict[int, HeldSlot] = {}
         self.mean = MeanDuration(mean)
+        self._usual_mean = MeanDuration(mean)  # at pace 1
         self._paused_until = float("-inf")
         self._unreachable_until = float("-inf")
         self._pace = 1.0
@@ -91,13 +92,14 @@
         """Free a slot."""
         return self.held_by_number.pop(number, None)
 
-    def note_done(self, seconds: float) -> None:
-        """Take in the duration of a request that ran."""
+    def note_done(self, seconds: float, pace: float = 1.0) -> None:
+        """Take in the duration of a request that ran at a pace."""
         self.mean.add(seconds)
+        self._usual_mean.add(seconds / _bounded(pace))
 
     def note_load(self, load: TargetLoad, now: float) -> None:
         """Take in what the target told."""
-        self._pace = min(SLOWEST_PACE, max(0.1, load.pace))
+        self._pace = _bounded(load.pace)
         self._pace_at = now
 
     def note_shed(self, now: float) -> None:
@@ -114,8 +116,9 @@
 
     def expected(self, now: float) -> float:
         """Return the expected duration of a request that starts now."""
-        recent = now - self._pace_at <= LOAD_AGE_LIMIT
-        return self.mean.seconds * (self._pace if recent else 1.0)
+        if now - self._pace_at <= LOAD_AGE_LIMIT:
+            return self._usual_mean.seconds * self._pace
+        return self.mean.seconds
 
     def running(self, now: float) -> list[float]:
         """Return the remaining seconds of the requests that hold a slot."""
@@ -132,3 +135,7 @@
             self._bucket.refill(now)
             wait = max(wait, self._bucket.time_until(1.0))
         return wait
+
+
+def _bounded(pace: float) -> float:
+    return min(SLOWEST_PACE, max(1 / SLOWEST_PACE, pace))
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_load.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_load.py
@@ -26,6 +26,7 @@
             target: TargetRecord(target, "s", "10.0.0.1:1", "", SLOTS)
             for target in self.speeds_by_id
         }
+        self.slowness_by_id: dict[str, float] = {}  # that the pace does not tell
         self.load = ServiceLoad()
         self.record = RangeRecord("s")
         for move in initial_moves(self.record, self.view(recent=False)):
@@ -51,13 +52,14 @@
         for key, count in counts.items():
             target = self.record.owner(key).target
             durations = served.setdefault(target, [])
-            slowness = (3.0 if loud[target] else 1.0) / self.speeds_by_id[target]
+            slowness = self.slowness_by_id.get(target, 1.0)
+            slowness *= (3.0 if loud[target] else 1.0) / self.speeds_by_id[target]
             for _ in range(count):
                 work = WORK * self.random.lognormvariate(-0.125, 0.5) * slowness
                 if sum(durations) < SLOTS * REPORT_INTERVAL:
                     durations.append(work)
         targets = [
-            [t, len(d), sum(d), sum(d) / (3.0 if loud[t] else 1.0)]
+            [t, len(d), sum(d), sum(d) * self.speeds_by_id[t] / (3 if loud[t] else 1)]
             for t, d in served.items()
             if d
         ]
@@ -79,7 +81,7 @@
         replay = Replay([1.0] * 8, seed=2)
         for step in range(30):
             if step == 20:
-                replay.speeds_by_id["t0"] = 0.2
+                replay.slowness_by_id["t0"] = 5.0
             replay.report(rate=120.0, hot_rate=0.0, now=step * REPORT_INTERVAL)
         self.assertLess(replay.load.speed("t0"), 0.5)
 
