--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -15,6 +15,9 @@
 # A target that refuses connections has ended or is starting.
 UNREACHABLE_PAUSE = 0.5  # seconds until the next request tries it
 LOAD_AGE_LIMIT = 0.5  # seconds after which a target's report says nothing any more
+# Time between the end of a request at its target and the arrival of the next one: the
+# ways of the response, of the returned slot, of the next grant and of its request.
+TURNAROUND = 0.01  # seconds
 SLOWEST_PACE = 10.0  # reports beyond this factor are taken as this factor
 
 
@@ -75,12 +78,20 @@
             self._paused_until, self._unreachable_until
         ):
             return 0
-        free = max(0, self.record.slots - len(self.held_by_number))
+        free = max(0, self.record.slots + self._ahead - len(self.held_by_number))
         if free and self.is_cold(now):
             self._bucket.refill(now)
             free = min(free, int(self._bucket.level))
         return free
 
+    @property
+    def _ahead(self) -> int:
+        """Return how many requests wait at the target, so that no slot stands idle.
+
+        Few, as they cannot be overtaken there any more.
+        """
+        return round(self.record.slots * TURNAROUND / self.mean.seconds)
+
     def take(self, slot: HeldSlot, now: float) -> None:
         """Hold a slot."""
         self.held_by_number[slot.number] = slot
--- a/packages/testing/src/fireflystand_testing/experiment/loads.py
+++ b/packages/testing/src/fireflystand_testing/experiment/loads.py
@@ -49,6 +49,13 @@
     return Load((target,), (_on("t", LOOKUP, 90.0), _on("t", ORDER, 8.0)))
 
 
+@load_pattern("hot-key-fast")
+def hot_key_fast() -> Load:
+    """Return a key with as much load as a fast target can take."""
+    target = ModelTarget("t", 6, speed=2.0)
+    return Load((target,), (_on("t", LOOKUP, 100.0),))
+
+
 @load_pattern("busy")
 def busy() -> Load:
     """Return a target at nine tenths of its capacity."""
--- a/packages/testing/src/fireflystand_testing/experiment/model.py
+++ b/packages/testing/src/fireflystand_testing/experiment/model.py
@@ -14,6 +14,7 @@
 
 CALLER_DELAY = 0.008  # seconds one way between callers and instances
 TICK = 0.1  # seconds between two looks of the desk at what waits
+WAY = 0.003  # seconds between a desk's decision and the target, and back
 NOISE_INTERVAL = 0.4  # seconds for which a machine's neighbours stay quiet or loud
 
 
@@ -87,6 +88,7 @@
     first_at: float
     tries: int = 0
     asked_at: float = 0.0
+    started_at: float = 0.0
 
 
 class _Play:
@@ -101,6 +103,8 @@
         self._numbers = count()
         self._requests_by_ask: dict[str, _Request] = {}
         self._loud_by_target: dict[str, bool] = {}
+        self._running_by_target = dict.fromkeys((t.id for t in load.targets), 0)
+        self._queues_by_target: dict[str, list] = {t.id: [] for t in load.targets}
         self._targets_by_id = {target.id: target for target in load.targets}
         for target in load.targets:
             record = TargetRecord(
@@ -177,19 +181,39 @@
                 self._refuse(request, decision.retry_after, now)
 
     def _start(self, granted: SlotGranted, request: _Request, now: float) -> None:
+        request.started_at = now
+        self._at(now + WAY, self._reach_target, granted, request)
+
+    def _reach_target(
+        self, now: float, granted: SlotGranted, request: _Request
+    ) -> None:
+        target = self._targets_by_id[granted.target]
+        if self._running_by_target[target.id] < target.slots:
+            self._run(now, granted, request)
+        else:
+            self._queues_by_target[target.id].append((granted, request))
+
+    def _run(self, now: float, granted: SlotGranted, request: _Request) -> None:
         target = self._targets_by_id[granted.target]
+        self._running_by_target[target.id] += 1
         item = request.caller
         seconds = item.work * self._random.lognormvariate(
             -(item.spread**2) / 2, item.spread
         )
         seconds *= (3.0 if self._loud_by_target[target.id] else 1.0) / target.speed
-        end = min(now + seconds, granted.ask.end_at)
-        done = end == now + seconds
-        self._at(end, self._finish, granted.number, request, end - now, done)
+        end = max(now, min(now + seconds, granted.ask.end_at))
+        self._at(end, self._end_run, granted, request, end == now + seconds)
 
-    def _finish(
-        self, now: float, number: int, request: _Request, seconds: float, done: bool
+    def _end_run(
+        self, now: float, granted: SlotGranted, request: _Request, done: bool
     ) -> None:
+        self._running_by_target[granted.target] -= 1
+        self._at(now + WAY, self._finish, granted.number, request, done)
+        queue = self._queues_by_target[granted.target]
+        if queue:
+            self._run(now, *queue.pop(0))
+
+    def _finish(self, now: float, number: int, request: _Request, done: bool) -> None:
         result = self.results_by_class[request.caller.name]
         item = request.caller
         if not done:
@@ -200,6 +224,7 @@
         else:
             result.late += 1
             result.credit += item.late_worth
+        seconds = now - request.started_at
         given_back = SlotResult(number, seconds, complete=done)
         self._deliver(self._desk.give_back(given_back, now), now)
 
--- /dev/null
+++ b/packages/testing/src/fireflystand_testing/tests/test_experiment.py
@@ -0,0 +1,60 @@
+"""Replay load patterns against the desk."""
+
+import unittest
+
+from fireflystand_testing.experiment import Load, loads_by_name, play
+
+SEEDS = range(3)
+GOODPUT_GOAL = 0.95  # of what the targets can run, as docs/status.md states it
+SERVED_GAP, EARNED_GAP = 0.05, 0.15  # at most, as the operators state them
+LOUD_FACTOR = 3.0  # by which neighbours of the model lengthen work
+
+
+def capacity(load: Load) -> float:
+    """Return the requests a second that the targets of a one-class load can run."""
+    (item,) = load.classes
+    return sum(
+        target.slots
+        * target.speed
+        * (1 - target.noise + target.noise / LOUD_FACTOR)
+        / item.work
+        for target in load.targets
+    )
+
+
+class GoodputTests(unittest.TestCase):
+    """Guard against slots that stand idle while requests are turned away."""
+
+    def test_pool_beyond_its_capacity_stays_busy(self):
+        """The way from one request to the next one left slots idle."""
+        load = loads_by_name["pooled-overload"]()
+        results = [play(load, seed)["lookup"] for seed in SEEDS]
+        answered = sum(r.in_aim + r.late for r in results)
+        possible = capacity(load) * load.seconds * len(SEEDS)
+        self.assertGreater(answered / possible, GOODPUT_GOAL)
+
+
+class PriorityTests(unittest.TestCase):
+    """Guard against urgent requests that fare worse than less urgent ones."""
+
+    def test_orders_are_served_before_lookups(self):
+        for name, make in loads_by_name.items():
+            for seed in SEEDS:
+                results = play(make(), seed)
+                if "order" in results:
+                    order, lookup = results["order"], results["lookup"]
+                    with self.subTest(load=name, seed=seed):
+                        self.assertGreater(order.served, lookup.served - SERVED_GAP)
+                        self.assertGreater(order.earned, lookup.earned - EARNED_GAP)
+
+
+class RepeatabilityTests(unittest.TestCase):
+    """Guard against plays that cannot be compared."""
+
+    def test_a_seed_gives_the_same_results(self):
+        load = loads_by_name["retry-storm"]()
+        self.assertEqual(play(load, 3), play(load, 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
