Read the marker of unjournaled requests from live witnesses only

The marker of such orders lies with a majority of witnesses. A dead witness counted as sealed, so the successor could complete its majority without asking the one live witness that held the marker.

Ruled out: waiting for all witnesses (one that is cut off would hold the group up).

Change: the marker is known once every possible majority has a witness that answered in the process that was named.

--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -44,7 +44,8 @@
         self.timing = timing or Timing()
         self.phase = "idle"  # idle, claiming, active, given-up or stopped
         self.unjournaled = False
-        self.predecessor_unjournaled = False
+        self._marker_seen = False
+        self._claimed_at = 0.0
         self._targets = TargetSet(self.timing)
         self._rules = ReleaseRules(identity, self._targets, permits_pending)
         self._lease = AuthorityLease(self.timing)
@@ -175,6 +176,7 @@
 
     def _begin(self, before: GroupRecord | None, now: float) -> list[Action]:
         self.phase = "active"
+        self._claimed_at = now
         record = self.record
         self._rules.epoch = record.epoch
         self._lease.name_witnesses(record.witnesses, now)
@@ -198,9 +200,20 @@
         return self.phase == "active" and now < self._lease.valid_until()
 
     def earlier_ended(self, now: float) -> bool:
-        """Tell whether no earlier coordinator of the group can act any more."""
+        """Tell whether no earlier coordinator of the group can act any more.
+
+        The witnesses that may hold a marker of an earlier one get a second to answer.
+        """
         end = self._rules.earlier.authority_end()
-        return self.phase == "active" and end is not None and now >= end
+        if self.phase != "active" or end is None or now < end:
+            return False
+        waited = now >= self._claimed_at + self.timing.marker_wait
+        return waited or self._rules.earlier.markers_known()
+
+    @property
+    def predecessor_unjournaled(self) -> bool:
+        """Tell whether an earlier coordinator may have run requests unjournaled."""
+        return self._marker_seen or not self._rules.earlier.markers_known()
 
     def confirmed(
         self, witness: str, incarnation: str, epoch: int, asked_at: float, now: float
@@ -230,7 +243,7 @@
             return []
         if epoch > self.epoch:
             return self.higher_epoch(epoch, now)
-        self.predecessor_unjournaled |= unjournaled
+        self._marker_seen |= unjournaled
         self._rules.earlier.sealed(witness, incarnation, confirmed_age, now)
         return self.tick(now)
 
--- a/packages/core/src/fireflystand_core/groups/lease.py
+++ b/packages/core/src/fireflystand_core/groups/lease.py
@@ -63,9 +63,18 @@
 class _Epoch:
     witnesses: Mapping[str, str]
     confirmed_before: dict[str, float] = attrs.field(factory=dict)
+    answered: set[str] = attrs.field(factory=set)  # sealed in the process named
+    gone: set[str] = attrs.field(factory=set)  # that process has ended
+    given_up: bool = False
     ended_at: float | None = None
     own: bool = False
 
+    @property
+    def marker_known(self) -> bool:
+        """Tell whether every majority of the witnesses has one that answered."""
+        count = len(self.witnesses)
+        return self.given_up or len(self.answered) > count - majority(count)
+
 
 class EarlierEpochs:
     """Collect seals until the authority of every earlier epoch has ended."""
@@ -79,9 +88,9 @@
         waiting = {
             witness
             for epoch in self._epochs.values()
-            if epoch.ended_at is None
+            if epoch.ended_at is None or not epoch.marker_known
             for witness in epoch.witnesses
-            if witness not in epoch.confirmed_before
+            if witness not in epoch.answered and witness not in epoch.gone
         }
         return sorted(waiting)
 
@@ -91,7 +100,10 @@
         """Note that a witness, or a process that replaced it, was sealed."""
         for epoch in self._epochs.values():
             named = epoch.witnesses.get(witness)
-            if named is None or witness in epoch.confirmed_before:
+            if named is None:
+                continue
+            (epoch.answered if named == incarnation else epoch.gone).add(witness)
+            if witness in epoch.confirmed_before:
                 continue
             if named != incarnation:
                 epoch.confirmed_before[witness] = now
@@ -105,6 +117,7 @@
         """Note that the process of a witness is known to be dead."""
         for epoch in self._epochs.values():
             if epoch.witnesses.get(witness) == incarnation:
+                epoch.gone.add(witness)
                 epoch.confirmed_before.setdefault(witness, now)
                 self._bound(epoch)
 
@@ -115,6 +128,7 @@
         """
         if epoch in self._epochs:
             self._epochs[epoch].ended_at = now
+            self._epochs[epoch].given_up = True
             self._epochs[epoch].own = own
 
     def _bound(self, epoch: _Epoch) -> None:
@@ -125,6 +139,13 @@
             end = times[needed - 1] + self._timing.lengthen(self._timing.lease)
             epoch.ended_at = end if epoch.ended_at is None else min(end, epoch.ended_at)
 
+    def markers_known(self) -> bool:
+        """Tell whether the answers show each marker that an earlier epoch may have set.
+
+        A majority of its witnesses held it. Witnesses that died took it with them.
+        """
+        return all(epoch.marker_known for epoch in self._epochs.values())
+
     def authority_end(self) -> float | None:
         """Return when the last authority ends or ended, ``None`` if unknown.
 
--- a/packages/core/src/fireflystand_core/groups/tests/test_groups.py
+++ b/packages/core/src/fireflystand_core/groups/tests/test_groups.py
@@ -136,5 +136,55 @@
         self.assertEqual(set(moves.values()), {"b", "c"})
 
 
+class MarkerTests(unittest.TestCase):
+    """Guard against an order that runs twice after its coordinator was killed.
+
+    A majority of witnesses holds the marker of requests that ran while the store was
+    away. A dead witness ends its authority, but its marker cannot be read any more.
+    """
+
+    def setUp(self):
+        self.earlier = EarlierEpochs([Predecessor(1, WITNESSES)], Timing())
+
+    def test_death_does_not_stand_in_for_an_answer(self):
+        self.earlier.died("w1", "1", 10.0)
+        self.earlier.sealed("w2", "1", 0.1, 10.0)
+        self.assertIsNotNone(self.earlier.authority_end())
+        self.assertFalse(self.earlier.markers_known())
+        self.assertEqual(self.earlier.unsealed_witnesses(), ["w3"])
+        self.earlier.sealed("w3", "1", 0.1, 10.1)
+        self.assertTrue(self.earlier.markers_known())
+        self.assertEqual(self.earlier.unsealed_witnesses(), [])
+
+    def test_restarted_witness_has_lost_its_marker(self):
+        self.earlier.sealed("w1", "2", None, 10.0)
+        self.earlier.sealed("w2", "1", 0.1, 10.0)
+        self.assertFalse(self.earlier.markers_known())
+
+    def test_coordinator_waits_for_markers_and_then_assumes_the_worst(self):
+        identity = GroupIdentity("winkel", 0, (0, 1, 2, 3), "a", "1", 4)
+        coordinator = GroupCoordinator(identity)
+        first = GroupRecord.first("b", "1", WITNESSES, "op")
+        action = coordinator.claim(first, 1, WITNESSES, [], 10.0)[0]
+        coordinator.written(action.record.operation_id, 2, 10.0)
+        coordinator.instance_died("w1", "1", 10.0)
+        coordinator.sealed("w2", "1", coordinator.epoch, 0.1, False, 10.0)
+        self.assertFalse(coordinator.earlier_ended(10.8))
+        self.assertTrue(coordinator.earlier_ended(12.0))
+        self.assertTrue(coordinator.predecessor_unjournaled)
+
+    def test_answers_of_all_live_witnesses_settle_the_marker(self):
+        identity = GroupIdentity("winkel", 0, (0, 1, 2, 3), "a", "1", 4)
+        coordinator = GroupCoordinator(identity)
+        first = GroupRecord.first("b", "1", WITNESSES, "op")
+        action = coordinator.claim(first, 1, WITNESSES, [], 10.0)[0]
+        coordinator.written(action.record.operation_id, 2, 10.0)
+        coordinator.instance_died("w1", "1", 10.0)
+        for witness in ("w2", "w3"):
+            coordinator.sealed(witness, "1", coordinator.epoch, 0.1, False, 10.1)
+        self.assertTrue(coordinator.earlier_ended(10.8))
+        self.assertFalse(coordinator.predecessor_unjournaled)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/core/src/fireflystand_core/groups/timing.py
+++ b/packages/core/src/fireflystand_core/groups/timing.py
@@ -20,6 +20,7 @@
     witness_silence: float = 2.0  # a silent witness is replaced
     retry_wait: float = 0.1  # between attempts of a store call
     leave_limit: float = 2.0  # a leaving target still serves shards that have not moved
+    marker_wait: float = 1.0  # for witnesses that may hold an earlier marker
     settle: float = 0.25  # a moved shard still counts as moving
     hot_key_period: float = 5.0  # between changes of overrides
 
