--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -396,6 +396,8 @@
         for scope in list(self._tasks):
             scope.cancel()
         # Decided from a record that another coordinator may change from now on.
+        for waiting in self._waiting_changes:
+            waiting.result.set(None)
         self._waiting_changes = []
         self.record = None
         self._authorised = False
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -23,8 +23,10 @@
 
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], ObjectChange] = {}
+        self.history: list[ObjectChange] = []  # of all kinds
         self.revision = 0
         self.down = False
+        self.delay = 0.0  # seconds beyond the usual answer time
         self.losing = 0  # answers of writes to lose
 
     async def get(self, kind, name):
@@ -38,14 +40,16 @@
         if version is not None and version != current:
             raise StoreConflictError("other version", step="put")
         self.revision += 1
-        self.objects[kind, name] = ObjectChange(name, self.revision, value)
+        change = ObjectChange(name, self.revision, value)
+        self.objects[kind, name] = change
+        self.history.append(change)
         if self.losing:
             self.losing -= 1
             raise StoreUnavailableError("answer lost", step="put")
         return self.revision
 
     async def _answer(self):
-        await trio.sleep(0.004)
+        await trio.sleep(0.004 + self.delay)
         if self.down:
             raise StoreUnavailableError("down", step="call")
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from fireflystand_core.messages import WorkReport
+from fireflystand_core.ranges import RangeRecord
 
 from .support import SERVICE, World
 
@@ -151,6 +152,59 @@
 
         play(scenario)
 
+    def test_changes_of_an_ended_claim_are_not_written_by_the_next(self):
+        """A change waited behind another write when its claim ended."""
+
+        async def scenario(world, nursery):
+            coordinator = world.coordinator()
+            nursery.start_soon(coordinator.run)
+            await trio.sleep(3)
+            world.store.delay = 0.5
+
+            async def change(target: str) -> None:
+                await coordinator._change_record(
+                    lambda record: record.assign(0, 9, target)
+                )
+
+            async with trio.open_nursery() as tasks:
+                tasks.start_soon(change, "t1")
+                await trio.sleep(0.1)
+                tasks.start_soon(change, "stale")
+                await trio.sleep(0.1)
+                coordinator.resign("test")
+                tasks.cancel_scope.cancel()
+            world.store.delay = 0.0
+            await trio.sleep(4)
+            self.assertTrue(coordinator.leading)
+            world.forget(coordinator, "t0")
+            await trio.sleep(6)
+            for written in world.store.history:
+                record = RangeRecord.from_value(written.value)
+                self.assertNotIn("stale", record.ranges_by_target)
+
+        play(scenario)
+
+    def test_changes_that_wait_for_the_store_are_written_together(self):
+        """Guards against a write, and a copy to all instances, for each move."""
+
+        async def scenario(world, nursery):
+            coordinator = world.coordinator()
+            nursery.start_soon(coordinator.run)
+            await trio.sleep(3)
+            world.store.delay = 0.3
+            before = world.store.revision
+            async with trio.open_nursery() as changes:
+                for first in range(0, 1000, 100):
+                    changes.start_soon(
+                        coordinator._change_record,
+                        lambda record, f=first: record.assign(f, f + 9, "t1"),
+                    )
+            self.assertEqual(world.record().owner(905).target, "t1")
+            # The first one is written alone, the others while it is on its way.
+            self.assertLessEqual(world.store.revision - before, 3)
+
+        play(scenario)
+
     def test_authority_ends_without_the_store(self):
         async def scenario(world, nursery):
             coordinator = world.coordinator()
