Look after targets that fell silent, and give them keys again

Ruled out: the entries of the targets (they never ended) and the plan of moves, which gives idle targets keys in its next round.

Change: a silent target is asked for its id every 2 s, twice as rarely each time it falls silent again; once it answers, it counts like a new one (event 6042). Test: test_silent_target_that_answers_again_gets_keys fails without it.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/platform
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install run test lint format unit fuzz fuzz-check bench
+.PHONY: install run test lint format unit fuzz fuzz-check bench experiment
 
 $(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -41,5 +41,8 @@
 fuzz-check: install
 	$(BIN)/python -m fireflystand_testing.fuzz_check
 
+experiment: install
+	$(BIN)/python -m fireflystand_testing.experiment --load=$(LOAD)
+
 bench: install
 	$(BIN)/python -m fireflystand_testing.bench
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -95,6 +95,9 @@
     async def grant(self, address: str, item: KeyRange, hold: float) -> None:
         """Let a target hold a range for ``hold`` seconds from the call's arrival."""
 
+    async def reach(self, address: str, target: str) -> None:
+        """Return if the target with the id answers at the address."""
+
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
         """End a target's hold; return its handover once its work on it has ended."""
 
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -43,6 +43,7 @@
     RANGE_GIVEN,
     RANGE_RELEASED,
     RECORD_WRITE_FAILED,
+    TARGET_RETURNED,
     TARGET_SILENT,
     emit,
 )
@@ -71,6 +72,10 @@
 # answers lost, one in a hundred is given up wrongly.
 SILENCE = 1.2  # seconds
 GRANT_TIMEOUT = 0.3  # seconds of a call that targets answer at once
+# A silent target is looked after in this interval, doubled each time it falls silent
+# again: one that answers only now and then would draw keys and lose them.
+PROBE_INTERVAL = 2.0  # seconds
+LONGEST_PROBE_INTERVAL = 16.0  # seconds
 RETRY_INTERVAL = 0.2  # seconds after a grant without an answer
 RELEASE_TIMEOUT = 4.0  # seconds; a release is answered when running work has ended
 RELEASE_RETRY = 0.5  # seconds between releases to a target that does not answer
@@ -91,6 +96,8 @@
 
     lock: trio.Lock = attrs.field(factory=trio.Lock)
     next_renewal: float = 0.0
+    next_probe: float = 0.0
+    probe_interval: float = PROBE_INTERVAL
     failing_since: float | None = None
     silent: bool = False
 
@@ -271,6 +278,7 @@
         if self._should_hand_over(now):
             return self.resign("the store turns this instance away")
         self._renew(now)
+        self._probe_silent(now)
         if now >= self._next_plan:
             self._next_plan = now + PLAN_INTERVAL
             self._plan(now)
@@ -451,6 +459,8 @@
         if contact.silent or self._clock() - contact.failing_since < SILENCE:
             return
         contact.silent = True
+        contact.next_probe = self._clock() + contact.probe_interval
+        contact.probe_interval = min(2 * contact.probe_interval, LONGEST_PROBE_INTERVAL)
         emit(
             TARGET_SILENT,
             service=self.service,
@@ -459,6 +469,31 @@
             seconds=round(self._clock() - contact.failing_since, 2),
         )
 
+    def _probe_silent(self, now: float) -> None:
+        """Look whether targets that were given up answer again."""
+        for target_id, contact in self._contacts.items():
+            if not contact.silent or now < contact.next_probe:
+                continue
+            contact.next_probe = now + contact.probe_interval
+            target = self._state.usable(target_id)
+            if target is not None:
+                self._start_task(self._probe, target, contact)
+
+    async def _probe(self, target: TargetRecord, contact: _TargetContact) -> None:
+        try:
+            with trio.fail_after(GRANT_TIMEOUT):
+                await self._control.reach(target.address, target.id)
+        except (ConnectionFailedError, trio.TooSlowError):
+            return  # event 6037 told that it is silent; the next look follows
+        contact.silent = False
+        contact.failing_since = None
+        emit(
+            TARGET_RETURNED,
+            service=self.service,
+            target=target.id,
+            address=target.address,
+        )
+
     # Moves
 
     def _plan(self, now: float) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -128,6 +128,13 @@
                 if other is not target and other.held(key):
                     self.violations.append(f"{key} at {other.id} and {target.id}")
 
+    async def reach(self, address: str, target: str) -> None:
+        await trio.sleep(0.001)
+        answers = self.by_id[address]
+        self._check_reachable(answers, "reach")
+        if not answers.answering:
+            raise self._failure(answers, "reach")
+
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
         target = self.by_id[address]
         await trio.sleep(0.001)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -69,6 +69,22 @@
 
         play(scenario)
 
+    def test_silent_target_that_answers_again_gets_keys(self):
+        """Targets that a cut had silenced stayed without keys for good."""
+
+        async def scenario(world, nursery):
+            nursery.start_soon(world.coordinator().run)
+            await trio.sleep(3)
+            world.targets[0].reachable = False
+            await trio.sleep(6)
+            self.assertNotIn("t0", world.record().ranges_by_target)
+            world.targets[0].reachable = True
+            await trio.sleep(4)
+            self.assertIn("t0", world.record().ranges_by_target)
+            self.assert_served(world)
+
+        play(scenario)
+
     def test_target_whose_entry_ended_gives_its_keys_back(self):
         async def scenario(world, nursery):
             coordinator = world.coordinator()
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -349,6 +349,9 @@
 LINES_OMITTED = define_event(
     6040, "WARNING", "lines of an event were left out", "number", "count"
 )
+TARGET_RETURNED = define_event(
+    6042, "INFO", "silent target answers again", "service", "target", "address"
+)
 PEER_ANSWER_DROPPED = define_event(
     6041, "INFO", "answer to a peer not sent, its stream has ended", "message"
 )
