Claim a service only after the delay of its present holder, and at once after a kill

Ruled out: the beats (they return within half a second of the heal, later than the claim).

Change: the delay of a claim starts anew with each epoch. A host that refuses the stream of a peer shows that the peer's process has ended, so its authority is not waited for; a refusal at an address that is no longer in use shows nothing. Silent targets are asked after 1 s instead of 2 s. Tests: test_claim_waits_anew_when_another_instance_has_claimed and test_coordinator_whose_process_has_ended_is_not_waited_for fail without it.

--- a/packages/router/src/fireflystand_router/dispatch/mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/mesh.py
@@ -46,6 +46,7 @@
         self._cut_from_store: set[str] = set()
         self.generation = 0  # counts changes of the set of live instances
         self.incarnations_by_id: dict[str, str] = {}
+        self._ended_by_id: dict[str, str] = {}  # incarnation known to have ended
         network.handle_directly(Beat, self._answer_beat)
         network.on_stream_end = self._stream_ended
 
@@ -67,6 +68,10 @@
         """Tell whether an instance is in touch."""
         return instance == self.own_id or instance in self._heard_at_by_id
 
+    def has_ended(self, instance: str, incarnation: str) -> bool:
+        """Tell whether a process is known to have ended: its host refuses streams."""
+        return self._ended_by_id.get(instance) == incarnation
+
     def lost_for(self, instance: str) -> float:
         """Return for how many seconds an instance has been lost; 0 if it is not."""
         if self.is_live(instance):
@@ -145,7 +150,7 @@
             answer = await self.network.request(peer, self.beat(), BEAT_TIMEOUT)
         except PeerUnavailableError as error:
             if error.refused:
-                self._lose(peer, "connection refused")
+                self._note_ended(peer)
             elif error.step == "Beat":
                 # The stream may have gone silent while new ones work.
                 self.network.reset(peer)
@@ -166,6 +171,8 @@
             self._lost_since_by_id.pop(peer, None)
             emit(PEER_REGAINED, peer=peer, incarnation=beat.incarnation)
         self._heard_at_by_id[peer] = lease_clock()
+        if self.has_ended(peer, beat.incarnation):
+            del self._ended_by_id[peer]
         self.incarnations_by_id[peer] = beat.incarnation
         if beat.store_lost:
             self._cut_from_store.add(peer)
@@ -196,7 +203,13 @@
 
     def _stream_ended(self, peer: str, refused: bool) -> None:
         if refused:
-            self._lose(peer, "connection refused")
+            self._note_ended(peer)
+
+    def _note_ended(self, peer: str) -> None:
+        """Note that no process listens where the peer did."""
+        if peer in self.incarnations_by_id:
+            self._ended_by_id[peer] = self.incarnations_by_id[peer]
+        self._lose(peer, "connection refused")
 
     def _lose(self, peer: str, reason: str) -> None:
         if self._heard_at_by_id.pop(peer, None) is None:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -74,7 +74,7 @@
 GRANT_TIMEOUT = 0.3  # seconds of a call that targets answer at once
 # A silent target is looked after in this interval, doubled each time it falls silent
 # again: one that answers only now and then would draw keys and lose them.
-PROBE_INTERVAL = 2.0  # seconds
+PROBE_INTERVAL = 1.0  # seconds
 LONGEST_PROBE_INTERVAL = 16.0  # seconds
 RETRY_INTERVAL = 0.2  # seconds after a grant without an answer
 RELEASE_TIMEOUT = 4.0  # seconds; a release is answered when running work has ended
@@ -141,6 +141,7 @@
         self._started_at = self._clock()
         self._tasks: set[trio.CancelScope] = set()
         self._vacant_since: float | None = None
+        self._vacant_epoch = 0
         self._resigned_epoch = -1
         self._stopping = False
         self.writer = RecordWriter(
@@ -198,8 +199,10 @@
             self._vacant_since = None
             return
         now = self._clock()
-        if self._vacant_since is None:
-            self._vacant_since = now
+        epoch = record.epoch if record is not None else 0
+        if self._vacant_since is None or self._vacant_epoch != epoch:
+            # A new holder may live, though this instance has not met it yet.
+            self._vacant_since, self._vacant_epoch = now, epoch
         if now - self._vacant_since >= delay:
             self._vacant_since = None
             await self._claim(record)
@@ -239,6 +242,7 @@
             record.holder == self._mesh.own_id
             or record.epoch == self._resigned_epoch
             or self._is_replaced(record)
+            or self._mesh.has_ended(record.holder, record.holder_incarnation)
         )
         now = self._clock()
         if previous_acts:
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -175,6 +175,7 @@
     live: list[str] = attrs.field(factory=lambda: ["a"])
     visible_share: float = 1.0
     incarnations_by_id: dict[str, str] = attrs.field(factory=dict)
+    ended: set[tuple[str, str]] = attrs.field(factory=set)
 
     def rank(self, name: str) -> int:
         return 0
@@ -182,6 +183,9 @@
     def is_live(self, instance: str) -> bool:
         return instance in self.live
 
+    def has_ended(self, instance: str, incarnation: str) -> bool:
+        return (instance, incarnation) in self.ended
+
     def broadcast(self, message: object) -> None:
         pass
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -156,6 +156,54 @@
 
         play(scenario)
 
+    def test_claim_waits_anew_when_another_instance_has_claimed(self):
+        """An instance took a service from a live one when a cut had healed.
+
+        It had waited for its claim during the cut, and had not met the new holder.
+        """
+
+        async def scenario(world, nursery):
+            record = RangeRecord(SERVICE).claim("a", "a1")
+            await world.store.put("ranges", SERVICE, record.to_value(), 0)
+            second = world.coordinator("b")
+            second.mesh.visible_share = 0.2
+            second.state.apply("ranges", 1, 1, world.store.history[-1:], 0.0)
+            nursery.start_soon(second.run)
+            await trio.sleep(5.0)
+            self.assertTrue(second.leading)
+
+            third = world.coordinator("c")
+            third.mesh.visible_share = 0.2
+            third.state.apply("ranges", 1, 1, world.store.history[:1], 0.0)
+            nursery.start_soon(third.run)
+            await trio.sleep(4.4)
+            third.state.apply("ranges", 2, 9, world.store.history[-1:], 0.0)
+            await trio.sleep(1.0)
+            self.assertFalse(third.leading)
+
+        play(scenario)
+
+    def test_coordinator_whose_process_has_ended_is_not_waited_for(self):
+        """A killed coordinator was waited for as long as one that is cut off."""
+
+        async def scenario(world, nursery):
+            first = world.coordinator("a")
+            nursery.start_soon(first.run)
+            await trio.sleep(3)
+            first.resign("killed")
+            first._stopping = True
+            second = world.coordinator("b")
+            second.mesh.ended.add(("a", "a1"))
+            second.state.apply("ranges", 1, 9, world.store.history[-1:], 0.0)
+            world.targets[0].reachable = False
+            nursery.start_soon(second.run)
+            await trio.sleep(8.5)
+            self.assertTrue(second.leading)
+            self.assertNotIn("t0", world.record().ranges_by_target)
+            self.assert_served(world)
+
+        play(scenario)
+
     def test_lost_answer_of_a_record_write_is_read_back(self):
         async def scenario(world, nursery):
             coordinator = world.coordinator()
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -205,6 +205,9 @@
         self.reset(instance)
 
     def _stream_ended(self, instance: str, refused: bool) -> None:
+        # A stream to an earlier address says nothing of the process at the new one.
+        current = self._senders.get(instance)
+        refused = refused and current is not None and current.error is not None
         self.on_stream_end(instance, refused)
 
     def reset(self, instance: str) -> None:
