Fence a target off as soon as it answers again after a change of coordinators

The new coordinator could not put its fence on them while they were cut off, and then waited for the end of its predecessor's authority although the targets answered its releases.

Ruled out: fencing off in each round of releases (a write of the record each time).

Change: a release that is answered by a target that is not fenced off yet is followed by the fence and a second release. Test: test_target_that_returns_after_a_cut_is_fenced_off_at_once fails without it.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -626,15 +626,14 @@
         while self.may_act():
             if address:
                 handover = await self._release(part, address)
+                if handover is not None and not fenced:
+                    # An earlier coordinator may still renew this grant.
+                    async with contact.lock:
+                        part, fenced = await self._fence_off(part, last, contact)
+                    if fenced:
+                        continue
                 if handover is not None:
-                    free_at = self._ledger.free_after_release(
-                        part.target, self._clock()
-                    )
-                    if not fenced:
-                        # An earlier coordinator may still renew this grant.
-                        free_at = self._ledger.free_after_silence(
-                            part.target, self._others_act_until
-                        )
+                    free_at = self._free_after_release(part, fenced)
                     await trio.sleep(max(0.0, free_at - self._clock()))
                     return handover
             free_at = self._ledger.free_after_silence(
@@ -647,6 +646,11 @@
             await trio.sleep(min(RELEASE_RETRY, max(0.01, free_at - self._clock())))
         return None
 
+    def _free_after_release(self, part: KeyRange, fenced: bool) -> float:
+        if fenced:
+            return self._ledger.free_after_release(part.target, self._clock())
+        return self._ledger.free_after_silence(part.target, self._others_act_until)
+
     async def _fence_off(
         self, part: KeyRange, target: TargetRecord, contact: _TargetContact
     ) -> tuple[KeyRange, bool]:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -204,6 +204,29 @@
 
         play(scenario)
 
+    def test_target_that_returns_after_a_cut_is_fenced_off_at_once(self):
+        """Its keys waited for the end of an earlier coordinator's authority."""
+
+        async def scenario(world, nursery):
+            first = world.coordinator("a")
+            nursery.start_soon(first.run)
+            await trio.sleep(3)
+            key = world.record().owned_by("t0")[0].first
+            world.targets[0].reachable = False
+            first.resign("cut off")
+            first._stopping = True
+            second = world.coordinator("b")
+            second.state.apply("ranges", 1, 9, world.store.history[-1:], 0.0)
+            nursery.start_soon(second.run)
+            await trio.sleep(6)
+            self.assertTrue(second.leading)
+            self.assertEqual(world.owners(key), [])
+            world.targets[0].reachable = True
+            await trio.sleep(2)
+            self.assert_served(world)
+
+        play(scenario)
+
     def test_lost_answer_of_a_record_write_is_read_back(self):
         async def scenario(world, nursery):
             coordinator = world.coordinator()
