Bound the requests that wait at a target by half of its slots

Cause: the read of the change: for work of 1 ms the desk would have let 60 requests wait at a target of 6 slots, and targets answer nothing any more beyond their own queue. Change: at most half of the slots, one at least. Test: test_few_requests_wait_at_a_target_however_fast_it_works fails without it.

--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -18,6 +18,7 @@
 # Time between the end of a request at its target and the arrival of the next one: the
 # ways of the response, of the returned slot, of the next grant and of its request.
 TURNAROUND = 0.01  # seconds
+MOST_AHEAD = 0.5  # requests that wait at a target, as a part of its slots
 SLOWEST_PACE = 10.0  # reports beyond this factor are taken as this factor
 
 
@@ -88,9 +89,11 @@
     def _ahead(self) -> int:
         """Return how many requests wait at the target, so that no slot stands idle.
 
-        Few, as they cannot be overtaken there any more.
+        Few, as they cannot be overtaken there any more and targets queue only a few.
         """
-        return round(self.record.slots * TURNAROUND / self.mean.seconds)
+        slots = self.record.slots
+        wanted = round(slots * TURNAROUND / self.mean.seconds)
+        return min(wanted, max(1, round(slots * MOST_AHEAD)))
 
     def take(self, slot: HeldSlot, now: float) -> None:
         """Hold a slot."""
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -99,6 +99,20 @@
         self.assertIsInstance(decisions[0], SlotGranted)
 
 
+class FastWorkTests(unittest.TestCase):
+    """Guard against a target that answers nothing any more beyond its own queue."""
+
+    def test_few_requests_wait_at_a_target_however_fast_it_works(self):
+        desk = desk_of(target(slots=6))
+        for number in range(200):
+            (granted,) = desk.ask(ask(f"w{number}"), 0.0)
+            desk.give_back(SlotResult(granted.number, seconds=0.001), 0.0)
+        asks = [ask(f"r{number}") for number in range(40)]
+        decisions = [d for each in asks for d in desk.ask(each, 0.0)]
+        granted = [d for d in decisions if isinstance(d, SlotGranted)]
+        self.assertLessEqual(len(granted), 9)
+
+
 class ColdTargetTests(unittest.TestCase):
     """Guard against cold targets that get more than they bear."""
 
