--- a/packages/core/src/fireflystand_core/groups/tests/test_groups.py
+++ b/packages/core/src/fireflystand_core/groups/tests/test_groups.py
@@ -146,6 +146,16 @@
     def setUp(self):
         self.earlier = EarlierEpochs([Predecessor(1, WITNESSES)], Timing())
 
+    def successor(self) -> GroupCoordinator:
+        """Return a coordinator that claimed a group and knows w1 to be dead."""
+        identity = GroupIdentity("winkel", 0, (0, 1, 2, 3), "a", "1", 4)
+        coordinator = GroupCoordinator(identity)
+        first = GroupRecord.first("b", "1", WITNESSES, "op")
+        action = coordinator.claim(first, 1, WITNESSES, [], 10.0)[0]
+        coordinator.written(action.record.operation_id, 2, 10.0)
+        coordinator.instance_died("w1", "1", 10.0)
+        return coordinator
+
     def test_death_does_not_stand_in_for_an_answer(self):
         self.earlier.died("w1", "1", 10.0)
         self.earlier.sealed("w2", "1", 0.1, 10.0)
@@ -162,24 +172,14 @@
         self.assertFalse(self.earlier.markers_known())
 
     def test_coordinator_waits_for_markers_and_then_assumes_the_worst(self):
-        identity = GroupIdentity("winkel", 0, (0, 1, 2, 3), "a", "1", 4)
-        coordinator = GroupCoordinator(identity)
-        first = GroupRecord.first("b", "1", WITNESSES, "op")
-        action = coordinator.claim(first, 1, WITNESSES, [], 10.0)[0]
-        coordinator.written(action.record.operation_id, 2, 10.0)
-        coordinator.instance_died("w1", "1", 10.0)
+        coordinator = self.successor()
         coordinator.sealed("w2", "1", coordinator.epoch, 0.1, False, 10.0)
         self.assertFalse(coordinator.earlier_ended(10.8))
         self.assertTrue(coordinator.earlier_ended(12.0))
         self.assertTrue(coordinator.predecessor_unjournaled)
 
     def test_answers_of_all_live_witnesses_settle_the_marker(self):
-        identity = GroupIdentity("winkel", 0, (0, 1, 2, 3), "a", "1", 4)
-        coordinator = GroupCoordinator(identity)
-        first = GroupRecord.first("b", "1", WITNESSES, "op")
-        action = coordinator.claim(first, 1, WITNESSES, [], 10.0)[0]
-        coordinator.written(action.record.operation_id, 2, 10.0)
-        coordinator.instance_died("w1", "1", 10.0)
+        coordinator = self.successor()
         for witness in ("w2", "w3"):
             coordinator.sealed(witness, "1", coordinator.epoch, 0.1, False, 10.1)
         self.assertTrue(coordinator.earlier_ended(10.8))
--- a/packages/router/src/fireflystand_router/streams.py
+++ b/packages/router/src/fireflystand_router/streams.py
@@ -29,8 +29,7 @@
     @classmethod
     def take_over(cls, stream: trio.SocketStream) -> "DirectStream":
         """Return a stream on the socket of another one, which ends."""
-        old = stream.socket
-        return cls(socket.socket(old.family, old.type, old.proto, old.detach()))
+        return cls(_detached(stream.socket))
 
     async def send_all(self, data: bytes | bytearray) -> None:
         """Send all of the data.
@@ -138,8 +137,9 @@
     except BaseException:
         connecting.close()
         raise
-    return DirectStream(
-        socket.socket(
-            connecting.family, connecting.type, connecting.proto, connecting.detach()
-        )
-    )
+    return DirectStream(_detached(connecting))
+
+
+def _detached(owned: trio.socket.SocketType) -> socket.socket:
+    """Return the plain socket of one that trio owned."""
+    return socket.socket(owned.family, owned.type, owned.proto, owned.detach())
--- a/packages/testing/src/fireflystand_testing/experiment/model.py
+++ b/packages/testing/src/fireflystand_testing/experiment/model.py
@@ -113,10 +113,6 @@
                 address="10.0.0.1:1",
                 data_centre="",
                 slots=target.slots,
-                leaving=False,
-                started_at=0,
-                cold_for=0.0,
-                version=1,
             )
             self._desk.set_target(record, 0.0, 0.0)
 
