Name a third witness again once one instance is live

A trace of the witness lists shows that a coordinator whose two other witnesses are known dead names itself alone, and that the list stays like this while only one other instance is live: two instances allow a list of one by their number, and the spare witness that makes the third was taken from the list in force only, which has none any more. A claim made alone has the same gap. Nobody is named then who could take the group over, so that it waits for the 3 s of an orphan.

Ruled out: the missing connection to a majority, late news of claims (the lists at the successor equal those of the coordinator), lost records.

Change: the choice remembers the witnesses named before a list of one, and extends the list as soon as another instance is live, without the pause between two changes.

--- a/packages/core/src/fireflystand_core/groups/coordinator.py
+++ b/packages/core/src/fireflystand_core/groups/coordinator.py
@@ -105,6 +105,7 @@
                 owners = self._plan.assign(self.identity.shards, {}, weights, {})
                 claimed = claimed.move(owners, op)
         else:
+            self._choice.note_former(record.witnesses)
             claimed = record.claim(name, incarnation, witnesses, op)
         return [self._writes.start(claimed, now)]
 
--- a/packages/core/src/fireflystand_core/groups/witnesses.py
+++ b/packages/core/src/fireflystand_core/groups/witnesses.py
@@ -23,6 +23,9 @@
         self._not_before = 0.0
         self._avoided: dict[tuple[str, str], float] = {}  # until
         self._dead: dict[tuple[str, str], float] = {}  # remembered until
+        # Incarnations named before a list of the coordinator alone. One of them makes
+        # the third witness once a single other instance is live.
+        self._former: dict[str, str] = {}
 
     def set_instances(
         self, incarnations: Mapping[str, str], data_centres: Mapping[str, str]
@@ -31,6 +34,10 @@
         self._incarnations = dict(incarnations)
         self._data_centres = {i: data_centres[i] for i in incarnations}
 
+    def note_former(self, witnesses: Mapping[str, str]) -> None:
+        """Take over the incarnations of an earlier list of the group."""
+        self._former = dict(witnesses)
+
     def note_dead(self, instance: str, incarnation: str, now: float) -> None:
         """Pass over an instance whose process is known to be dead."""
         if (instance, incarnation) not in self._avoided:
@@ -57,19 +64,25 @@
             if (w, i) not in self._avoided and self._incarnations.get(w, i) == i
         }
         centres = self._available(keep)
-        enough = len(lease.witnesses) >= witness_list_size(len(centres))
-        if len(keep) == len(lease.witnesses) and enough:
+        spare = {**self._former, **lease.witnesses}
+        pair = len(centres) == 2 and len(spare.keys() | centres.keys()) > 2
+        size = 3 if pair else witness_list_size(len(centres))
+        if len(keep) == len(lease.witnesses) and len(lease.witnesses) >= size:
             return None
         identity = self._identity
         name = (identity.service, identity.group, identity.instance)
-        chosen = coordinator_witnesses(*name, centres, keep, lease.witnesses)
+        chosen = coordinator_witnesses(*name, centres, keep, spare)
         live = sum(w in centres for w in chosen)
         whole = len(chosen) >= len(lease.witnesses) and live > len(keep)
         lost = len(keep) < majority(len(lease.witnesses))
         if not whole and not (lost and self._may_shrink(lease, live)):
             return None
-        self._not_before = now + self._timing.witness_silence
-        known = {**lease.witnesses, **self._incarnations, **keep}
+        if len(chosen) == 1:
+            # No pause: the next live instance has to be named at once.
+            self.note_former(lease.witnesses)
+        else:
+            self._not_before = now + self._timing.witness_silence
+        known = {**spare, **self._incarnations, **keep}
         return {w: known[w] for w in chosen}
 
     def _available(self, keep: Mapping[str, str]) -> dict[str, str]:
