Ask the store less at a start, and send only what changed in a record

The coordinator had a link of 10 Mbit/s: each change of the record sent all of its 171 ranges to 81 peers, some half a second of that link, while a grant has 0.3 s. The store got some 1,000 calls in the first second: every instance listed five kinds and watched each registration of the others.

Change: the coordinator sends the ranges that differ (RecordPatch); a peer that missed a change asks for the record. Copies go as one compressed block. Coordinators and watchers are the instances with the most processor and link, which the registry tells. A starting instance takes its copies from a seed; for 2 s only seeds watch; the registry is watched with pauses of 0.25 s; a first registration creates the entry without asking for it.

Conclusion: no call, and no message of a change, grows with targets times instances any more.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -8,13 +8,13 @@
 
 __all__ = [
     "Beat",
-    "CopiedObject",
     "CoordinatorResigned",
     "CrashNotice",
     "KindProof",
     "QuotaDraw",
     "QuotaDrawn",
     "RangesFrozen",
+    "RecordPatch",
     "ReplicaCopy",
     "ReplicaPull",
     "SlotGrant",
@@ -56,15 +56,6 @@
     store_lost: bool = False  # whether the store turns the sender away
 
 
-@attrs.frozen
-class CopiedObject:
-    """Carry one object of the store as compressed JSON; empty once deleted."""
-
-    name: str
-    version: int
-    value: bytes
-
-
 @message("replica-pull")
 @attrs.frozen
 class ReplicaPull:
@@ -82,7 +73,18 @@
     since: int
     revision: int
     age: float  # seconds
-    items: list[CopiedObject]
+    objects: bytes  # compressed msgpack of name, version and value of each
+
+
+@message("record-patch")
+@attrs.frozen
+class RecordPatch:
+    """Carry what changed in the record of a service since an earlier version."""
+
+    service: str
+    since: int
+    version: int
+    patch: bytes  # compressed msgpack
 
 
 @message("slot-request")
--- a/packages/core/src/fireflystand_core/ranges/__init__.py
+++ b/packages/core/src/fireflystand_core/ranges/__init__.py
@@ -1,8 +1,9 @@
 """Divide the numbered keys of a service among targets."""
 
-from . import holds, planning, record
+from . import holds, patch, planning, record
 from .holds import *  # noqa: F403
+from .patch import *  # noqa: F403
 from .planning import *  # noqa: F403
 from .record import *  # noqa: F403
 
-__all__ = [*holds.__all__, *planning.__all__, *record.__all__]
+__all__ = [*holds.__all__, *patch.__all__, *planning.__all__, *record.__all__]
--- a/packages/router/src/fireflystand_router/dispatch/mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/mesh.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from fireflystand_core.messages import Beat
+from fireflystand_core.messages import Beat, encode
 from fireflystand_core.sharding import rendezvous_order
 
 from ..events import PEER_CALL_FAILED, PEER_LOST, PEER_REGAINED, emit
@@ -30,7 +30,9 @@
         state: RoutingState,
         *,
         random: Random | None = None,
+        capacity: float = 0.0,
     ) -> None:
+        self._capacity = capacity
         self.network = network
         self.own_id = network.hello.instance
         self.incarnation = network.hello.incarnation
@@ -95,13 +97,22 @@
 
     def rank(self, name: str) -> int:
         """Return this instance's place in the order for ``name``; 0 is first."""
-        return rendezvous_order(name, self.live).index(self.own_id)
+        return self._order(name, self.live).index(self.own_id)
+
+    def _order(self, name: str, instances: list[str]) -> list[str]:
+        """Put the most capable instances first: these duties reach all others."""
+        return sorted(rendezvous_order(name, instances), key=self._weakness)
+
+    def _weakness(self, instance: str) -> float:
+        if instance == self.own_id:
+            return -self._capacity
+        record = self._state.instances_by_id.get(instance)
+        return -record.capacity if record else 0.0
 
     def watch_rank(self, name: str) -> int:
         """Return this instance's place among those that reach the store."""
         able = [i for i in self.live if i not in self._cut_from_store]
-        order = rendezvous_order(name, able)
-        return order.index(self.own_id)
+        return self._order(name, able).index(self.own_id)
 
     async def run(self) -> None:
         """Beat until cancelled."""
@@ -189,11 +200,12 @@
 
     def broadcast(self, message: object) -> None:
         """Send a message to all instances in touch; lost ones are left out."""
+        data = encode(0, message)
         for peer in self.live:
             if peer == self.own_id:
                 continue
             try:
-                self.network.send(peer, message)
+                self.network.send_encoded(peer, data)
             except PeerUnavailableError as error:
                 emit(PEER_CALL_FAILED, error, message=type(message).__name__)
 
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -69,7 +69,6 @@
 # Callers are sent elsewhere after two failed probes, one a second.
 STOP_NOTICE = 2.3  # seconds between failing readiness and closing the listener
 STOP_RESERVE = 0.4  # seconds of the grace period left for closing
-SEED_INTERVAL = 0.5  # seconds between two questions to the seeds
 EXPIRE_INTERVAL = 0.1  # seconds
 # A registered instance that nobody reaches is gone for good, not restarting.
 FORGET_AFTER = 20.0  # seconds
@@ -101,8 +100,18 @@
             settings.peer_address,
         )
         self.network = PeerNetwork(hello)
-        self.mesh = Mesh(self.network, self.state, random=random)
-        self.keeper = ReplicaKeeper(store, self.state, self.mesh)
+        self.mesh = Mesh(
+            self.network, self.state, random=random, capacity=settings.capacity
+        )
+        others = [seed for seed in settings.seeds if seed != settings.peer_address]
+        random.shuffle(others)
+        self.keeper = ReplicaKeeper(
+            store,
+            self.state,
+            self.mesh,
+            others,
+            is_seed=len(others) < len(settings.seeds),
+        )
         self.slot_host = SlotHost(self.state, self.mesh, random)
         slots = SlotClient(self.slot_host, self.mesh, self.state, settings.data_centre)
         self.mesh.listen(self.keeper.take_proofs, self.slot_host.instance_lost)
@@ -140,7 +149,7 @@
             mesh=self.mesh,
             holds=bounds.holds,
             longest_hold=bounds.longest_hold,
-            push=self.keeper.push,
+            share=self.keeper.share_record,
             store_age=lambda: self.keeper.store_age,
         )
 
@@ -277,7 +286,6 @@
                     self.work.run,
                     self.ownership.run,
                     self._register,
-                    self._ask_seeds,
                     self._expire,
                     self._forget_instances,
                 ):
@@ -315,35 +323,32 @@
             "incarnation": hello.incarnation,
             "address": self.network.address,
             "data_centre": hello.data_centre,
+            "capacity": self.settings.capacity,
         }
+        # Most processes have no entry yet; one that starts again replaces its own.
+        expected = 0
         while True:
             known = self.state.instances_by_id.get(hello.instance)
             if known is not None and known.incarnation == hello.incarnation:
                 await self.state.wait_for_change(FORGET_INTERVAL)
                 continue
             try:
-                version = await self.store.put(INSTANCES, hello.instance, value, None)
-            except (
-                StoreUnavailableError,
-                StoreConflictError,
-                ProtocolError,
-            ) as error:
+                version = await self.store.put(
+                    INSTANCES, hello.instance, value, expected
+                )
+            except StoreConflictError as error:
+                if expected is None:
+                    emit(REGISTRATION_FAILED, error)
+                    await trio.sleep(REGISTER_RETRY)
+                expected = None
+                continue
+            except (StoreUnavailableError, ProtocolError) as error:
                 emit(REGISTRATION_FAILED, error)
                 await trio.sleep(REGISTER_RETRY)
                 continue
             change = ObjectChange(hello.instance, version, value)
             self.state.apply(INSTANCES, version, version, [change], lease_clock())
 
-    async def _ask_seeds(self) -> None:
-        """Learn from seeds while the store has not told the configuration."""
-        own = self.settings.peer_address
-        seeds = [seed for seed in self.settings.seeds if seed != own]
-        await trio.sleep(SEED_INTERVAL)
-        while self.state.table is None and seeds:
-            for seed in seeds:
-                await self.keeper.pull_from(seed)
-            await trio.sleep(SEED_INTERVAL)
-
     async def _expire(self) -> None:
         due = trio.current_time()
         while True:
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -155,6 +155,7 @@
     peer_address: str
     metrics_address: str = ""
     seeds: tuple[str, ...] = ()
+    capacity: float = 0.0  # cores that the processor and the link are worth
     bounds: DispatchBounds = attrs.field(factory=DispatchBounds)
     caller_interface: CallerInterface = attrs.field(factory=CallerInterface)
     caller_fields: CallerFields = attrs.field(factory=CallerFields)
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -115,7 +115,7 @@
         mesh: Mesh,
         holds: HoldTiming,
         longest_hold: float,
-        push: Callable[[str, int, int, list[ObjectChange]], None],
+        share: Callable[[ObjectChange, ObjectChange | None], None],
         store_age: Callable[[], float],
         clock: Callable[[], float] = lease_clock,
     ) -> None:
@@ -145,7 +145,7 @@
         self._resigned_epoch = -1
         self._stopping = False
         self.writer = RecordWriter(
-            service, store, state, push, may_write=self.may_act, clock=clock
+            service, store, state, share, may_write=self.may_act, clock=clock
         )
         self._nursery: trio.Nursery | None = None
 
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -46,7 +46,7 @@
         service: str,
         store: StorePort,
         state: RoutingState,
-        push: Callable[[str, int, int, list[ObjectChange]], None],
+        share: Callable[[ObjectChange, ObjectChange | None], None],
         *,
         may_write: Callable[[], bool],
         clock: Callable[[], float],
@@ -55,7 +55,7 @@
         self._service = service
         self._store = store
         self._state = state
-        self._push = push
+        self._share_change = share
         self._may_write = may_write
         self._clock = clock
         self._version = 0
@@ -163,6 +163,7 @@
     def _share(self, record: RangeRecord, version: int) -> None:
         """Tell this instance and the others of a record that was written."""
         change = ObjectChange(self._service, version, record.to_value())
+        before = self._state.replicas_by_kind[RANGES].by_name.get(self._service)
         # Other objects may have changed since, so the copies are not complete.
         self._state.apply(RANGES, version, version, [change], self._clock())
-        self._push(RANGES, version, version, [change])
+        self._share_change(change, before)
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -45,6 +45,7 @@
     incarnation: str
     address: str
     data_centre: str
+    capacity: float = 0.0  # cores that its processor and its link are worth
 
 
 @attrs.frozen
@@ -268,6 +269,7 @@
             incarnation=value["incarnation"],
             address=value["address"],
             data_centre=value["data_centre"],
+            capacity=float(value.get("capacity", 0.0)),
         )
 
     def range_version(self, service: str) -> int:
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -1,5 +1,6 @@
 """Run whole instances in one process, against a fake store and fake targets."""
 
+from collections import Counter
 from contextlib import suppress
 
 import attrs
@@ -40,6 +41,7 @@
         self.objects: dict[str, dict[str, ObjectChange]] = {}
         self.history: list[tuple[str, ObjectChange]] = []
         self.down = False
+        self.calls: Counter[str] = Counter()
         self._changed = trio.Event()
 
     def write(self, kind: str, name: str, value) -> int:
@@ -61,11 +63,13 @@
             raise StoreUnavailableError("down", step="call")
 
     async def list(self, kind):
+        self.calls["list"] += 1
         await trio.sleep(0.002)
         self._check()
         return KindSnapshot(self.revision, list(self.objects.get(kind, {}).values()))
 
     async def watch(self, kind, since, wait):
+        self.calls["watch"] += 1
         with trio.move_on_after(wait):
             while not self._events(kind, since):
                 self._check()
@@ -82,6 +86,7 @@
         return self.objects.get(kind, {}).get(name)
 
     async def put(self, kind, name, value, version):
+        self.calls[f"put {kind}"] += 1
         await trio.sleep(0.002)
         self._check()
         known = self.objects.get(kind, {}).get(name)
@@ -187,14 +192,15 @@
         self.store.write(TARGETS, name, record)
         return target
 
-    async def add_node(self) -> DispatchNode:
-        """Start an instance."""
+    async def add_node(self, seeds: tuple[str, ...] = ()) -> DispatchNode:
+        """Start an instance; ``seeds`` are addresses of others."""
         settings = DispatchSettings(
             instance=f"n{len(self.nodes) + 1}",
             data_centre="x",
             caller_address="127.0.0.1:0",
             ready_address="127.0.0.1:0",
             peer_address="127.0.0.1:0",
+            seeds=seeds,
         )
         node = DispatchNode(
             settings, self.store, SharedControl(), self.read_table, read_record
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -213,7 +213,7 @@
             mesh=mesh,
             holds=HoldTiming(),
             longest_hold=10.0,
-            push=lambda *copy: None,
+            share=lambda *change: None,
             store_age=lambda: 0.0,
             clock=trio.current_time,
         )
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_start.py
@@ -0,0 +1,69 @@
+"""Test what the start of an instance costs the store."""
+
+import unittest
+
+import trio
+
+from ..ports import INSTANCES, KINDS
+from .node_support import Fleet
+
+
+class StartTests(unittest.TestCase):
+    """Guard against calls to the store that grow with the square of the fleet.
+
+    With 82 instances all of them listed every kind and watched each registration.
+    """
+
+    def play(self, scenario) -> None:
+        async def main():
+            async with trio.open_nursery() as nursery:
+                fleet = Fleet(nursery)
+                fleet.configure()
+                await fleet.add_target("keyed")
+                await scenario(fleet)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_instances_with_a_seed_do_not_ask_the_store(self):
+        async def scenario(fleet):
+            first = await fleet.add_node()
+            await fleet.settle()
+            self.assertEqual(fleet.store.calls["list"], len(KINDS))
+            for _ in range(6):
+                await fleet.add_node(seeds=(first.network.address,))
+            await fleet.settle()
+            calls = fleet.store.calls
+            self.assertEqual(calls["list"], len(KINDS))
+            self.assertEqual(calls[f"put {INSTANCES}"], 7)
+            # One watcher, told of each registration at most once.
+            self.assertLess(calls["watch"], 40)
+
+        self.play(scenario)
+
+    def test_seed_that_is_away_does_not_keep_an_instance_from_starting(self):
+        async def scenario(fleet):
+            await fleet.add_node(seeds=("127.0.0.1:1",))
+            with trio.fail_after(6.0):
+                await fleet.settle()
+            self.assertEqual(fleet.store.calls["list"], len(KINDS))
+
+        self.play(scenario)
+
+    def test_instance_that_starts_again_replaces_its_entry(self):
+        async def scenario(fleet):
+            fleet.store.write(
+                INSTANCES,
+                "n1",
+                {"incarnation": "old", "address": "127.0.0.1:1", "data_centre": "x"},
+            )
+            node = await fleet.add_node()
+            await fleet.settle()
+            entry = fleet.store.objects[INSTANCES]["n1"].value
+            self.assertEqual(entry["incarnation"], node.mesh.incarnation)
+
+        self.play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -112,9 +112,9 @@
         self._outgoing.close()
         self._on_end(self.peer, self.error.refused)
 
-    def send(self, message: object) -> None:
-        """Queue a message that expects no answer."""
-        self._enqueue(encode(0, message), "send")
+    def send(self, data: bytes) -> None:
+        """Queue an encoded message that expects no answer."""
+        self._enqueue(data, "send")
 
     async def request(self, message: object, timeout: float | None) -> object:
         """Send a message and return its answer."""
@@ -252,7 +252,11 @@
 
         Raise PeerUnavailableError if the peer has no address or its stream broke.
         """
-        self._sender(instance).send(message)
+        self.send_encoded(instance, encode(0, message))
+
+    def send_encoded(self, instance: str, data: bytes) -> None:
+        """Queue a message that was encoded once for several peers."""
+        self._sender(instance).send(data)
 
     async def request(
         self, instance: str, message: object, timeout: float | None = 1.0
