Push every change since the base that a push names

A watcher pushed only what was new to itself. What it had heard from another watcher's push before was left out, while the push said that it held all changes since its base. A peer that had missed the earlier push took itself for complete, and handed the gap on to every instance that asked it for its copy; a push of a first list dropped the entries outright.

Ruled out: late entries (every instance had logged each target), desks that were not told of a change.

Change: a push holds all changes after its base, deletions too.

--- a/packages/core/src/fireflystand_core/replica.py
+++ b/packages/core/src/fireflystand_core/replica.py
@@ -112,6 +112,16 @@
             if version > revision - DELETIONS_KEPT
         }
 
+    def changes_after(self, revision: int) -> list[ObjectChange]:
+        """Return all changes after a revision, from which a copy can be completed."""
+        changes = [c for c in self.by_name.values() if c.version > revision]
+        changes += [
+            ObjectChange(name, version, None)
+            for name, version in self.deleted_by_name.items()
+            if version > revision
+        ]
+        return changes
+
     def confirm(self, revision: int, changed: int, at: float) -> "CopyState":
         """Compare with a peer's copy and take over its proof if nothing is missing."""
         if changed > self.revision:
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -181,7 +181,8 @@
         if kind == INSTANCES:
             self._mesh.refresh_addresses()
         if changes:
-            self.push(kind, since, snapshot.revision, changes)
+            # A part of them may have been heard before, from another watcher's push.
+            self.push(kind, since, snapshot.revision, replica.changes_after(since))
             if kind == INSTANCES:
                 await trio.sleep(REGISTRY_PAUSE)
 
