Judge the rate by calls that lie within a window

Cause: the test counted the answers that arrived within a second. A call is admitted between its beginning and its end; when the caller gets no processor time, answers of several seconds arrive together.

Ruled out: tokens of a coordinator that was taken over (the leases that it may have lent are withheld; the counts show no excess).

Change: every window from the beginning of a call to the end of another counts, of any length and not of one second only. Without stalls a call takes milliseconds, so the bound is as strict as before.

Conclusion: the refused bound was the test's, not the router's.

--- a/packages/testing/src/fireflystand_testing/tests/test_fleet_requests.py
+++ b/packages/testing/src/fireflystand_testing/tests/test_fleet_requests.py
@@ -196,10 +196,15 @@
                 await trio.sleep(10)
                 surge.stop()
                 calm.stop()
-            served = sorted(r.ended for r in surge.records if r.status == 200)
-            for index, began in enumerate(served):
-                within = sum(1 for t in served[index:] if t <= began + 1.0)
-                self.assertLessEqual(within, rate + burst + 1)
+            calls = [r for r in surge.records if r.status == 200]
+            served = sorted(r.ended for r in calls)
+            # A call was admitted between its beginning and its end. When the caller
+            # gets no processor time many answers end together, so only calls that
+            # lie within a window as a whole count, in windows of any length.
+            for began in sorted(r.began for r in calls):
+                ends = sorted(r.ended for r in calls if r.began >= began)
+                for within, ended in enumerate(ends, start=1):
+                    self.assertLessEqual(within, rate * (ended - began) + burst + 1)
             span = served[-1] - served[0]
             self.assertLessEqual(len(served), rate * span + burst + 1)
             self.assertGreater(len(served), 0.8 * rate * span)
