Name callers that leave in the log, and count refusals and failures by reason

Cause: both incidents had requests whose end left only a counter, and the page of metrics told neither why requests were refused nor why they failed.

Change: event 6005 for a caller that leaves, with what it waited for; the metrics entry.refusal_reasons and entry.failure_reasons, at most 64 reasons each. The tests fail without them.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -14,6 +14,7 @@
 from ..entry.body import CallerBody
 from ..events import (
     REQUEST_FAILED,
+    REQUEST_LEFT,
     REQUEST_REPEATED,
     REQUEST_TURNED_AWAY,
     Event,
@@ -23,7 +24,9 @@
 from ..framing import MalformedMessageError
 from ..metrics import (
     ANSWERED,
+    FAILURE_REASONS,
     LATENCY,
+    REFUSAL_REASONS,
     REFUSALS,
     REQUESTS,
     RETRIES,
@@ -145,6 +148,16 @@
         except RequestRefusedError as refusal:
             self._note_refusal(refusal, responder.request_id, job, began_at)
             await responder.refuse(refusal)
+        except trio.Cancelled:
+            self._log(
+                REQUEST_LEFT,
+                request_id=responder.request_id,
+                status=0,
+                reason="sent" if job and job.attempts else "not sent",
+                job=job,
+                began_at=began_at,
+            )
+            raise
         self._metrics.timing(LATENCY, trio.current_time() - began_at)
 
     def _note_refusal(
@@ -154,6 +167,8 @@
         sent = refusal.outcome == "unknown"
         if sent:
             self._metrics.count(UNKNOWN)
+        reasons = FAILURE_REASONS if sent else REFUSAL_REASONS
+        self._metrics.count_reason(reasons, refusal.reason)
         self._log(
             REQUEST_FAILED if sent else REQUEST_TURNED_AWAY,
             request_id=request_id,
@@ -483,6 +498,7 @@
                 began_at=job.began_at,
             )
             self._metrics.count(UNKNOWN)
+            self._metrics.count_reason(FAILURE_REASONS, "response broke off")
             responder.abort()
             return False
         finally:
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -283,6 +283,10 @@
         host, port = node.entry.address.rsplit(":", 1)
         return cls(await trio.open_tcp_stream(host, int(port)))
 
+    async def close(self) -> None:
+        """Leave."""
+        await self._stream.aclose()
+
     async def ask(
         self, path: str, *, method: str = "GET", key: int = 7, **fields: str
     ) -> tuple[int, dict[bytes, bytes]]:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
@@ -1,11 +1,14 @@
 """Test whole instances against a fake store and fake targets."""
 
+import io
+import json
 import unittest
 
 import trio
 
 from fireflystand_core.traffic import ClientAccount, RequestKind
 
+from ...events import configure_log
 from ..ports import CONFIGURATION, DEPARTURES, TARGETS
 from .node_support import Caller, Fleet, eventually
 
@@ -181,6 +184,33 @@
 
         self.play(scenario)
 
+    def test_caller_that_leaves_is_named_in_the_log(self):
+        """Both incidents had failures that left a counter and no line."""
+
+        async def scenario(fleet):
+            lines = io.StringIO()
+            configure_log(lines, as_json=True)
+            caller = await Caller.connect(fleet.nodes[0])
+            with trio.move_on_after(0.2):
+                await caller.ask("/k/x", **{"Fireflystand-Request-Id": "r-17"})
+            await caller.close()
+            await eventually(lambda: '"event": 6005' in lines.getvalue())
+            found = [json.loads(line) for line in lines.getvalue().splitlines()]
+            (left,) = [line for line in found if line["event"] == 6005]
+            self.assertEqual((left["request_id"], left["reason"]), ("r-17", "sent"))
+            self.assertGreater(left["waited"], 0.1)
+
+        self.play(scenario, work=1.0)
+
+    def test_refusals_are_counted_by_reason(self):
+        async def scenario(fleet):
+            caller = await Caller.connect(fleet.nodes[0])
+            await caller.ask("/none/")
+            reasons = fleet.nodes[0].metrics.reasons_by_name["entry.refusal_reasons"]
+            self.assertEqual(reasons, {"no route for this host and path": 1})
+
+        self.play(scenario)
+
     def test_second_instance_takes_over(self):
         """No majority: one instance alone goes on after the coordinator is lost."""
 
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -237,6 +237,9 @@
 REQUEST_REPEATED = define_event(
     6003, "INFO", "request sent again", "request_id", "target", "reason", "attempts"
 )
+REQUEST_LEFT = define_event(
+    6005, "INFO", "caller left before the response", *REQUEST_FIELDS
+)
 CRASH_SUSPECTED = define_event(
     6004,
     "WARNING",
--- a/packages/router/src/fireflystand_router/exposition.py
+++ b/packages/router/src/fireflystand_router/exposition.py
@@ -30,6 +30,11 @@
         """Yield the metrics that have a value."""
         for name, value in self._metrics.counts_by_name.items():
             yield CounterMetricFamily(*_named(name), value=value)
+        for name, counts in self._metrics.reasons_by_name.items():
+            family = CounterMetricFamily(*_named(name), labels=["reason"])
+            for reason, value in counts.items():
+                family.add_metric([reason], value)
+            yield family
         for name, value in self._metrics.gauges_by_name.items():
             yield GaugeMetricFamily(*_named(name), value=value)
         for name, histogram in self._metrics.histograms_by_name.items():
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -1,7 +1,7 @@
 """Declare the metrics and send them to statsd in batches."""
 
 from bisect import bisect_left
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import attrs
 import statsd
@@ -10,6 +10,7 @@
 __all__ = [
     "BUCKETS",
     "METRICS_BY_NAME",
+    "MOST_REASONS",
     "Histogram",
     "Metric",
     "Metrics",
@@ -22,6 +23,9 @@
 # target latency of some hundred milliseconds from late ones.
 BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 5.0)
 TIMINGS_PER_FLUSH = 200  # samples of one metric
+# The reasons that the code names are some thirty; a target's own words might add more.
+MOST_REASONS = 64
+OTHER_REASON = "other"
 
 METRICS_BY_NAME: dict[str, "Metric"] = {}
 
@@ -64,6 +68,7 @@
     def __init__(self, client: statsd.StatsClient | None = None) -> None:
         self._client = client
         self.counts_by_name: dict[str, int] = defaultdict(int)
+        self.reasons_by_name: dict[str, Counter[str]] = defaultdict(Counter)
         self.gauges_by_name: dict[str, float] = {}
         self.histograms_by_name: dict[str, Histogram] = defaultdict(Histogram)
         self._timings_by_name: dict[str, list[float]] = defaultdict(list)
@@ -72,6 +77,13 @@
         """Add to a counter."""
         self.counts_by_name[metric.name] += amount
 
+    def count_reason(self, metric: Metric, reason: str) -> None:
+        """Add to a counter that is kept for each reason; shown on the page only."""
+        reasons = self.reasons_by_name[metric.name]
+        if reason not in reasons and len(reasons) >= MOST_REASONS:
+            reason = OTHER_REASON
+        reasons[reason] += 1
+
     def gauge(self, metric: Metric, value: float) -> None:
         """Set a gauge."""
         self.gauges_by_name[metric.name] = value
@@ -117,6 +129,15 @@
 UNKNOWN = define_metric(
     "entry.unknown", "counter", "requests", "requests whose outcome is unknown"
 )
+REFUSAL_REASONS = define_metric(
+    "entry.refusal_reasons", "counter", "requests", "requests refused, by reason"
+)
+FAILURE_REASONS = define_metric(
+    "entry.failure_reasons",
+    "counter",
+    "requests",
+    "requests that failed after they were sent, by reason",
+)
 DEPARTED = define_metric(
     "entry.departed", "counter", "requests", "requests whose caller left"
 )
--- a/packages/router/src/fireflystand_router/tests/test_catalogues.py
+++ b/packages/router/src/fireflystand_router/tests/test_catalogues.py
@@ -16,7 +16,8 @@
     define_event,
     emit,
 )
-from fireflystand_router.metrics import METRICS_BY_NAME, Metrics
+from fireflystand_router.exposition import MetricsPage
+from fireflystand_router.metrics import METRICS_BY_NAME, MOST_REASONS, Metrics
 
 DOCS = Path(__file__).resolve().parents[5] / "docs"
 
@@ -107,6 +108,17 @@
         metrics.flush()
         self.assertEqual(sent, [("entry.requests", 2), ("entry.latency", 250.0)])
 
+    def test_reasons_are_shown_and_bounded(self):
+        """Guard against a page that grows with what targets write."""
+        metrics = Metrics()
+        metric = METRICS_BY_NAME["entry.failure_reasons"]
+        for number in range(MOST_REASONS + 10):
+            metrics.count_reason(metric, f"reason {number}")
+        page = MetricsPage(metrics).render()
+        name = "fireflystand_entry_failure_reasons_total"
+        self.assertIn(f'{name}{{reason="reason 3"}} 1.0', page)
+        self.assertIn(f'{name}{{reason="other"}} 10.0', page)
+
 
 if __name__ == "__main__":
     unittest.main()
