--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -303,6 +303,7 @@
         """Send the request until a target answers; raise if none does."""
         while True:
             target_id = await self._owner(job)
+            job.target = target_id or job.target
             slot = await self._slot(job, target_id)
             target = self._sendable(job, slot)
             if target is None:
