Let many targets join in one round, and tell the ranges of a plan together

Change: up to 64 targets join in one round; the ranges that are held back for the moves of one plan go in one message.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -169,8 +169,7 @@
     """Hold requests for keys that are about to move, for ``seconds`` at most."""
 
     service: str
-    first: int
-    last: int
+    ranges: list  # of first and last key
     seconds: float
 
 
--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -129,7 +129,7 @@
 
 
 def joining_moves(
-    record: RangeRecord, load: LoadView, fixed: frozenset[str] = frozenset()
+    record: RangeRecord, load: LoadView, limit: int = MOVES_PER_ROUND
 ) -> list[PlannedMove]:
     """Give targets without keys a part of the widest or busiest ranges.
 
@@ -140,10 +140,10 @@
     for item in record.ranges:
         if item.target in owned:
             owned[item.target].append(item)
-    idle = [t for t in sorted(owned) if not owned[t] and t not in fixed]
-    sources = {t: items for t, items in owned.items() if items and t not in fixed}
+    idle = [t for t in sorted(owned) if not owned[t]]
+    sources = {t: items for t, items in owned.items() if items}
     moves = []
-    for target in idle[:MOVES_PER_ROUND]:
+    for target in idle[:limit]:
         if not sources:
             break
         source = max(sources, key=lambda t: _weight(sources[t], load))
--- a/packages/core/src/fireflystand_core/ranges/tests/test_planning.py
+++ b/packages/core/src/fireflystand_core/ranges/tests/test_planning.py
@@ -104,6 +104,30 @@
             record = applied(record, levelling_moves(record, load, least_load=0.75))
         self.assertLess(max(loads(record, load).values()), 3 * 0.8)
 
+    def test_busy_neighbours_leave_one_of_many_targets_in_two_rounds(self):
+        """Guards against keys that stay hot for 5 s and spread for as long.
+
+        41% of the requests went to 200 neighbouring keys of one of 171 targets;
+        halving its work in each round took six rounds.
+        """
+        record, load = divided(171)
+        work = dict.fromkeys(range(0, KEY_SPACE, 20), 120 / (KEY_SPACE / 20))
+        hot = 84.0
+        for key in range(20_000, 20_200):
+            work[key] = work.get(key, 0.0) + hot / 200
+        load = LoadView(load.slots_by_target, work)
+        for _ in range(2):
+            record = applied(record, levelling_moves(record, load, least_load=0.75))
+        excess = sum(max(0.0, amount - 3) for amount in loads(record, load).values())
+        self.assertLess(excess, hot / 10)
+
+    def test_many_targets_join_in_one_round(self):
+        record, load = divided(71)
+        names = [*load.slots_by_target, *(f"new{n}" for n in range(60))]
+        load = LoadView(dict.fromkeys(names, 3), {})
+        moves = joining_moves(record, load, 64)
+        self.assertEqual(len({move.destination for move in moves}), 60)
+
     def test_slow_targets_get_less(self):
         record, load = divided(4)
         work = dict.fromkeys(range(0, KEY_SPACE, 100), 4 / 656)
--- a/packages/router/src/fireflystand_router/dispatch/ownership.py
+++ b/packages/router/src/fireflystand_router/dispatch/ownership.py
@@ -66,9 +66,8 @@
 
     def _take_freeze(self, message: RangesFrozen, link: PeerLink, reply: Reply) -> None:
         until = trio.current_time() + message.seconds
-        self._state.freeze(
-            FrozenRange(message.service, message.first, message.last, until)
-        )
+        for first, last in message.ranges:
+            self._state.freeze(FrozenRange(message.service, first, last, until))
 
     def _take_resignation(
         self, message: CoordinatorResigned, link: PeerLink, reply: Reply
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -132,6 +132,7 @@
         self._ledger = HoldLedger(holds)
         self._contacts: dict[str, _TargetContact] = {}
         self._moving: dict[tuple[int, int], str] = {}
+        self._freezing: list[tuple[int, int]] = []
         self._authority_until = float("-inf")
         self._others_act_until = float("-inf")
         self._authorised = False
@@ -252,6 +253,7 @@
         self._ledger.timing = self._timing()
         self._contacts.clear()
         self._moving.clear()
+        self._freezing.clear()
         self._others_act_until = others_until
         self._authority_until = asked_at + AUTHORITY
         self._authorised = True
@@ -515,7 +517,7 @@
             planned = record
             for (first, last), destination in self._moving.items():
                 planned = planned.assign(first, last, destination)
-            moves = joining_moves(planned, view)
+            moves = joining_moves(planned, view, MOVES_AT_ONCE - len(self._moving))
             if not moves:
                 recent = self.load.view(usable, recent=True)
                 moves = levelling_moves(planned, recent, least_load=BUSY_LOAD)
@@ -694,15 +696,21 @@
         return handover
 
     def _freeze(self, part: KeyRange) -> None:
-        """Let all instances hold back requests for a range until it has moved."""
+        """Let all instances hold back requests for a range until it has moved.
+
+        The moves of one plan begin together, and are told in one message.
+        """
+        if not self._freezing:
+            self._start_task(self._tell_frozen)
+        self._freezing.append((part.first, part.last))
+
+    async def _tell_frozen(self) -> None:
+        frozen, self._freezing = self._freezing, []
         seconds = self._ledger.timing.longest + FREEZE_SLACK
-        self._state.freeze(
-            FrozenRange(
-                self.service, part.first, part.last, trio.current_time() + seconds
-            )
-        )
-        message = RangesFrozen(self.service, part.first, part.last, seconds)
-        self._mesh.broadcast(message)
+        until = trio.current_time() + seconds
+        for first, last in frozen:
+            self._state.freeze(FrozenRange(self.service, first, last, until))
+        self._mesh.broadcast(RangesFrozen(self.service, frozen, seconds))
 
     async def _give(self, part: KeyRange, destination: str, handover: str) -> None:
         target = self._state.usable(destination)
