--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -29,7 +29,7 @@
 # OVERLOAD gives each of the others what fills it to RELIEF_LOAD, all in one round.
 OVERLOAD = 1.5  # part of a target's room
 RELIEF_LOAD = 0.7  # part of a target's room, which leaves some for its own keys
-RELIEF_MOVES = 48  # of one round; the instances take that many changes at once
+RELIEF_MOVES = 32  # of one round; each release takes a connection to the target
 # A key that overloads its owner alone gains nothing on another target unless that is
 # clearly faster. Measured speeds of equal targets differ by less than this factor.
 CLEARLY_FASTER = 1.25
