Tell the story of a request or a key from log lines

Cause: the way from a failed request's id to its cause was a row of greps over the files of all instances, and lines that 82 instances write alike hid the one that mattered.

Change: fireflystand log request ID FILES and log key SERVICE KEY FILES. They read files or standard input, sort by time, and show the lines of the request, of the targets it went to, of the configuration and contacts that its instance had, or the owners of the key and its coordinators; lines that repeat are counted.

--- a/packages/operator/src/fireflystand_operator/cli.py
+++ b/packages/operator/src/fireflystand_operator/cli.py
@@ -6,7 +6,7 @@
 import fire
 from fire.decorators import SetParseFn
 
-from . import configuration, history, keys, reports, states
+from . import configuration, history, keys, logs, reports, states
 from .session import Session, author_of, number, waiting_of
 
 __all__ = ["Fireflystand", "main"]
@@ -234,6 +234,24 @@
         self._list(json, store, instances)
 
 
+class LogCommands(Commands):
+    """Explain requests and keys from the log lines of instances."""
+
+    @as_text
+    def request(self, request_id, *files, json=False):
+        """Tell what became of a request, and why; "-" reads standard input."""
+        self._session.note_local(lambda: logs.explain_request(request_id, files), json)
+
+    @as_text
+    def key(self, service, key, *files, json=False):
+        """Tell the owners of a routing key over time; "-" reads standard input."""
+
+        def operation():
+            return logs.explain_key(service, number(key, "key"), files)
+
+        self._session.note_local(operation, json)
+
+
 class Fireflystand(Commands):
     """Operate a fireflystand deployment.
 
@@ -247,6 +265,7 @@
         self.key = KeyCommands(session)
         self.data_centre = DataCentreCommands(session)
         self.target = TargetCommands(session)
+        self.log = LogCommands(session)
 
     @as_text
     def check(self, base, overlay=None, *, json=False):
--- a/packages/operator/src/fireflystand_operator/tests/test_cli.py
+++ b/packages/operator/src/fireflystand_operator/tests/test_cli.py
@@ -93,7 +93,7 @@
             ["key", "list"], ["key", "grant"], ["key", "withdraw"],
             ["data-centre", "take-out"], ["data-centre", "bring-back"],
             ["data-centre", "list"], ["target", "drain"], ["target", "restore"],
-            ["target", "list"],
+            ["target", "list"], ["log", "request"], ["log", "key"],
         ):  # fmt: skip
             shown = io.StringIO()
             with redirect_stderr(shown), self.assertRaises(SystemExit) as end:
