Carry copies between instances as JSON again

Cause: found in reading the diff. Entries of other writers may hold what JSON allows and msgpack refuses: integers beyond 64 bits, halves of surrogate pairs. The push of such an entry would have ended the process of each watcher, one after the other.

Change: the block is compressed JSON.

Figures: the test fails before (OverflowError) and passes after.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -73,7 +73,7 @@
     since: int
     revision: int
     age: float  # seconds
-    objects: bytes  # compressed msgpack of name, version and value of each
+    objects: bytes  # compressed JSON of name, version and value of each
 
 
 @message("record-patch")
@@ -84,7 +84,7 @@
     service: str
     since: int
     version: int
-    patch: bytes  # compressed msgpack
+    patch: bytes  # compressed JSON
 
 
 @message("slot-request")
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -1,10 +1,10 @@
 """Keep the copies of the store current, from the store or from peers."""
 
+import json
 import zlib
 from collections.abc import Iterable
 from typing import Any
 
-import msgpack
 import trio
 
 from fireflystand_core.exceptions import ProtocolError, StoreUnavailableError
@@ -315,8 +315,9 @@
 
 
 def _compressed(value: object) -> bytes:
-    return zlib.compress(msgpack.packb(value), 1)
+    # Other writers' entries may hold what JSON allows and msgpack does not.
+    return zlib.compress(json.dumps(value, separators=(",", ":")).encode(), 1)
 
 
 def _decompressed(data: bytes) -> Any:
-    return msgpack.unpackb(zlib.decompress(data), strict_map_key=False)
+    return json.loads(zlib.decompress(data))
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -108,6 +108,9 @@
     async def grant(self, address: str, item: KeyRange, hold: float) -> None:
         await trio.sleep(0.001)
 
+    async def reach(self, address: str, target: str) -> None:
+        await trio.sleep(0.001)
+
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
         await trio.sleep(0.001)
         return "handover"
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_replicas.py
@@ -88,6 +88,24 @@
                 replica = receiver.replicas_by_kind[TARGETS]
                 self.assertEqual(replica.revision, copy.revision)
 
+    def test_entries_of_other_writers_are_passed_on_as_they_are(self):
+        """Guards against an entry that stops every instance that copies it.
+
+        JSON allows integers of any size and halves of surrogate pairs.
+        """
+        values = [{"sequence": 10**30}, {"service": "\ud800"}, {"1": {"2": None}}, []]
+        sender = RoutingState(lambda value: None, lambda change: None)
+        items = [ObjectChange(f"t{n}", n + 1, value) for n, value in enumerate(values)]
+        sender.replace(TARGETS, 9, items, 0.0)
+        mesh = StubMesh()
+        keeper = ReplicaKeeper(SharedStore(), sender, mesh)
+        keeper.push(TARGETS, 0, 9, items)
+        receiver = RoutingState(lambda value: None, lambda change: None)
+        peer = ReplicaKeeper(SharedStore(), receiver, StubMesh())
+        peer._take_copy(mesh.sent[0])
+        copied = receiver.replicas_by_kind[TARGETS].by_name
+        self.assertEqual([copied[f"t{n}"].value for n in range(4)], values)
+
 
 class RecordPatchTests(unittest.TestCase):
     """Guard against whole records for each change, and against missed changes.
