--- a/packages/core/src/fireflystand_core/groups/witnesses.py
+++ b/packages/core/src/fireflystand_core/groups/witnesses.py
@@ -65,8 +65,7 @@
         }
         centres = self._available(keep)
         spare = {**self._former, **lease.witnesses}
-        pair = len(centres) == 2 and len(spare.keys() | centres.keys()) > 2
-        size = 3 if pair else witness_list_size(len(centres))
+        size = witness_list_size(len(centres), not spare.keys() <= centres.keys())
         if len(keep) == len(lease.witnesses) and len(lease.witnesses) >= size:
             return None
         identity = self._identity
--- a/packages/core/src/fireflystand_core/sharding/ranking.py
+++ b/packages/core/src/fireflystand_core/sharding/ranking.py
@@ -61,8 +61,13 @@
     return chosen
 
 
-def witness_list_size(available: int) -> int:
-    """Return the odd number of witnesses that so many instances allow."""
+def witness_list_size(available: int, has_spare: bool = False) -> int:
+    """Return the odd number of witnesses that so many instances allow.
+
+    With only two of them a spare, which may be dead, makes the third.
+    """
+    if available == 2 and has_spare:
+        return 3
     count = min(WITNESS_COUNT, available)
     return count if count % 2 else max(1, count - 1)
 
@@ -83,13 +88,7 @@
     """
     kept = [coordinator, *(i for i in keep if i != coordinator)]
     available = len(data_centres_by_instance)
-    chosen = choose_witnesses(
-        service, group, data_centres_by_instance, witness_list_size(available), kept
-    )
     third = next((i for i in spare if i not in data_centres_by_instance), None)
-    if available == 2 and third is not None:
-        return [
-            *choose_witnesses(service, group, data_centres_by_instance, 2, kept),
-            third,
-        ]
-    return chosen
+    size = witness_list_size(available, third is not None)
+    chosen = choose_witnesses(service, group, data_centres_by_instance, size, kept)
+    return [*chosen, third] if size > available > 0 else chosen
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -183,34 +183,33 @@
     def _health(self) -> HealthServer:
         conditions = self.readiness.conditions_by_name
         conditions["configuration"] = self._why_without_configuration
-        host, port = split_address(self.settings.ready_address)
+        return self._health_server(
+            self.settings.ready_address, ready_path=self.settings.ready_path
+        )
+
+    def _health_server(self, address: str, **options) -> HealthServer:
+        host, port = split_address(address)
         return HealthServer(
             self.readiness,
             state=self.summary,
             explain=lambda service, key: {},
             host=host,
             port=port,
-            ready_path=self.settings.ready_path,
+            **options,
         )
 
     def _metrics_server(self) -> HealthServer | None:
         """Return the server of the metrics page, if it has an address."""
         if not self.settings.metrics_address:
             return None
-        host, port = split_address(self.settings.metrics_address)
         page = MetricsPage(self.metrics)
 
         def render() -> str:
             self._note_gauges()
             return page.render()
 
-        return HealthServer(
-            self.readiness,
-            state=self.summary,
-            explain=lambda service, key: {},
-            host=host,
-            port=port,
-            pages_by_path={METRICS_PATH: render},
+        return self._health_server(
+            self.settings.metrics_address, pages_by_path={METRICS_PATH: render}
         )
 
     def _note_gauges(self) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Any
 
 import attrs
 import trio
@@ -124,10 +125,9 @@
 
     async def _write(self, record: RangeRecord, version: int, step: str) -> int | None:
         """Write the record if it has the expected version; None if that failed."""
+        value = record.to_value()
         try:
-            new_version = await self._store.put(
-                RANGES, self._service, record.to_value(), version
-            )
+            new_version = await self._store.put(RANGES, self._service, value, version)
         except StoreConflictError as error:
             emit(RECORD_WRITE_FAILED, error, service=self._service, what=step)
             # The next claim or change reads it again if this fails too.
@@ -136,11 +136,11 @@
             return None
         except (StoreUnavailableError, ProtocolError) as error:
             emit(RECORD_WRITE_FAILED, error, service=self._service, what=step)
-            return await self._settle(record)
-        self._share(record, new_version)
+            return await self._settle(value)
+        self._share(value, new_version)
         return new_version
 
-    async def _settle(self, record: RangeRecord) -> int | None:
+    async def _settle(self, value: dict[str, Any]) -> int | None:
         """Find out whether a write without an answer took effect."""
         for _ in range(SETTLE_TRIES):
             try:
@@ -148,7 +148,7 @@
             except (StoreUnavailableError, ProtocolError):
                 await trio.sleep(SETTLE_INTERVAL)
                 continue
-            if stored is not None and stored.value == record.to_value():
+            if stored is not None and stored.value == value:
                 return stored.version
             return None
         return None
@@ -160,9 +160,9 @@
             self._state.apply(RANGES, since + 1, since + 1, [stored], self._clock())
         return stored
 
-    def _share(self, record: RangeRecord, version: int) -> None:
+    def _share(self, value: dict[str, Any], version: int) -> None:
         """Tell this instance and the others of a record that was written."""
-        change = ObjectChange(self._service, version, record.to_value())
+        change = ObjectChange(self._service, version, value)
         before = self._state.replicas_by_kind[RANGES].by_name.get(self._service)
         # Other objects may have changed since, so the copies are not complete.
         self._state.apply(RANGES, version, version, [change], self._clock())
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -46,7 +46,7 @@
 SEED_PATIENCE = 0.8  # seconds until it asks the store itself
 SEED_RETRY = 0.1  # seconds between two rounds of the seeds
 # While it meets its peers an instance with fresh copies leaves the watches to seeds.
-MEETING_PERIOD = 2.0  # seconds
+SEEDS_WATCH_FOR = 2.0  # seconds after the start
 # Instances that register together are told to the watchers in a few answers.
 REGISTRY_PAUSE = 0.25  # seconds between a change of the registry and the next watch
 INCOMPLETE_LIMIT = 1.5  # seconds until a copy that misses a change is pulled
@@ -144,7 +144,7 @@
             return True
         if kind in self._failing_kinds:
             return True
-        meeting = lease_clock() - self._started_at < MEETING_PERIOD
+        meeting = lease_clock() - self._started_at < SEEDS_WATCH_FOR
         if meeting and self._seeds:
             return self._is_seed
         return self._mesh.watch_rank(f"watch/{kind}") < WATCHERS
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -246,7 +246,16 @@
         recent = self._refusals_by_name.get(name)
         if recent and recent.answers(priority, end_at, trio.current_time()):
             return recent.refusal
-        answer = await self._acquire(name, service, target, priority, aim_at, end_at)
+        ask = SlotAsk(
+            id=self._next_id(),
+            instance=self._mesh.own_id,
+            target=target,
+            priority=priority,
+            aim_at=aim_at,
+            end_at=end_at,
+            data_centre=self._data_centre,
+        )
+        answer = await self._acquire(name, service, ask)
         if isinstance(answer, SlotRefusal):
             now = trio.current_time()
             self._refusals_by_name[name] = _RecentRefusal(
@@ -255,26 +264,19 @@
         return answer
 
     async def _acquire(
-        self,
-        name: str,
-        service: str,
-        target: str,
-        priority: int,
-        aim_at: float,
-        end_at: float,
+        self, name: str, service: str, ask: SlotAsk
     ) -> Slot | SlotRefusal:
-        ask_id = self._next_id()
         home = self._mesh.home(name)
         if home != self._mesh.own_id:
             now = trio.current_time()
             request = SlotRequest(
                 service=service,
-                ask_id=ask_id,
-                target=target,
-                priority=priority,
-                aim_left=aim_at - now,
-                time_left=end_at - now,
-                data_centre=self._data_centre,
+                ask_id=ask.id,
+                target=ask.target,
+                priority=ask.priority,
+                aim_left=ask.aim_at - now,
+                time_left=ask.end_at - now,
+                data_centre=ask.data_centre,
             )
             try:
                 answer = await self._ask_peer(home, request)
@@ -286,15 +288,6 @@
                 if isinstance(answer, SlotGrant):
                     return Slot(service, answer.number, answer.target, home)
                 return answer
-        ask = SlotAsk(
-            id=ask_id,
-            instance=self._mesh.own_id,
-            target=target,
-            priority=priority,
-            aim_at=aim_at,
-            end_at=end_at,
-            data_centre=self._data_centre,
-        )
         decision = await self._host.acquire(service, ask)
         if isinstance(decision, SlotGranted):
             return Slot(service, decision.number, decision.target, self._mesh.own_id)
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -1,7 +1,8 @@
 """Run whole instances in one process, against a fake store and fake targets."""
 
 from collections import Counter
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 
 import attrs
 import h11
@@ -254,6 +255,26 @@
         await eventually(lambda: all(settled(node) for node in self.nodes))
 
 
+@asynccontextmanager
+async def open_fleet() -> AsyncIterator[Fleet]:
+    """Own a fleet with a configuration, and end all that it started."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery)
+        fleet.configure()
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def play_fleet(scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a scenario with a fleet of its own."""
+
+    async def main():
+        async with open_fleet() as fleet:
+            await scenario(fleet)
+
+    trio.run(main)
+
+
 async def eventually(condition) -> None:
     """Wait until a condition holds; raise TooSlowError if it never does."""
     with trio.fail_after(PATIENCE):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
@@ -10,7 +10,7 @@
 
 from ...events import configure_log
 from ..ports import CONFIGURATION, DEPARTURES, TARGETS
-from .node_support import Caller, Fleet, eventually
+from .node_support import Caller, eventually, play_fleet
 
 
 class NodeTests(unittest.TestCase):
@@ -19,20 +19,16 @@
     def play(self, scenario, *, nodes: int = 1, targets: int = 2, **fields) -> None:
         """Start a fleet with targets of both services and run a scenario."""
 
-        async def main():
-            async with trio.open_nursery() as nursery:
-                fleet = Fleet(nursery)
-                fleet.configure()
-                for _ in range(targets):
-                    await fleet.add_target("keyed", **fields)
-                await fleet.add_target("pooled", **fields)
-                for _ in range(nodes):
-                    await fleet.add_node()
-                await fleet.settle()
-                await scenario(fleet)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main)
+        async def with_nodes(fleet):
+            for _ in range(targets):
+                await fleet.add_target("keyed", **fields)
+            await fleet.add_target("pooled", **fields)
+            for _ in range(nodes):
+                await fleet.add_node()
+            await fleet.settle()
+            await scenario(fleet)
+
+        play_fleet(with_nodes)
 
     def test_requests_reach_the_owner_of_their_key(self):
         async def scenario(fleet):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -8,6 +8,7 @@
 from fireflystand_core.messages import WorkReport
 from fireflystand_core.ranges import RangeRecord
 
+from ..ranges import RangeCoordinator
 from .support import SERVICE, World
 
 
@@ -24,6 +25,14 @@
     return world
 
 
+async def started(world: World, nursery: trio.Nursery) -> RangeCoordinator:
+    """Return the coordinator of instance ``a`` once it has given all keys out."""
+    coordinator = world.coordinator()
+    nursery.start_soon(coordinator.run)
+    await trio.sleep(3)
+    return coordinator
+
+
 class SoleOwnerTests(unittest.TestCase):
     """Guard against keys with two owners, or with none for too long."""
 
@@ -61,8 +70,7 @@
 
     def test_silent_target_keeps_its_keys_until_its_hold_ends(self):
         async def scenario(world, nursery):
-            nursery.start_soon(world.coordinator().run)
-            await trio.sleep(3)
+            await started(world, nursery)
             world.targets[0].reachable = False
             await trio.sleep(6)
             self.assert_served(world)
@@ -73,8 +81,7 @@
         """Targets that a cut had silenced stayed without keys for good."""
 
         async def scenario(world, nursery):
-            nursery.start_soon(world.coordinator().run)
-            await trio.sleep(3)
+            await started(world, nursery)
             world.targets[0].reachable = False
             await trio.sleep(6)
             self.assertNotIn("t0", world.record().ranges_by_target)
@@ -87,9 +94,7 @@
 
     def test_target_whose_entry_ended_gives_its_keys_back(self):
         async def scenario(world, nursery):
-            coordinator = world.coordinator()
-            nursery.start_soon(coordinator.run)
-            await trio.sleep(3)
+            coordinator = await started(world, nursery)
             world.forget(coordinator, "t1")
             await trio.sleep(1)
             self.assert_served(world)
@@ -99,9 +104,7 @@
 
     def test_unanswered_grants_bound_the_move(self):
         async def scenario(world, nursery):
-            coordinator = world.coordinator()
-            nursery.start_soon(coordinator.run)
-            await trio.sleep(3)
+            await started(world, nursery)
             world.targets[2].answering = False
             await trio.sleep(8)
             self.assert_served(world)
@@ -110,9 +113,7 @@
 
     def test_second_coordinator_takes_over_without_two_owners(self):
         async def scenario(world, nursery):
-            first = world.coordinator("a")
-            nursery.start_soon(first.run)
-            await trio.sleep(3)
+            first = await started(world, nursery)
             second = world.coordinator("b")
             change = world.store.objects["ranges", SERVICE]
             second.state.apply("ranges", 1, change.version, [change], 0.0)
@@ -131,9 +132,7 @@
         """The store turned a coordinator away while its grants were held up."""
 
         async def scenario(world, nursery):
-            first = world.coordinator("a")
-            nursery.start_soon(first.run)
-            await trio.sleep(3)
+            first = await started(world, nursery)
             second = world.coordinator("b")
             change = world.store.objects["ranges", SERVICE]
             second.state.apply("ranges", 1, change.version, [change], 0.0)
@@ -187,9 +186,7 @@
         """A killed coordinator was waited for as long as one that is cut off."""
 
         async def scenario(world, nursery):
-            first = world.coordinator("a")
-            nursery.start_soon(first.run)
-            await trio.sleep(3)
+            first = await started(world, nursery)
             first.resign("killed")
             first._stopping = True
             second = world.coordinator("b")
@@ -208,9 +205,7 @@
         """Its keys waited for the end of an earlier coordinator's authority."""
 
         async def scenario(world, nursery):
-            first = world.coordinator("a")
-            nursery.start_soon(first.run)
-            await trio.sleep(3)
+            first = await started(world, nursery)
             key = world.record().owned_by("t0")[0].first
             world.targets[0].reachable = False
             first.resign("cut off")
@@ -229,9 +224,7 @@
 
     def test_lost_answer_of_a_record_write_is_read_back(self):
         async def scenario(world, nursery):
-            coordinator = world.coordinator()
-            nursery.start_soon(coordinator.run)
-            await trio.sleep(3)
+            coordinator = await started(world, nursery)
             world.store.losing = 1
             world.forget(coordinator, "t2")
             await trio.sleep(5)
@@ -243,9 +236,7 @@
         """A change waited behind another write when its claim ended."""
 
         async def scenario(world, nursery):
-            coordinator = world.coordinator()
-            nursery.start_soon(coordinator.run)
-            await trio.sleep(3)
+            coordinator = await started(world, nursery)
             world.store.delay = 0.5
 
             async def change(target: str) -> None:
@@ -275,9 +266,7 @@
         """Guards against a write, and a copy to all instances, for each move."""
 
         async def scenario(world, nursery):
-            coordinator = world.coordinator()
-            nursery.start_soon(coordinator.run)
-            await trio.sleep(3)
+            coordinator = await started(world, nursery)
             world.store.delay = 0.3
             before = world.store.revision
             async with trio.open_nursery() as changes:
@@ -294,9 +283,7 @@
 
     def test_authority_ends_without_the_store(self):
         async def scenario(world, nursery):
-            coordinator = world.coordinator()
-            nursery.start_soon(coordinator.run)
-            await trio.sleep(3)
+            await started(world, nursery)
             world.store.down = True
             await trio.sleep(5)
             self.assert_served(world)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_replicas.py
@@ -11,7 +11,7 @@
 from ..ports import RANGES, TARGETS
 from ..replicas import ReplicaKeeper
 from ..state import RoutingState
-from .node_support import Fleet, SharedStore, eventually, read_record
+from .node_support import SharedStore, eventually, play_fleet, read_record
 
 ENTRY = {"service": "keyed", "address": "127.0.0.1:1", "data_centre": "x"}
 
@@ -115,18 +115,14 @@
     """
 
     def play(self, scenario) -> None:
-        async def main():
-            async with trio.open_nursery() as nursery:
-                fleet = Fleet(nursery)
-                fleet.configure()
-                await fleet.add_target("keyed")
-                first = await fleet.add_node()
-                second = await fleet.add_node()
-                await fleet.settle()
-                await scenario(first, second)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main)
+        async def with_nodes(fleet):
+            await fleet.add_target("keyed")
+            first = await fleet.add_node()
+            second = await fleet.add_node()
+            await fleet.settle()
+            await scenario(first, second)
+
+        play_fleet(with_nodes)
 
     def share(self, node, before, record, version) -> None:
         """Write a change at one instance as its coordinator would."""
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_start.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_start.py
@@ -5,7 +5,7 @@
 import trio
 
 from ..ports import INSTANCES, KINDS
-from .node_support import Fleet
+from .node_support import play_fleet
 
 
 class StartTests(unittest.TestCase):
@@ -15,15 +15,11 @@
     """
 
     def play(self, scenario) -> None:
-        async def main():
-            async with trio.open_nursery() as nursery:
-                fleet = Fleet(nursery)
-                fleet.configure()
-                await fleet.add_target("keyed")
-                await scenario(fleet)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main)
+        async def with_target(fleet):
+            await fleet.add_target("keyed")
+            await scenario(fleet)
+
+        play_fleet(with_target)
 
     def test_instances_with_a_seed_do_not_ask_the_store(self):
         async def scenario(fleet):
--- a/packages/testing/src/fireflystand_testing/bench/idle.py
+++ b/packages/testing/src/fireflystand_testing/bench/idle.py
@@ -11,7 +11,7 @@
 import fire
 import trio
 
-from fireflystand_router.dispatch.tests.node_support import Fleet
+from fireflystand_router.dispatch.tests.node_support import open_fleet
 from fireflystand_router.events import configure_log
 
 from .capacity import FIGURES
@@ -25,9 +25,7 @@
 
 async def measure(size: int) -> tuple[float, dict[str, int]]:
     """Return the percent of a core an instance takes, and the store's calls."""
-    async with trio.open_nursery() as nursery:
-        fleet = Fleet(nursery)
-        fleet.configure()
+    async with open_fleet() as fleet:
         for _ in range(TARGETS):
             await fleet.add_target("keyed")
         seed = await fleet.add_node()
@@ -39,7 +37,6 @@
         await trio.sleep(SPAN)
         used = time.process_time() - began
         calls = fleet.store.calls - calls_before
-        nursery.cancel_scope.cancel()
     return 100 * used / SPAN / size, {"start": calls_before.total(), **calls}
 
 
