Log what a request was waiting for when the instance ended

The lines could not tell why: a request whose task was cancelled with the instance was logged as event 6005, as if its caller had left, and no line said what it had been waiting for.

Event 6008 tells that the instance ended before the response, and the field phase of 6001, 6002, 6005, 6007 and 6008 whether the request was waiting for its body, tokens, the owner of its key, a slot, its target or its delivery. No decision changes.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -1,5 +1,6 @@
 """Forward callers' requests to targets and deliver the responses."""
 
+from enum import Enum
 from random import Random
 
 import attrs
@@ -14,6 +15,7 @@
 from ..entry.body import CallerBody
 from ..events import (
     CALLER_LEFT,
+    REQUEST_ABANDONED,
     REQUEST_FAILED,
     REQUEST_REFUSED,
     REQUEST_RETRIED,
@@ -75,6 +77,17 @@
 REPORTED_LATENESS = 0.25  # seconds past the deadline at which a response ends
 
 
+class _Phase(Enum):
+    """State what a request in progress waits for."""
+
+    BODY = "body"  # the caller is still sending the request
+    TOKENS = "tokens"  # the client account's rate
+    OWNER = "owner"  # the key's owner
+    SLOT = "slot"  # room at a target
+    TARGET = "target"  # the target's response
+    DELIVERY = "delivery"  # the caller, the rest of the response, or earlier responses
+
+
 @attrs.define(eq=False)
 class _RequestContext:
     """Hold the state of a request in progress; times on trio's clock."""
@@ -96,6 +109,7 @@
     last_failure: str = ""  # reason of the last failed attempt
     status: int = 0  # of the delivered response
     late_wait: float = 0.0  # seconds past the deadline spent waiting for the target
+    phase: _Phase = _Phase.BODY
 
     @property
     def priority(self) -> int:
@@ -149,7 +163,7 @@
     async def run(
         self, event: h11.Request, body: CallerBody, writer: ResponseWriter
     ) -> None:
-        """Serve one request; cancellation means that the caller disconnected."""
+        """Serve one request until its end, the caller leaves or the instance ends."""
         self._metrics.count(REQUESTS)
         received_at = writer.received_at
         context: _RequestContext | None = None
@@ -170,7 +184,7 @@
             self._log_lateness(writer.request_id, context, refusal)
         except trio.Cancelled:
             self._log(
-                CALLER_LEFT,
+                CALLER_LEFT if writer.caller_left else REQUEST_ABANDONED,
                 request_id=writer.request_id,
                 status=0,
                 reason="sent" if context and context.attempts else "not sent",
@@ -237,6 +251,7 @@
             request_id=request_id,
             status=status,
             reason=reason,
+            phase=context.phase.value if context else "",
             route=context.route.name if context else "",
             service=context.service if context else "",
             account=context.account.name if context and context.account else "",
@@ -349,6 +364,7 @@
     async def _check_rate(self, context: _RequestContext) -> None:
         if context.account is None:
             return
+        context.phase = _Phase.TOKENS
         time_left = context.deadline_at - trio.current_time()
         retry_after = await self._rate_limiter.acquire(context.account, time_left)
         if retry_after is not None:
@@ -400,6 +416,7 @@
 
     async def _wait_for_owner(self, context: _RequestContext) -> str:
         """Return the target that owns the request's key, empty for unkeyed services."""
+        context.phase = _Phase.OWNER
         if not self._is_keyed(context.service):
             if not self._state.usable_targets(context.service):
                 self._raise_no_target(context, "service has no target")
@@ -425,6 +442,7 @@
         raise RequestRefusedError(503, reason, retry_after=wait)
 
     async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot:
+        context.phase = _Phase.SLOT
         slot = await self._slots.acquire(
             context.service,
             target,
@@ -456,6 +474,7 @@
         self, context: _RequestContext, slot: Slot, target: TargetRecord
     ) -> "_TargetResponse | Failure":
         """Send the request once; a response keeps the slot, a failure frees it."""
+        context.phase = _Phase.TARGET
         context.target = target.id
         context.slots_used += 1
         began_at = trio.current_time()
@@ -494,6 +513,7 @@
         writer: ResponseWriter,
     ) -> None:
         """Deliver a response and free its slot."""
+        context.phase = _Phase.DELIVERY
         result = SlotReturn(response.slot.service, response.slot.number)
         try:
             load = self._settings.target_fields.read_load(response.exchange.fields)
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -55,6 +55,7 @@
     request_id: str
     received_at: float  # seconds on trio's clock; when the request was received
     started: bool
+    caller_left: bool  # whether the request was cancelled for the end of its connection
 
     async def refuse(self, refusal: RequestRefusedError) -> None:
         """Send the refusal; if a response was started, abort it instead."""
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -58,6 +58,11 @@
         self._expects_continue = self.http.they_are_waiting_for_100_continue
         return event
 
+    @property
+    def caller_left(self) -> bool:
+        """Tell whether the request was cancelled for the end of its connection."""
+        return self.scope.cancel_called
+
     @property
     def _earlier_responses_sent(self) -> bool:
         return self._previous is None or self._previous.done.is_set()
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -254,6 +254,7 @@
     "request_id",
     "status",
     "reason",
+    "phase",
     "route",
     "service",
     "account",
@@ -284,6 +285,9 @@
 CALLER_LEFT = define_event(
     6005, "INFO", "caller disconnected before the response", *REQUEST_FIELDS
 )
+REQUEST_ABANDONED = define_event(
+    6008, "WARNING", "instance ended before the response", *REQUEST_FIELDS
+)
 RESPONSE_LATE = define_event(
     6007, "WARNING", "response ended after the request's time limit", *REQUEST_FIELDS
 )
