Answer every request before a planned stop ends

Cause: nothing compared the time limit of a request with the end of the grace period. When the drain time limit was over, the instance cancelled the tasks of all requests in progress, and a cancelled task writes no response.

TimeLimits owns the time limits of the requests in progress. At the signal all of them are brought forward to the end of the stop. A wait for a slot begins again under the shorter limit, so that the admission queue refuses at once what cannot end in time; what is still waiting at the end is refused as not run, and what was sent and has no answer gets 504. A request received once the listener is closed is passed on only if its own time limit is over before the stop ends. The final responses have 0.2 s to be written before connections are closed.

A refusal now decides when it can be sent whether it is the last response of its connection; before, a request that arrived while the refusal waited behind an earlier response was left unread.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -13,6 +13,7 @@
 
 from ..entry import RequestRefusedError, ResponseWriter
 from ..entry.body import CallerBody
+from ..entry.time_limits import STOPPING, TimeLimit, TimeLimits
 from ..events import (
     CALLER_LEFT,
     REQUEST_ABANDONED,
@@ -98,7 +99,7 @@
     body: CallerBody
     received_at: float
     soft_deadline_at: float
-    deadline_at: float
+    limit: TimeLimit
     service: str = ""
     body_prefix: bytes = b""
     fingerprint: int = 0
@@ -111,6 +112,11 @@
     late_wait: float = 0.0  # seconds past the deadline spent waiting for the target
     phase: _Phase = _Phase.BODY
 
+    @property
+    def deadline_at(self) -> float:
+        """Return when the request has to end."""
+        return self.limit.ends_at
+
     @property
     def priority(self) -> int:
         """Return the account's priority or, without one, the route's."""
@@ -159,6 +165,11 @@
         self._choices_by_route: dict[str, WeightedChoice] = {}
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self._longest_deadlines_by_route: dict[str, float] = {}
+        self._time_limits = TimeLimits()
+
+    def begin_stop(self, drains_at: float, stops_at: float) -> None:
+        """Give every request a final response by ``stops_at``."""
+        self._time_limits.begin_stop(drains_at, stops_at - self._response_margin)
 
     async def run(
         self, event: h11.Request, body: CallerBody, writer: ResponseWriter
@@ -172,7 +183,8 @@
                 request = self._reader.read(event)
                 writer.request_id = request.id
                 context = self._admit(request, body, received_at)
-                await self._serve(context, writer)
+                with self._time_limits.open(context.limit, received_at):
+                    await self._serve(context, writer)
             except MalformedMessageError as error:
                 raise RequestRefusedError(
                     error.status, error.message, close=True
@@ -290,9 +302,11 @@
             body=body,
             received_at=received_at,
             soft_deadline_at=received_at + route.target_latency - elapsed,
-            deadline_at=received_at
-            + min(request.deadline, route.timeout)
-            - self._response_margin,
+            limit=TimeLimit(
+                received_at
+                + min(request.deadline, route.timeout)
+                - self._response_margin
+            ),
         )
 
     @property
@@ -334,7 +348,7 @@
 
     async def _serve(self, context: _RequestContext, writer: ResponseWriter) -> None:
         response = None
-        with trio.move_on_at(context.deadline_at):
+        with context.limit.scope:
             await writer.send_continue()
             await self._prepare(context)
             response = await self._send_with_retries(context)
@@ -343,7 +357,10 @@
         if response is not None:
             return await self._finish(context, response, writer)
         if context.may_have_run:
-            raise self._unknown_outcome(context, 504, "no answer in time")
+            reason = STOPPING if context.limit.shortened else "no answer in time"
+            raise self._unknown_outcome(context, 504, reason)
+        if context.limit.shortened:
+            raise context.limit.refusal()
         raise RequestRefusedError(
             503, "no target in time", retry_after=NO_TARGET_RETRY_AFTER
         )
@@ -443,21 +460,36 @@
 
     async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot:
         context.phase = _Phase.SLOT
-        slot = await self._slots.acquire(
-            context.service,
-            target,
-            context.priority,
-            context.soft_deadline_at,
-            context.deadline_at,
-            context.route.name,
-        )
+        slot = await self._wait_for_slot(context, target)
         if isinstance(slot, SlotRefusal):
             if context.may_have_run:
                 raise self._unknown_outcome(context, 502, context.last_failure)
+            if context.limit.shortened:
+                # Another instance has more time for the request.
+                raise context.limit.refusal()
             wait = slot.retry_after * (0.75 + 0.5 * self._random.random())
             raise RequestRefusedError(503, slot.reason, retry_after=wait)
         return slot
 
+    async def _wait_for_slot(
+        self, context: _RequestContext, target: str
+    ) -> Slot | SlotRefusal:
+        slot = None
+        while slot is None:
+            # A planned stop interrupts the wait: the admission queue then decides
+            # whether the request can still end in time.
+            with trio.CancelScope() as context.limit.wait_scope:
+                slot = await self._slots.acquire(
+                    context.service,
+                    target,
+                    context.priority,
+                    context.soft_deadline_at,
+                    context.deadline_at,
+                    context.route.name,
+                )
+            context.limit.wait_scope = None
+        return slot
+
     def _target_of_slot(
         self, context: _RequestContext, slot: Slot
     ) -> TargetRecord | None:
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -70,7 +70,10 @@
 # Callers are directed to other instances after two failed readiness probes, which come
 # once a second.
 READINESS_NOTICE = 2.3  # seconds between failing readiness and closing the listener
-CLOSE_RESERVE = 0.4  # seconds of the stop grace period reserved for closing
+# Of the stop grace period, for the last responses, closing connections and the end of
+# the process.
+CLOSE_RESERVE = 0.4  # seconds
+CLOSE_TIMEOUT = 0.1  # seconds to close the connections to store and targets
 EXPIRY_INTERVAL = 0.1  # seconds
 # An instance that is unreachable for longer has been removed and is not restarting, so
 # its registration is deleted.
@@ -165,16 +168,16 @@
 
     def _new_entry_server(self) -> EntryServer:
         host, port = split_address(self.settings.caller_address)
+        stop_period = max(0.5, self.settings.bounds.stop_grace - CLOSE_RESERVE)
+        notice = min(READINESS_NOTICE, stop_period / 2)
         return EntryServer(
             self.flow,
             self.metrics,
             options=self._caller_options,
             host=host,
             port=port,
-            grace_period=READINESS_NOTICE,
-            drain_timeout=max(
-                0.5, self.settings.bounds.stop_grace - READINESS_NOTICE - CLOSE_RESERVE
-            ),
+            grace_period=notice,
+            drain_timeout=stop_period - notice,
         )
 
     def _caller_options(self) -> CallerOptions:
@@ -321,7 +324,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.ownership.stop)
             nursery.start_soon(self.entry.close)
-        with trio.move_on_after(CLOSE_RESERVE / 2):
+        with trio.move_on_after(CLOSE_TIMEOUT):
             await self.store.close()
             await self.control.close()
             await self.forwarder.close()
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -22,11 +22,13 @@
     WeightedService,
 )
 
+from ...entry import CallerOptions
 from ...forward import TargetOptions
 from ..node import DispatchNode
 from ..ports import (
     CONFIGURATION,
     TARGETS,
+    DispatchBounds,
     DispatchSettings,
     KindSnapshot,
 )
@@ -180,6 +182,8 @@
         self.targets: list[HttpTarget] = []
         self.tables_by_version: dict[int, RoutingTable] = {}
         self.target_options = TargetOptions()
+        self.bounds = DispatchBounds()
+        self.caller_options = CallerOptions()
 
     async def add_target(
         self, service: str = "keyed", *, target: HttpTarget | None = None, **fields
@@ -210,6 +214,8 @@
             peer_address="127.0.0.1:0",
             seeds=seeds,
             target_options=self.target_options,
+            bounds=self.bounds,
+            caller_options=self.caller_options,
         )
         node = DispatchNode(
             settings, self.store, SharedControl(), self.read_table, read_record
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -39,6 +39,7 @@
     read_request,
     request_fingerprint,
 )
+from .time_limits import STOPPING, TimeLimit, TimeLimits
 
 __all__ = ["Flow", "RequestFlow", "ResponseWriter"]
 
@@ -87,6 +88,13 @@
     ) -> None:
         """Serve one request; the call is cancelled if the caller disconnects."""
 
+    def begin_stop(self, drains_at: float, stops_at: float) -> None:
+        """Give every request a final response by ``stops_at`` (seconds, trio's clock).
+
+        Requests received from ``drains_at`` on are served only if they are sure to end
+        in time.
+        """
+
 
 @attrs.define
 class _Progress:
@@ -119,6 +127,11 @@
         self._may_admit = may_admit
         self._sender = Sender(permits, forwarder, metrics)
         self._budgets_by_service = defaultdict(RetryBudget)
+        self._time_limits = TimeLimits()
+
+    def begin_stop(self, drains_at: float, stops_at: float) -> None:
+        """Give every request a final response by ``stops_at``."""
+        self._time_limits.begin_stop(drains_at, stops_at)
 
     async def run(
         self, event: h11.Request, body: CallerBody, writer: ResponseWriter
@@ -149,17 +162,24 @@
         request = read_request(event, deployment, self._accounts)
         writer.request_id = request.id
         body.set_size_limit(request.route.max_body_bytes)
-        deadline = trio.current_time() + request.deadline
+        limit = TimeLimit(trio.current_time() + request.deadline)
+        with self._time_limits.open(limit, writer.received_at):
+            await self._serve(request, body, limit, writer)
+
+    async def _serve(
+        self, request, body: CallerBody, limit: TimeLimit, writer: ResponseWriter
+    ) -> None:
         progress = _Progress()
+        deadline = limit.ends_at
         # All steps share one cancel scope. With nested scopes of the same deadline,
         # the outer one would hide which step the deadline interrupted.
-        with trio.move_on_at(deadline):
+        with limit.scope:
             await self._take_quota(request, deadline)
             progress.has_quota = True
             pending = await self._prepare(request, body, deadline, writer)
             progress.pending = pending
             return await self._run_attempts(pending, writer)
-        self._handle_expired(progress, writer)
+        self._handle_expired(progress, limit, writer)
 
     async def _take_quota(self, request: CallerRequest, deadline: float) -> None:
         if not request.account:
@@ -184,9 +204,13 @@
         )
         return PendingRequest(request, location, fingerprint, deadline, body, prefix)
 
-    def _handle_expired(self, progress: "_Progress", writer: ResponseWriter) -> None:
-        """Refuse a request after its deadline, with the reason of the pending step."""
+    def _handle_expired(
+        self, progress: "_Progress", limit: TimeLimit, writer: ResponseWriter
+    ) -> None:
+        """Refuse a request after its time, with the reason of the pending step."""
         pending = progress.pending
+        if limit.shortened and pending is None:
+            raise limit.refusal()
         if not progress.has_quota:
             raise RequestRefusedError(429, "no quota before the deadline")
         if pending is None:
@@ -198,7 +222,10 @@
         )
         if pending.may_have_run or (at_most_once and pending.permit_requested):
             # The first request with this idempotency key may still be running.
-            raise self._unknown_outcome(pending, 504, "deadline passed")
+            reason = STOPPING if limit.shortened else "deadline passed"
+            raise self._unknown_outcome(pending, 504, reason)
+        if limit.shortened:
+            raise limit.refusal()
         raise RequestRefusedError(503, "deadline passed before the request was sent")
 
     async def _run_attempts(
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -78,6 +78,9 @@
         """Send the refusal; if a response was started, abort it instead."""
         if self.started:
             return self.abort()
+        # Whether this response is the last one of its connection is decided when it can
+        # be sent: until then, further requests may arrive and be served.
+        await self._wait_for_earlier_responses()
         body = refusal.body(self.request_id)
         options = self._connection.options
         headers = refusal.headers(self.request_id, len(body), options)
@@ -88,7 +91,6 @@
         self._enqueue(h11.Response(status_code=refusal.status, headers=headers))
         if self._method != b"HEAD":
             self._enqueue(h11.Data(data=body))
-        await self._wait_for_earlier_responses()
         with trio.move_on_after(REFUSAL_TIMEOUT) as scope:
             # If the header section was refused, h11 does not know that the method is
             # HEAD and would expect the declared body.
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -24,6 +24,7 @@
 GRACE_PERIOD = 2.0  # seconds between failing readiness and closing the listener
 PENDING_TIMEOUT = 0.5  # seconds for connections that wait to be accepted
 DRAIN_TIMEOUT = 60.0  # seconds for requests in flight
+FINAL_RESPONSE_PERIOD = 0.2  # seconds to write the responses to those that remain
 DRAIN_INTERVAL = 0.05  # seconds between checks for open connections
 
 
@@ -111,7 +112,10 @@
     async def close(self, fail_readiness: Callable[[], None] = lambda: None) -> None:
         """Stop gracefully: fail readiness, wait, stop accepting, finish requests."""
         fail_readiness()
-        await trio.sleep(self._grace_period)
+        drains_at = trio.current_time() + self._grace_period
+        stops_at = drains_at + self._drain_timeout
+        self._flow.begin_stop(drains_at, stops_at)
+        await trio.sleep_until(drains_at)
         emit(ENTRY_STOPPING, in_flight=self.in_flight)
         await self._accept_pending()
         if self._accept_scope is not None:
@@ -121,7 +125,7 @@
         await trio.lowlevel.checkpoint()  # the last accepted connections are added
         for connection in list(self._connections):
             connection.drain()
-        with trio.move_on_after(self._drain_timeout):
+        with trio.move_on_at(stops_at + FINAL_RESPONSE_PERIOD):
             while self._connections:
                 await trio.sleep(DRAIN_INTERVAL)
         emit(ENTRY_STOPPED, in_flight=self.in_flight)
--- a/packages/router/src/fireflystand_router/entry/tests/test_entry.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_entry.py
@@ -244,6 +244,31 @@
 
         self.run_edge(scenario)
 
+    def test_shutdown_answers_requests_that_cannot_end_before_it(self):
+        """Requests at silent targets, and later ones, got no answer at a stop."""
+
+        async def scenario(edge):
+            edge.targets[0].scripts.append(Script(then="hang"))
+            busy, late = await edge.connect(), await edge.connect()
+            await busy.send_all(get())
+            await edge.targets[0].seen.wait()
+
+            async def send_late():
+                await late.send_all(b"GET")  # the connection is not idle
+                await trio.sleep(3.0)
+                await late.send_all(get()[3:])
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_late)
+                await edge.server.close()
+            self.assertIn(b"HTTP/1.1 504", await read_to_end(busy))
+            answer = await read_to_end(late)
+            self.assertIn(b"HTTP/1.1 503", answer)
+            self.assertIn(b"not-run", answer)
+            self.assertEqual(len(edge.targets[0].requests), 1)
+
+        self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
+
     def test_shutdown_answers_requests_that_arrived_just_before_it(self):
         """Connections that waited to be accepted, or to be read, were closed."""
 
--- a/packages/router/src/fireflystand_router/entry/tests/test_pipeline.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_pipeline.py
@@ -18,6 +18,9 @@
     def __init__(self) -> None:
         self.started: list[str] = []
 
+    def begin_stop(self, drains_at: float, stops_at: float) -> None:
+        pass
+
     async def run(self, event, body, writer) -> None:
         path = event.target.decode()
         self.started.append(path)
--- a/packages/testing/src/fireflystand_testing/edge.py
+++ b/packages/testing/src/fireflystand_testing/edge.py
@@ -23,7 +23,7 @@
 from fireflystand_router.adapters import GroupPlacement
 from fireflystand_router.entry import EntryServer, RequestFlow
 from fireflystand_router.entry.interfaces import QuotaRefusal
-from fireflystand_router.entry.server import GRACE_PERIOD
+from fireflystand_router.entry.server import DRAIN_TIMEOUT, GRACE_PERIOD
 from fireflystand_router.events import configure_log
 from fireflystand_router.forward import Forwarder
 from fireflystand_router.metrics import Metrics
@@ -253,9 +253,13 @@
         targets: int = 1,
         *,
         grace_period: float = GRACE_PERIOD,
+        drain_timeout: float = DRAIN_TIMEOUT,
         **service_options,
     ) -> None:
-        self._grace_period = grace_period
+        self._stop_options = {
+            "grace_period": grace_period,
+            "drain_timeout": drain_timeout,
+        }
         self.log = io.StringIO()
         configure_log(self.log, as_json=True)
         self.deployment = edge_deployment(**service_options)
@@ -282,7 +286,7 @@
             forwarder=self.forwarder,
             metrics=self.metrics,
         )
-        self.server = EntryServer(flow, self.metrics, grace_period=self._grace_period)
+        self.server = EntryServer(flow, self.metrics, **self._stop_options)
         self.address = await self.server.start(nursery)
 
     async def connect(self) -> trio.SocketStream:
