Report an address that cannot be used as a failed connection

What callers saw: nothing yet from this instance; operators report processes that ended after another writer left an entry with a port out of range.

Cause: connect() lets through the OverflowError of a port above 65535 and the ValueError of an address without a port or with a null character. Its callers (streams to peers, pools to targets, calls to the control API) handle OSError only, so the error ends their task and with it the process. The adapter rejects such a port of a target, but addresses of instances and those that a peer copies are not checked there.

Why the fix works: all connections are made by this function, and each caller handles OSError as a connection that failed.

Test: AddressTests in test_streams. Before: ValueError for "", "x" and a null character, OverflowError ("connect(): port must be 0-65535") for 70000 and -1. After: passes.

--- a/packages/router/src/fireflystand_router/streams.py
+++ b/packages/router/src/fireflystand_router/streams.py
@@ -136,6 +136,9 @@
     try:
         await new_socket.connect(split_address(address))
         new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except (ValueError, OverflowError) as error:
+        new_socket.close()
+        raise OSError(f"the address cannot be used: {error!r}") from error
     except BaseException:
         new_socket.close()
         raise
--- a/packages/router/src/fireflystand_router/tests/test_streams.py
+++ b/packages/router/src/fireflystand_router/tests/test_streams.py
@@ -129,5 +129,15 @@
         run_scenario(scenario)
 
 
+class AddressTests(unittest.TestCase):
+    """Guard against an address that ends the process which connects to it."""
+
+    def test_address_that_is_none(self):
+        """An older process may have taken such an address into its copies."""
+        for address in ("", "x", ":80", "127.0.0.1:70000", "127.0.0.1:-1", "a\0b:80"):
+            with self.subTest(address), self.assertRaises(OSError):
+                trio.run(connect, address)
+
+
 if __name__ == "__main__":
     unittest.main()
