Ignore a load report whose figures are no loads

What callers saw: operators report processes that end by themselves and requests that are lost with them.

Cause: read_load accepts "inf" and "nan" in Server-Load. The instance that counts the slots of the target turns the figures into whole numbers; int(inf) raises OverflowError and int(nan) ValueError. In _handle_return, which reads the report of a peer, nothing handles them, so one response of a target ends another process than the one that received it. On the own path the slot is not returned and the request's task fails.

Evidence: with two instances and a target that sends "Server-Load: inf,1,8" the process ends in _handle_return. Other fields were tried in the same test: Warmup-Ms and Keep-Alive are read nowhere, and odd lengths are refused by the framing check of forwarded responses (18 digits) and by h11 elsewhere.

The receiver of a return drops a report that it cannot turn into a load, because a peer of an older build may send one.

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -214,20 +214,25 @@
 
 def _slot_result(message: SlotReturn) -> SlotResult:
     """Return the result that a message reports for a request with a slot."""
-    load = None
-    if message.load is not None:
-        running, waiting, slots, slowdown = message.load
-        load = TargetLoad(int(running), int(waiting), int(slots), slowdown)
     return SlotResult(
         number=message.number,
         seconds=message.seconds,
         complete=message.complete,
         shed=message.shed,
         unreachable=message.unreachable,
-        load=load,
+        load=_target_load(message.load),
     )
 
 
+def _target_load(figures: list[float] | None) -> TargetLoad | None:
+    """Return the load that a target reported, or None if the figures are malformed."""
+    try:
+        running, waiting, slots, slowdown = figures or ()
+        return TargetLoad(int(running), int(waiting), int(slots), float(slowdown))
+    except (ValueError, TypeError, OverflowError):
+        return None
+
+
 class SlotClient:
     """Acquire slots from the responsible instances, local or remote."""
 
