Let an odd object in the store cost that object only

What callers saw: operators report that another writer left one entry with deep nesting, a number too large or a port out of range, and that machines ended again and again or stopped following the list.

Cause: a page was decoded as a whole. json.loads raises RecursionError for deep nesting, which is no ValueError, so the store adapter and ReplicaSync._follow let it through and the process ends, at each start again. A number of over 4,300 digits is a ValueError, which became an error of the whole page at each poll. An entry that can just be decoded fails where a copy for a peer is encoded. Metadata of other types raised TypeError or KeyError, which also ended the process. Objects of the other kinds had the same path.

A target whose entry turns odd is removed at once. Range and instance records are checked for their types, since a peer of an older build may copy them. Each odd object is one line (6015) until it can be read again.

--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -118,8 +118,8 @@
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "RangeRecord":
-        """Return the record of a stored form."""
-        return cls(
+        """Return the record of a stored form; raise ValueError if a type is wrong."""
+        record = cls(
             service=value["service"],
             ranges=tuple(KeyRange(*item) for item in value["ranges"]),
             next_fence=value["next_fence"],
@@ -127,6 +127,19 @@
             holder=value["holder"],
             holder_incarnation=value["holder_incarnation"],
         )
+        record._check_types()
+        return record
+
+    def _check_types(self) -> None:
+        texts = [self.service, self.holder, self.holder_incarnation]
+        numbers = [self.next_fence, self.epoch]
+        for item in self.ranges:
+            texts += (item.target, item.handover)
+            numbers += (item.first, item.last, item.started_at, item.fence)
+        if not all(type(text) is str for text in texts):
+            raise ValueError("something else than text in a range record")
+        if not numbers[2:] or not all(type(number) is int for number in numbers):
+            raise ValueError("something else than whole numbers in a range record")
 
 
 def _outside(ranges: Iterable[KeyRange], first: int, last: int):
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -305,7 +305,7 @@
                 source = ChangeSource.PULL if is_peer else ChangeSource.SEED
                 self._apply_copy(copy, source, requested_at - copy.age)
             return True
-        except PeerUnavailableError as error:
+        except (PeerUnavailableError, ProtocolError) as error:
             emit(PEER_CALL_FAILED, error, message="replica-pull")
             return False
         finally:
@@ -365,4 +365,7 @@
 
 
 def _decompress(data: bytes) -> Any:
-    return json.loads(zlib.decompress(data))
+    try:
+        return json.loads(zlib.decompress(data))
+    except (ValueError, RecursionError, zlib.error) as error:
+        raise ProtocolError("a peer's copy cannot be read", step="copy") from error
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -34,6 +34,16 @@
 # Target records that expired during an outage of the store are written again within
 # 2 s of its end.
 RETURN_PERIOD = 2.2  # seconds
+MAX_CAPACITY = 1e6  # cores
+# What decoding a malformed object may raise.
+MALFORMED = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 # An instance asks the store itself before its confirmation is this old. An older one
 # means that no instance can reach the store, not merely that the store is slow.
 OUTAGE_AGE = 2.5  # seconds
@@ -58,6 +68,14 @@
     data_centre: str
     capacity: float = 0.0  # of its processor and its link, in cores
 
+    def check(self) -> None:
+        """Raise ValueError if a part is not of its type."""
+        texts = (self.incarnation, self.address, self.data_centre)
+        if not all(isinstance(text, str) for text in texts):
+            raise ValueError("an instance record holds something else than text")
+        if not 0 <= self.capacity <= MAX_CAPACITY:
+            raise ValueError("the capacity is out of range")
+
 
 @attrs.frozen
 class FrozenRange:
@@ -98,6 +116,7 @@
         self._in_outage = False
         self._deletions_by_target: dict[str, int] = {}  # revision of the deletion
         self._recovery_ends_at = float("-inf")
+        self._unreadable: set[tuple[str, str]] = set()  # kinds and names, as logged
 
     def confirmation_age(self, kind: str) -> float:
         """Return the seconds since the store confirmed the replica of a kind."""
@@ -200,12 +219,20 @@
         for change in changes:
             try:
                 decode(change)
-            except (ValueError, TypeError, KeyError, AttributeError) as error:
-                emit(ENTRY_UNREADABLE, error, kind=kind, name=change.name)
+            except MALFORMED as error:
+                self._report_unreadable(kind, change.name, error)
+            else:
+                self._unreadable.discard((kind, change.name))
         if changes:
             self.notify(kind)
         return changes
 
+    def _report_unreadable(self, kind: str, name: str, error: Exception) -> None:
+        """Log an object once until it can be read again or is deleted."""
+        if (kind, name) not in self._unreadable:
+            self._unreadable.add((kind, name))
+            emit(ENTRY_UNREADABLE, error, kind=kind, name=name)
+
     def notify(self, kind: str) -> None:
         """Wake the tasks that wait for a change and call the listeners."""
         changed, self.changed = self.changed, trio.Event()
@@ -218,7 +245,7 @@
             return
         try:
             table = self._read_table(change.value)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except MALFORMED as error:
             emit(CONFIGURATION_UNREADABLE, error, revision=change.version)
             return
         if self.table is not None and table.version < self.table.version:
@@ -247,10 +274,13 @@
         )
 
     def _decode_targets(self, change: ObjectChange) -> None:
-        target = None if change.value is None else self._read_target(change)
-        if target is None:
+        if change.value is None:
             return self._handle_deletion(change)
-        self._deletions_by_target.pop(target.id, None)
+        self._deletions_by_target.pop(change.name, None)
+        target = self._read_target(change)
+        if target is None:
+            self._remove_target(change.name, change.version)
+            raise ValueError("the object describes no target")
         known = self.targets_by_id.get(target.id)
         if known is None or attrs.evolve(known, version=target.version) != target:
             emit(
@@ -312,13 +342,15 @@
             self.instances_by_id.pop(change.name, None)
             return
         value = change.value
-        self.instances_by_id[change.name] = InstanceRecord(
+        record = InstanceRecord(
             id=change.name,
             incarnation=value["incarnation"],
             address=value["address"],
             data_centre=value["data_centre"],
             capacity=float(value.get("capacity", 0.0)),
         )
+        record.check()
+        self.instances_by_id[change.name] = record
 
     def range_version(self, service: str) -> int:
         """Return the version of a service's range record in the store; 0 if none."""
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -26,6 +26,7 @@
 # Writing a line costs about a tenth of the processor time of a request; 40 lines leave
 # an overloaded instance nine tenths of its processor time.
 LINES_PER_SECOND = 40
+MAX_ERROR_LENGTH = 500  # characters of an error from outside the packages
 
 
 @attrs.frozen
@@ -55,7 +56,7 @@
     if isinstance(error, FireflystandError):
         fields |= {"error": error.message, "step": error.step, "peer": error.peer}
     elif error is not None:
-        fields |= {"error": repr(error)}
+        fields |= {"error": repr(error)[:MAX_ERROR_LENGTH]}
     logger.bind(event=event.number, fields=fields).log(event.level, event.text)
 
 
