Serve a request that arrives while an idle connection is closed

Cause: a draining connection is found idle, its wait is cancelled, and its tasks end some iterations of the event loop later. A request that arrived in between was received and then dropped with the connection. With hundreds of connections closed at once on a busy processor these iterations took more than 0.2 s. The same held for the idle timeout. If the request arrived in the iteration of the cancellation, it was refused with 408 as a slow header section.

The decision is now checked again where the connection is closed, with no other task running between the check and the close; if bytes have arrived, the request is served.

--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -49,6 +49,7 @@
         self._disconnected = False
         self._aborted = False
         self._closing = False
+        self._ends_idle = False  # whether the connection ends for want of requests
         self._idle_scope: trio.CancelScope | None = None
         self._received_at = float("-inf")  # seconds; time of the last bytes
 
@@ -67,14 +68,26 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read)
-                async with trio.open_nursery() as response_nursery:
-                    await self._serve(response_nursery)
+                await self._serve_until_end()
                 if self._closing and not self._aborted and not self._disconnected:
                     await self._linger()
                 nursery.cancel_scope.cancel()
         finally:
             self.stream.close()
 
+    async def _serve_until_end(self) -> None:
+        """Serve until the connection ends; close it here if it is idle."""
+        while True:
+            self._ends_idle = False
+            async with trio.open_nursery() as response_nursery:
+                await self._serve(response_nursery)
+            if not self._ends_idle:
+                return
+            # A request may have arrived since the connection was found idle. No other
+            # task runs between this check and the close.
+            if self._is_idle():
+                return self.stream.close()
+
     def drain(self) -> None:
         """Close an idle connection now, others after the requests that have arrived."""
         self.draining = True
@@ -200,7 +213,10 @@
                     timeout = self.options.header_timeout
                     header_deadline = trio.current_time() + timeout
                 limit = header_deadline
-            elif self._disconnected or (self.draining and self._is_idle()):
+            elif self._disconnected:
+                return None
+            elif self.draining and self._is_idle():
+                self._ends_idle = True
                 return None
             elif not self._responses:
                 limit = trio.current_time() + self.options.idle_timeout
@@ -212,10 +228,13 @@
                 self._idle_scope = scope if idle else None
                 await self._wait_for_bytes()
             self._idle_scope = None
-            if scope.cancelled_caught:
-                if not self._framer.buffer:
-                    return None
+            if not scope.cancelled_caught:
+                continue
+            if not idle:
                 raise MalformedMessageError("header section is too slow", status=408)
+            if not self._framer.buffer:
+                self._ends_idle = True
+                return None
         self._buffer_has_space.set()
         return head
 
--- a/packages/router/src/fireflystand_router/entry/tests/test_entry.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_entry.py
@@ -293,6 +293,31 @@
 
         self.run_edge(scenario, grace_period=0.0)
 
+    def test_shutdown_answers_requests_that_cross_the_close(self):
+        """Requests that arrived while an idle connection was closed were dropped."""
+
+        async def scenario(edge):
+            host, _, port = edge.address.rpartition(":")
+            sockets = [socket.create_connection((host, int(port))) for _ in range(5)]
+            while edge.server.connections < len(sockets):
+                await trio.testing.wait_all_tasks_blocked()
+
+            def drain():
+                # No other task runs between the decision and the requests.
+                for connection in list(edge.server._connections):
+                    connection.drain()
+                for caller in sockets:
+                    caller.sendall(get())
+
+            drain()
+            for caller in sockets:
+                caller = trio.socket.from_stdlib_socket(caller)
+                answer = await read_to_end(trio.SocketStream(caller))
+                self.assertIn(b"HTTP/1.1 200", answer)
+                self.assertIn(b"Connection: close", answer)
+
+        self.run_edge(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
