Reserve a tenth of the grace period for the end of the process

Cause: 0.4 s were reserved for the last responses, closing all connections and the end of the process, whatever the length of the grace period, and a grace period below 2.4 s got 504 sooner than in its last sixth.

The reserve is a tenth of the grace period now: 0.6 s of 6 s. Requests still end in the last sixth.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -70,9 +70,8 @@
 # Callers are directed to other instances after two failed readiness probes, which come
 # once a second.
 READINESS_NOTICE = 2.3  # seconds between failing readiness and closing the listener
-# Of the stop grace period, for the last responses, closing connections and the end of
-# the process.
-CLOSE_RESERVE = 0.4  # seconds
+# Reserved for the last responses, for closing connections and for ending the process.
+CLOSE_SHARE = 0.1  # of the stop grace period
 CLOSE_TIMEOUT = 0.1  # seconds to close the connections to store and targets
 EXPIRY_INTERVAL = 0.1  # seconds
 # An instance that is unreachable for longer has been removed and is not restarting, so
@@ -168,7 +167,7 @@
 
     def _new_entry_server(self) -> EntryServer:
         host, port = split_address(self.settings.caller_address)
-        stop_period = max(0.5, self.settings.bounds.stop_grace - CLOSE_RESERVE)
+        stop_period = self.settings.bounds.stop_grace * (1 - CLOSE_SHARE)
         notice = min(READINESS_NOTICE, stop_period / 2)
         return EntryServer(
             self.flow,
