Refuse a request whose body is complete too late to end before a stop

Cause: the time limits compared the end of the stop with the arrival of the header only. The check is made again once the first part of the body is there, in both request flows.

Tests: test_body_that_is_complete_late_in_the_grace and, for make run, test_shutdown_refuses_a_request_whose_body_is_complete_late; before, the answer was 504 and the target had the request. test_stop and test_entry pass.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -367,6 +367,8 @@
 
     async def _prepare(self, context: _RequestContext) -> None:
         context.body_prefix = await context.body.read_prefix(REPLAYABLE_BODY_BYTES)
+        if context.body_prefix:
+            self._time_limits.check(context.limit, trio.current_time())
         account = context.account.name if context.account else ""
         context.fingerprint = context.request.fingerprint(account, context.body_prefix)
         if self._crash_detector.is_refused(context.fingerprint):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -105,11 +105,11 @@
 class PlannedStopTests(unittest.TestCase):
     """Guard against connections that a planned stop closes without an answer."""
 
-    def play(self, scenario, *, nodes: int = 1, **route) -> None:
+    def play(self, scenario, *, nodes: int = 1, grace: float = GRACE, **route) -> None:
         """Start a fleet whose targets answer at once, and run a scenario."""
 
         async def with_nodes(fleet):
-            fleet.bounds = DispatchBounds(stop_grace=GRACE)
+            fleet.bounds = DispatchBounds(stop_grace=grace)
             fleet.caller_options = CallerOptions(pipeline_limit=16)
             accounts = [ClientAccount("shop", ("key-1",))]
             fleet.configure(2, accounts=accounts, **{"timeout": 30.0} | route)
@@ -229,6 +229,33 @@
 
         self.play(scenario)
 
+    def test_body_that_is_complete_late_in_the_grace(self):
+        """A request whose last byte came late was passed on and cut off."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].work = SILENT
+            host, port = node.entry.address.rsplit(":", 1)
+            stream = await trio.open_tcp_stream(host, int(port))
+            lines = [
+                "POST /p/x HTTP/1.1",
+                f"Host: {HOST}",
+                "Content-Length: 4",
+                "Authorization: Bearer key-1",
+                f"Fireflystand-Deadline-Ms: {LONG}",
+            ]
+            await stream.send_all("\r\n".join([*lines, "", ""]).encode())
+            fleet.nursery.start_soon(node.stop)
+            await trio.sleep(GRACE * 2 / 3)
+            sent_at = trio.current_time()
+            await stream.send_all(b"body")
+            answer = await stream.receive_some(65536)
+            self.assertLess(trio.current_time() - sent_at, AT_ONCE)
+            self.assertIn(b"HTTP/1.1 503", answer[:20])
+            self.assertEqual(passed_on(fleet.targets[1]), [])
+
+        self.play(scenario, kind=RequestKind.UNSAFE)
+
     def test_request_that_cannot_end_in_time_is_refused_at_once(self):
         """A caller waited for the end of the grace although others could serve it."""
 
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -177,6 +177,8 @@
             await self._take_quota(request, deadline)
             progress.has_quota = True
             pending = await self._prepare(request, body, deadline, writer)
+            if pending.body_prefix:
+                self._time_limits.check(limit, trio.current_time())
             progress.pending = pending
             return await self._run_attempts(pending, writer)
         self._handle_expired(progress, limit, writer)
--- a/packages/router/src/fireflystand_router/entry/tests/test_entry.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_entry.py
@@ -269,6 +269,23 @@
 
         self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
 
+    def test_shutdown_refuses_a_request_whose_body_is_complete_late(self):
+        """A request whose last byte came late was passed on and cut off."""
+
+        async def scenario(edge):
+            edge.targets[0].scripts.append(Script(then="hang"))
+            stream = await edge.connect()
+            await stream.send_all(get(b"/stock/k1", b"Content-Length: 4\r\n", b"POST"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(edge.server.close)
+                await trio.sleep(3.5)
+                await stream.send_all(b"body")
+                answer = await read_to_end(stream)
+            self.assertIn(b"HTTP/1.1 503", answer)
+            self.assertEqual(edge.targets[0].requests, [])
+
+        self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
+
     def test_shutdown_answers_requests_that_arrived_just_before_it(self):
         """Connections that waited to be accepted, or to be read, were closed."""
 
--- a/packages/router/src/fireflystand_router/entry/time_limits.py
+++ b/packages/router/src/fireflystand_router/entry/time_limits.py
@@ -63,13 +63,20 @@
         for limit in self._open:
             limit.shorten(stops_at)
 
+    def check(self, limit: TimeLimit, received_at: float) -> None:
+        """Raise RequestRefusedError if a request came too late to end before a stop.
+
+        ``received_at`` is the time of the request's last bytes so far.
+        """
+        if limit.shortened and received_at >= self._drains_at:
+            # Its caller may still wait when this instance has ended.
+            raise limit.refusal()
+
     @contextmanager
     def open(self, limit: TimeLimit, received_at: float) -> Iterator[None]:
         """Let a stop shorten a time limit; raise RequestRefusedError during one."""
         limit.shorten(self._stops_at)
-        if limit.shortened and received_at >= self._drains_at:
-            # Its caller may still wait when this instance has ended.
-            raise limit.refusal()
+        self.check(limit, received_at)
         self._open.add(limit)
         try:
             yield
