Let targets work until the last sixth of the grace period at a stop

Cause: the margin by which requests end before their deadline is a time, and the grace period may be short. At a stop the margin is at most a twentieth of the grace period now; with the tenth reserved for the end of the process, requests end at 0.85 of it or later.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -60,6 +60,9 @@
 # of its time is noticed up to an iteration late.
 LAG_ITERATIONS = 2
 MAX_LAG_MARGIN = 0.5  # seconds
+# Targets may be at work until the end of a stop, so a late event loop may end their
+# requests only this much earlier.
+STOP_MARGIN_SHARE = 0.05  # of the stop grace period
 # The store may deliver a change up to a second late and meanwhile answer that nothing
 # has changed, so a confirmed replica can lack the changes of the last second.
 CONFIRMATION_MARGIN = 1.2  # seconds
@@ -169,7 +172,9 @@
 
     def begin_stop(self, drains_at: float, stops_at: float) -> None:
         """Give every request a final response by ``stops_at``."""
-        self._time_limits.begin_stop(drains_at, stops_at - self._response_margin)
+        longest = STOP_MARGIN_SHARE * self._settings.bounds.stop_grace
+        margin = min(longest, self._response_margin)
+        self._time_limits.begin_stop(drains_at, stops_at - margin)
 
     async def run(
         self, event: h11.Request, body: CallerBody, writer: ResponseWriter
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -256,6 +256,30 @@
 
         self.play(scenario, kind=RequestKind.UNSAFE)
 
+    def test_target_at_work_is_cut_too_soon(self):
+        """With a short grace period or a late loop, 504 came before its last sixth."""
+        for grace, lag in ((2.0, 0.0), (3.0, 0.1), (3.0, 0.5)):
+            with self.subTest(grace=grace, lag=lag):
+                self.play(self.last_answer_scenario(grace, lag), grace=grace)
+
+    def last_answer_scenario(self, grace: float, lag: float):
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].work = SILENT
+            caller = await PipeliningCaller.connect(fleet.nursery, node)
+            await caller.send("/p/x")
+            await eventually(lambda: fleet.targets[1].requests)
+            node.loop_lag.record(lag)
+            began_at = trio.current_time()
+            await node.stop()
+            await caller.ended.wait()
+            self.assertEqual(caller.statuses, [504])
+            waited = caller.answers[0].at - began_at
+            self.assertGreaterEqual(waited, grace * 5 / 6)
+            self.assertLess(waited, grace)
+
+        return scenario
+
     def test_request_that_cannot_end_in_time_is_refused_at_once(self):
         """A caller waited for the end of the grace although others could serve it."""
 
