Pass on the deletion of an object that never arrived

A replica that got an object's creation and its deletion in one response of a watch remembered neither: its peers that had the object adopted its revision and kept the object for good, as they counted as complete.

Cause: a deletion of an unknown object is no change, so it neither raised the revision of the last change nor was sent on.

Fix: such a deletion is remembered like any other and sent on with the changes after a revision.

A copy that is pulled has the same gap, as it holds no deletions; that is open.

--- a/packages/core/src/fireflystand_core/replica.py
+++ b/packages/core/src/fireflystand_core/replica.py
@@ -80,6 +80,7 @@
             latest_by_name[event.name] = event
         changes = [event for event in latest_by_name.values() if self._is_newer(event)]
         self._apply_changes(changes)
+        self._remember_deletions(latest_by_name.values())
         if since <= self.revision <= revision:
             self._confirm(revision, confirmed_at)
         return changes
@@ -104,6 +105,15 @@
             else:
                 self.by_name[change.name] = change
 
+    def _remember_deletions(self, events: Iterable[ObjectChange]) -> None:
+        """Remember deletions of unknown objects too: a peer may have the object."""
+        for event in events:
+            if event.value is None and event.name not in self.by_name:
+                known = self._deletion_version(event)
+                if event.version > known and event.version > self.revision:
+                    self.changed = max(self.changed, event.version)
+                    self.deleted_by_name[event.name] = event.version
+
     def _confirm(self, revision: int, confirmed_at: float) -> None:
         self.revision = revision
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/core/src/fireflystand_core/traffic/tests/test_traffic.py
+++ b/packages/core/src/fireflystand_core/traffic/tests/test_traffic.py
@@ -86,6 +86,18 @@
         self.assertEqual(replica.apply(5, 8, [ObjectChange("a", 8, 2)], 2.0), [])
         self.assertNotIn("a", replica.by_name)
 
+    def test_deletion_of_an_object_that_never_arrived_is_passed_on(self):
+        """A peer that had the object kept it and counted as complete without it."""
+        watcher, peer = KindReplica("k"), KindReplica("k")
+        watcher.replace(4, [], 0.0)
+        peer.replace(5, [ObjectChange("a", 5, 1)], 0.0)
+        events = [ObjectChange("a", 5, 1), ObjectChange("a", 7, None)]
+        watcher.apply(4, 7, events, 1.0)
+        state = peer.confirm(watcher.revision, watcher.changed, 1.0)
+        self.assertIsNot(state, ReplicaState.CURRENT)
+        peer.apply(4, 7, watcher.changes_after(4), 1.0)
+        self.assertNotIn("a", peer.by_name)
+
     def test_push_without_the_changes_before_it_proves_nothing(self):
         replica = KindReplica("k")
         replica.replace(5, [], 0.0)
