Order the revisions of a restored store by its era

A store that is restored from an earlier copy gives its revisions out again. A replica took them for those of before: it dropped the list of the restored store, and adopted confirmations and pushes of peers from before.

Cause: revisions were compared as plain numbers.

Change: a revision combines the store's era and its number (make_revision, era_of, number_of), so that order holds over restorations. A replica applies no change of an earlier era once it has a list of a later one, adopts no confirmation of another era, pulls from a peer of a later one, and does not count as complete after changes that span two. The revision of the last change becomes that of the new list, as the list does not show what was written and deleted before it.

Nothing gives out eras yet.

--- a/packages/core/src/fireflystand_core/replica.py
+++ b/packages/core/src/fireflystand_core/replica.py
@@ -6,13 +6,40 @@
 
 import attrs
 
-__all__ = ["ReplicaState", "KindReplica", "ObjectChange"]
-
+__all__ = [
+    "KindReplica",
+    "ObjectChange",
+    "ReplicaState",
+    "era_of",
+    "make_revision",
+    "number_of",
+]
+
+NUMBER_BITS = 40  # of a revision; the store's era is in the bits above them
 # Revisions for which a deletion is remembered. A peer may push an older version seconds
 # after the deletion, and a store takes hundreds of writes a second.
 DELETIONS_KEPT = 100_000
 
 
+def make_revision(era: int, number: int) -> int:
+    """Return the revision with the store's number ``number`` in an era of the store.
+
+    The era rises each time the store is restored from an earlier copy. Its numbers go
+    back then, so revisions are ordered by the era first.
+    """
+    return (era << NUMBER_BITS) | number
+
+
+def era_of(revision: int) -> int:
+    """Return the store's era in which it gave out a revision."""
+    return revision >> NUMBER_BITS
+
+
+def number_of(revision: int) -> int:
+    """Return the store's own number of a revision."""
+    return revision & ((1 << NUMBER_BITS) - 1)
+
+
 class ReplicaState(Enum):
     """State how a replica compares with a peer's."""
 
@@ -36,7 +63,8 @@
 
     ``changed`` is the revision of the last change and ``confirmed_at`` the latest
     time (seconds) at which the replica is known to have been complete. No object
-    is ever replaced by an older version.
+    is ever replaced by an older version, and none by a version of an earlier era
+    once a list of a later era is applied.
     """
 
     kind: str
@@ -60,6 +88,10 @@
         ]
         changes += [item for item in new_by_name.values() if self._is_newer(item)]
         self._apply_changes(changes)
+        if era_of(revision) > era_of(self.revision):
+            # Objects that were written and deleted before the list are not in it, and
+            # a peer with an earlier list of this era may have them.
+            self.changed = revision
         self._confirm(revision, confirmed_at)
         return changes
 
@@ -81,11 +113,19 @@
         changes = [event for event in latest_by_name.values() if self._is_newer(event)]
         self._apply_changes(changes)
         self._remember_deletions(latest_by_name.values())
-        if since <= self.revision <= revision:
+        is_one_era = era_of(since) == era_of(revision)
+        if is_one_era and since <= self.revision <= revision:
             self._confirm(revision, confirmed_at)
         return changes
 
+    def hold(self, change: ObjectChange) -> None:
+        """Hold an object whose content is newer than what the store has of it."""
+        self.by_name[change.name] = change
+        self.deleted_by_name.pop(change.name, None)
+
     def _is_newer(self, change: ObjectChange) -> bool:
+        if era_of(change.version) < era_of(self.revision):
+            return False
         known = self.by_name.get(change.name)
         if known is not None:
             return change.version > known.version
@@ -117,11 +157,14 @@
     def _confirm(self, revision: int, confirmed_at: float) -> None:
         self.revision = revision
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        # A change older than the retained revisions cannot arrive as new any more.
+        # A change older than the retained revisions, or of an earlier era, cannot
+        # arrive as new any more.
+        era_begin = make_revision(era_of(revision), 0)
+        earliest = max(era_begin, revision - DELETIONS_KEPT + 1)
         self.deleted_by_name = {
             name: version
             for name, version in self.deleted_by_name.items()
-            if version > revision - DELETIONS_KEPT
+            if version >= earliest
         }
 
     def changes_after(self, revision: int) -> list[ObjectChange]:
@@ -137,8 +180,12 @@
     def confirm(self, revision: int, changed: int, at: float) -> "ReplicaState":
         """Compare with a peer's replica.
 
-        Adopt the peer's confirmation if no change is missing here.
+        Adopt the peer's confirmation if it is of the same era and no change is missing
+        here.
         """
+        own_era, era = era_of(self.revision), era_of(revision)
+        if own_era != era:
+            return ReplicaState.OLDER if own_era < era else ReplicaState.CURRENT
         if changed > self.revision:
             is_older = changed > self.changed
             return ReplicaState.OLDER if is_older else ReplicaState.INCOMPLETE
