Keep what is newer than the restored store holds

After the store was restored from a copy some seconds old, targets that had registered meanwhile got no requests, targets that had said they leave got new ones, an evacuation was taken back, instances were declared dead, and a range record went back to owners and fencing tokens of before, although the targets and the operators write what was lost again within seconds.

Cause: the first list of the restored store was applied like any other.

Change: a configuration is ordered by its own version and a range record by its epoch and next fencing token, whatever the store's revision; newer content is held under the stored version, so that copies carry it, and a record that the store lost can be created again. Targets, departures and instances that the list lacks are kept for the recovery period. An older process of a target does not replace the newer one, and a target that said it leaves stays leaving. Unchanged targets are not reported as changed, so that none counts as cold again. An instance whose own record is lost registers at once.

Event 6026 tells of each restored kind; the events of changes name the era and the store's own number; gauge dispatch.store_era.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -34,6 +34,7 @@
     LOOP_LAG,
     PROOF_AGE,
     STORE_AGE,
+    STORE_ERA,
     WAITING,
     Metrics,
 )
@@ -231,6 +232,7 @@
         gauge(LIVE_PEERS, len(self.membership.live) - 1)
         gauge(PROOF_AGE, self.state.confirmation_age(CONFIGURATION))
         gauge(STORE_AGE, self.replica_sync.store_age)
+        gauge(STORE_ERA, self.state.era)
         gauge(CONFIGURATION_VERSION, table.version if table else 0)
         gauge(LOOP_LAG, self.loop_lag.last)
         gauge(KNOWN_TARGETS, len(self.state.targets_by_id))
@@ -340,8 +342,7 @@
         # Most instances have no record yet; a restarted one overwrites its old record.
         expected = 0
         while True:
-            known = self.state.instances_by_id.get(hello.instance)
-            if known is not None and known.incarnation == hello.incarnation:
+            if self.state.is_registered(hello.instance, hello.incarnation):
                 await self.state.wait_for_change(REGISTRY_CHECK_INTERVAL)
                 continue
             try:
@@ -364,7 +365,8 @@
     async def _expire_targets(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL)
-            self.state.expire()
+            if INSTANCES in self.state.expire():
+                self.membership.refresh_addresses()
 
     async def _delete_removed_instances(self) -> None:
         """Delete the records of instances that were removed permanently."""
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -16,7 +16,12 @@
     ReplicaPull,
 )
 from fireflystand_core.ranges import apply_patch, make_patch
-from fireflystand_core.replica import ObjectChange, ReplicaState
+from fireflystand_core.replica import (
+    ObjectChange,
+    ReplicaState,
+    era_of,
+    number_of,
+)
 
 from ..events import PEER_CALL_FAILED, STORE_REACHABLE, STORE_UNREACHABLE, emit
 from ..peers import PeerLink, PeerUnavailableError, Reply
@@ -223,7 +228,12 @@
             self._failing_kinds.discard(kind)
             self._membership.store_unreachable = bool(self._failing_kinds)
             revision = self._state.replicas_by_kind[kind].revision
-            emit(STORE_REACHABLE, kind=kind, revision=revision)
+            emit(
+                STORE_REACHABLE,
+                kind=kind,
+                era=era_of(revision),
+                revision=number_of(revision),
+            )
 
     def push(
         self, kind: str, since: int, revision: int, changes: list[ObjectChange]
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -7,7 +7,13 @@
 import trio
 
 from fireflystand_core.ranges import KeyRange, RangeRecord
-from fireflystand_core.replica import KindReplica, ObjectChange
+from fireflystand_core.replica import (
+    KindReplica,
+    ObjectChange,
+    era_of,
+    make_revision,
+    number_of,
+)
 from fireflystand_core.traffic import RoutingTable, TargetRecord
 
 from ..events import (
@@ -15,6 +21,7 @@
     CONFIGURATION_UNREADABLE,
     DEPARTURES_CHANGED,
     ENTRY_UNREADABLE,
+    STORE_RESTORED,
     TARGET_RECORD_CHANGED,
     TARGET_RECORD_REMOVED,
     emit,
@@ -22,17 +29,20 @@
 from .clock import lease_clock
 from .ports import (
     CONFIGURATION,
+    DEPARTURES,
+    INSTANCES,
     KINDS,
     RANGES,
     TARGETS,
     ReadTable,
     ReadTarget,
 )
+from .restoration import UNREADABLE, ContentOrder, TargetRemovals
 
 __all__ = ["ChangeSource", "FrozenRange", "InstanceRecord", "RoutingState"]
 
-# Target records that expired during an outage of the store are written again within
-# 2 s of its end.
+# Target records that expired during an outage of the store, or are missing in the copy
+# from which it was restored, are written again within 2 s of its return.
 RETURN_PERIOD = 2.2  # seconds
 # An instance asks the store itself before its confirmation is this old. An older one
 # means that no instance can reach the store, not merely that the store is slow.
@@ -91,18 +101,32 @@
         self.frozen: list[FrozenRange] = []
         self.changed = trio.Event()
         self.listeners: list[Callable[[str], None]] = []
-        self._read_table = read_table
+        self._content_order = ContentOrder(read_table, read_target)
         self._read_target = read_target
         self._clock = clock
-        self._source = ChangeSource.STORE  # of the changes that are being decoded
+        # Of the changes that are being decoded.
+        self._source = ChangeSource.STORE
+        self._is_restored = False  # whether they are of a restored store's first list
         self._in_outage = False
         self._deletions_by_target: dict[str, int] = {}  # revision of the deletion
         self._recovery_ends_at = float("-inf")
+        self._removals = TargetRemovals(clock)
+        # The revision of the list of the restored store that lacks an object.
+        self._missing_by_kind: dict[str, dict[str, int]] = {
+            DEPARTURES: {},
+            INSTANCES: {},
+        }
+        self._restored_at_by_kind: dict[str, float] = {}
 
     def confirmation_age(self, kind: str) -> float:
         """Return the seconds since the store confirmed the replica of a kind."""
         return self._clock() - self.replicas_by_kind[kind].confirmed_at
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force; 0 if there is none."""
+        return 0 if self.table is None else self.table.version
+
     @property
     def table_age(self) -> float:
         """Return the seconds since the configuration in force was applied."""
@@ -115,6 +139,7 @@
             target is None
             or target.leaving
             or target.data_centre in self.departed_data_centres
+            or self._removals.is_doubtful(target_id)
         ):
             return None
         return target
@@ -175,8 +200,13 @@
     ) -> list[ObjectChange]:
         """Replace the contents of a kind by a complete list and return the changes."""
         replica = self.replicas_by_kind[kind]
+        era_before = era_of(replica.revision)
+        if replica.revision and era_of(revision) > era_before:
+            return self._restore(kind, revision, items, confirmed_at, source)
+        items = self._with_missing(kind, revision, items)
+        items, learned = self._with_newest_content(kind, items)
         changes = replica.replace(revision, items, confirmed_at)
-        return self._decode(kind, changes, source)
+        return self._decode(kind, learned + changes, source)
 
     def apply(
         self,
@@ -189,18 +219,133 @@
     ) -> list[ObjectChange]:
         """Apply changes of a kind and return those that were new."""
         replica = self.replicas_by_kind[kind]
+        items, learned = self._with_newest_content(kind, items)
         changes = replica.apply(since, revision, items, confirmed_at)
-        return self._decode(kind, changes, source)
+        return self._decode(kind, learned + changes, source)
+
+    def _restore(
+        self,
+        kind: str,
+        revision: int,
+        items: list[ObjectChange],
+        confirmed_at: float,
+        source: ChangeSource,
+    ) -> list[ObjectChange]:
+        """Replace the contents by the first list of a store that was restored."""
+        replica = self.replicas_by_kind[kind]
+        era_before = era_of(replica.revision)
+        before_by_name = dict(replica.by_name)
+        listed = self._with_missing(kind, revision, items)
+        newest, learned = self._with_newest_content(kind, listed)
+        kept = len(listed) - len(items)
+        kept += sum(a.value is not b.value for a, b in zip(listed, newest, strict=True))
+        changes = replica.replace(revision, newest, confirmed_at)
+        self._restored_at_by_kind[kind] = self._clock()
+        changed = [
+            change
+            for change in changes
+            if change.name not in before_by_name
+            or before_by_name[change.name].value != change.value
+        ]
+        self._decode(kind, learned + changed, source, restored=True)
+        emit(
+            STORE_RESTORED,
+            kind=kind,
+            era_before=era_before,
+            era=era_of(revision),
+            revision=number_of(revision),
+            changed=len(changed),
+            kept=kept + self._count_missing(kind),
+            source=source.value,
+        )
+        return learned + changes
+
+    def _with_missing(
+        self, kind: str, revision: int, items: list[ObjectChange]
+    ) -> list[ObjectChange]:
+        """Add what the restored store lost and this system or its operators need.
+
+        The version of such an object is the beginning of the era, as the store has
+        none.
+        """
+        if kind not in (CONFIGURATION, RANGES) or not era_of(revision):
+            return items
+        replica = self.replicas_by_kind[kind]
+        if revision < replica.revision:
+            return items
+        era_begin = make_revision(era_of(revision), 0)
+        listed = {item.name for item in items}
+        return items + [
+            ObjectChange(name, era_begin, known.value)
+            for name, known in replica.by_name.items()
+            if name not in listed and known.version <= era_begin
+        ]
+
+    def _with_newest_content(
+        self, kind: str, items: list[ObjectChange]
+    ) -> tuple[list[ObjectChange], list[ObjectChange]]:
+        """Return the items with the newest known content, and what was learned.
+
+        An object of the restored store may be older than what is known, and an object
+        that is known by the same or a later version may be older than an item.
+        """
+        if kind not in (CONFIGURATION, RANGES, TARGETS):
+            return items, []
+        replica = self.replicas_by_kind[kind]
+        newest, learned = [], []
+        for item in items:
+            known = replica.by_name.get(item.name)
+            if known is None or item.value is None:
+                newest.append(item)
+            elif item.version > known.version:
+                newest.append(self._newest_content(kind, item, known))
+            elif kind != TARGETS and self._content_order.is_older(kind, known, item):
+                held = ObjectChange(item.name, known.version, item.value)
+                replica.hold(held)
+                newest.append(held)
+                learned.append(held)
+            else:
+                newest.append(item)
+        return newest, learned
+
+    def _newest_content(
+        self, kind: str, item: ObjectChange, known: ObjectChange
+    ) -> ObjectChange:
+        if self._content_order.is_older(kind, item, known):
+            return ObjectChange(item.name, item.version, known.value)
+        return item
+
+    def _count_missing(self, kind: str) -> int:
+        """Return how many objects are kept until they could be written again."""
+        if kind == TARGETS:
+            return len(self._deletions_by_target)
+        return len(self._missing_by_kind.get(kind, {}))
+
+    @property
+    def era(self) -> int:
+        """Return the latest known era of the store."""
+        return max(era_of(r.revision) for r in self.replicas_by_kind.values())
+
+    def _is_recovering(self, kind: str) -> bool:
+        """Tell whether what a restored store lacks may still be written again."""
+        restored_at = self._restored_at_by_kind.get(kind, float("-inf"))
+        return self._clock() < restored_at + RETURN_PERIOD
 
     def _decode(
-        self, kind: str, changes: list[ObjectChange], source: ChangeSource
+        self,
+        kind: str,
+        changes: list[ObjectChange],
+        source: ChangeSource,
+        *,
+        restored: bool = False,
     ) -> list[ObjectChange]:
         self._source = source
+        self._is_restored = restored
         decode = getattr(self, f"_decode_{kind}")
         for change in changes:
             try:
                 decode(change)
-            except (ValueError, TypeError, KeyError, AttributeError) as error:
+            except UNREADABLE as error:
                 emit(ENTRY_UNREADABLE, error, kind=kind, name=change.name)
         if changes:
             self.notify(kind)
@@ -217,9 +362,16 @@
         if change.value is None:
             return
         try:
-            table = self._read_table(change.value)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
-            emit(CONFIGURATION_UNREADABLE, error, revision=change.version)
+            table = self._content_order.read_table(change.value)
+        except UNREADABLE as error:
+            emit(
+                CONFIGURATION_UNREADABLE,
+                error,
+                era=era_of(change.version),
+                revision=number_of(change.version),
+            )
+            return
+        if table is self.table:
             return
         if self.table is not None and table.version < self.table.version:
             return
@@ -230,20 +382,34 @@
         emit(
             CONFIGURATION_APPLIED,
             version=table.version,
-            revision=change.version,
+            era=era_of(change.version),
+            revision=number_of(change.version),
             source=self._source.value,
             proof_age=round(min(self.confirmation_age(CONFIGURATION), 1e6), 2),
         )
 
     def _decode_departures(self, change: ObjectChange) -> None:
+        missing = self._missing_by_kind[DEPARTURES]
+        if change.value is None and self._is_restored:
+            missing[change.name] = change.version
+            return
+        missing.pop(change.name, None)
         if change.value is None:
-            self.departed_data_centres -= {change.name}
+            self._end_departure(change.name, change.version)
         else:
             self.departed_data_centres |= {change.name}
+            self._log_departures(change.version)
+
+    def _end_departure(self, name: str, version: int) -> None:
+        self.departed_data_centres -= {name}
+        self._log_departures(version)
+
+    def _log_departures(self, version: int) -> None:
         emit(
             DEPARTURES_CHANGED,
             data_centres=sorted(self.departed_data_centres),
-            revision=change.version,
+            era=era_of(version),
+            revision=number_of(version),
         )
 
     def _decode_targets(self, change: ObjectChange) -> None:
@@ -251,6 +417,10 @@
         if target is None:
             return self._handle_deletion(change)
         self._deletions_by_target.pop(target.id, None)
+        if self._is_restored:
+            self._removals.add_restored(target)
+        else:
+            self._removals.add_written(target.id)
         known = self.targets_by_id.get(target.id)
         if known is None or attrs.evolve(known, version=target.version) != target:
             emit(
@@ -260,7 +430,8 @@
                 address=target.address,
                 leaving=target.leaving,
                 cold_for=round(target.cold_for, 2),
-                revision=change.version,
+                era=era_of(change.version),
+                revision=number_of(change.version),
             )
         self.targets_by_id[target.id] = target
         self.latest_records_by_target[target.id] = target
@@ -269,8 +440,12 @@
         known = self.targets_by_id.get(change.name)
         if known is None:
             return
-        if self._check_outage() and not known.leaving:
-            # The record may have expired because its target could not reach the store.
+        may_return = self._is_restored or self._check_outage()
+        if self._removals.is_doubtful(change.name):
+            may_return = False
+        if may_return and not known.leaving:
+            # The record may have expired because its target could not reach the store,
+            # or may have been written after the copy.
             self._deletions_by_target[change.name] = change.version
             return
         self._remove_target(change.name, change.version)
@@ -278,21 +453,47 @@
     def _remove_target(self, name: str, revision: int) -> None:
         known = self.targets_by_id.pop(name, None)
         if known is not None:
+            self._removals.add(known)
             emit(
                 TARGET_RECORD_REMOVED,
                 target=name,
                 service=known.service,
-                revision=revision,
+                era=era_of(revision),
+                revision=number_of(revision),
             )
 
-    def expire(self) -> None:
-        """Remove the targets that did not register again after an outage."""
-        if self._check_outage() or not self._deletions_by_target:
-            return
+    def expire(self) -> set[str]:
+        """Remove what was not written again after an outage or a restoration.
+
+        Return the kinds of which something changed.
+        """
+        changed = {kind for kind in self._missing_by_kind if self._expire_missing(kind)}
+        if self._expire_targets() | self._removals.expire():
+            changed.add(TARGETS)
+        for kind in changed:
+            self.notify(kind)
+        return changed
+
+    def _expire_missing(self, kind: str) -> bool:
+        missing = self._missing_by_kind[kind]
+        if not missing or self._is_recovering(kind):
+            return False
+        for name, revision in missing.items():
+            if kind == DEPARTURES:
+                self._end_departure(name, revision)
+            else:
+                self.instances_by_id.pop(name, None)
+        missing.clear()
+        return True
+
+    def _expire_targets(self) -> bool:
+        in_outage = self._check_outage()
+        if in_outage or self._is_recovering(TARGETS) or not self._deletions_by_target:
+            return False
         for name, revision in self._deletions_by_target.items():
             self._remove_target(name, revision)
         self._deletions_by_target.clear()
-        self.notify(TARGETS)
+        return True
 
     def _decode_ranges(self, change: ObjectChange) -> None:
         if change.value is None:
@@ -308,6 +509,12 @@
         ]
 
     def _decode_instances(self, change: ObjectChange) -> None:
+        missing = self._missing_by_kind[INSTANCES]
+        if change.value is None and self._is_restored:
+            # The instance registers again.
+            missing[change.name] = change.version
+            return
+        missing.pop(change.name, None)
         if change.value is None:
             self.instances_by_id.pop(change.name, None)
             return
@@ -320,8 +527,20 @@
             capacity=float(value.get("capacity", 0.0)),
         )
 
+    def is_registered(self, instance: str, incarnation: str) -> bool:
+        """Tell whether the store has the record of an instance's process."""
+        known = self.replicas_by_kind[INSTANCES].by_name.get(instance)
+        return (
+            known is not None
+            and isinstance(known.value, dict)
+            and known.value.get("incarnation") == incarnation
+        )
+
     def range_version(self, service: str) -> int:
-        """Return the version of a service's range record in the store; 0 if none."""
+        """Return the version of a service's range record in the store.
+
+        The number of the version is 0 if the store has none.
+        """
         known = self.replicas_by_kind[RANGES].by_name.get(service)
         return 0 if known is None else known.version
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -10,7 +10,12 @@
 
 from fireflystand_core.exceptions import StoreConflictError, StoreUnavailableError
 from fireflystand_core.ranges import KeyRange
-from fireflystand_core.replica import ObjectChange
+from fireflystand_core.replica import (
+    ObjectChange,
+    era_of,
+    make_revision,
+    number_of,
+)
 from fireflystand_core.traffic import (
     ClientAccount,
     EntryLimits,
@@ -35,6 +40,14 @@
 WAIT_TIMEOUT = 20.0  # seconds; long enough for a busy machine
 
 
+@attrs.frozen
+class StoreCopy:
+    """Hold what a store held at a time, to restore it from."""
+
+    number: int
+    objects: dict[str, dict[str, ObjectChange]]
+
+
 class SharedStore:
     """Stand in for the object store of several instances, with watches."""
 
@@ -44,6 +57,7 @@
         self.history: list[tuple[str, ObjectChange]] = []
         self.down = False
         self.calls: Counter[str] = Counter()
+        self._history_begins_at = 0
         self._changed = trio.Event()
 
     def write(self, kind: str, name: str, value) -> int:
@@ -60,6 +74,29 @@
         self._changed = trio.Event()
         return self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        objects = {kind: dict(by_name) for kind, by_name in self.objects.items()}
+        return StoreCopy(number_of(self.revision), objects)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, in the next era."""
+        era = era_of(self.revision) + 1
+        self.revision = make_revision(era, copy.number)
+        self.objects = {
+            kind: {
+                name: ObjectChange(
+                    name, make_revision(era, number_of(item.version)), item.value
+                )
+                for name, item in by_name.items()
+            }
+            for kind, by_name in copy.objects.items()
+        }
+        self.history = []
+        self._history_begins_at = self.revision
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _check(self) -> None:
         if self.down:
             raise StoreUnavailableError("down", step="call")
@@ -72,13 +109,20 @@
 
     async def watch(self, kind, since, wait):
         self.calls["watch"] += 1
+        await trio.sleep(0.002)
         with trio.move_on_after(wait):
-            while not self._events(kind, since):
+            while self._has_history(since) and not self._events(kind, since):
                 self._check()
                 await self._changed.wait()
         self._check()
+        if not self._has_history(since):
+            return None
         return KindSnapshot(self.revision, self._events(kind, since))
 
+    def _has_history(self, since) -> bool:
+        """Tell whether a revision is one of those since the last restoration."""
+        return self._history_begins_at <= since <= self.revision
+
     def _events(self, kind, since):
         return [c for k, c in self.history if k == kind and c.version > since]
 
@@ -92,7 +136,10 @@
         await trio.sleep(0.002)
         self._check()
         known = self.objects.get(kind, {}).get(name)
-        if version is not None and version != (known.version if known else 0):
+        stored = known.version if known else 0
+        if version is not None and number_of(version) == 0:
+            version = 0  # the store has no such object
+        if version is not None and version != stored:
             raise StoreConflictError("object has another version", step="put")
         return self.write(kind, name, value)
 
@@ -280,6 +327,21 @@
     trio.run(main)
 
 
+def play_with_targets(scenario, *, nodes: int = 2) -> None:
+    """Run a scenario on a fleet with targets of both services."""
+
+    async def with_nodes(fleet):
+        await fleet.add_target("keyed")
+        await fleet.add_target("pooled")
+        await fleet.add_target("pooled")
+        for _ in range(nodes):
+            await fleet.add_node()
+        await fleet.settle()
+        await scenario(fleet)
+
+    play_fleet(with_nodes)
+
+
 async def eventually(condition) -> None:
     """Wait until a condition holds; raise TooSlowError if it never does."""
     with trio.fail_after(WAIT_TIMEOUT):
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -300,18 +300,20 @@
     "INFO",
     "configuration applied",
     "version",
+    "era",
     "revision",
     "source",
     "proof_age",
 )
 CONFIGURATION_UNREADABLE = define_event(
-    6011, "ERROR", "configuration cannot be read", "revision"
+    6011, "ERROR", "configuration cannot be read", "era", "revision"
 )
 DEPARTURES_CHANGED = define_event(
     6012,
     "INFO",
     "set of data centres out of service changed",
     "data_centres",
+    "era",
     "revision",
 )
 TARGET_RECORD_CHANGED = define_event(
@@ -323,10 +325,11 @@
     "address",
     "leaving",
     "cold_for",
+    "era",
     "revision",
 )
 TARGET_RECORD_REMOVED = define_event(
-    6014, "INFO", "target record removed", "target", "service", "revision"
+    6014, "INFO", "target record removed", "target", "service", "era", "revision"
 )
 ENTRY_UNREADABLE = define_event(
     6015, "ERROR", "store object ignored because it cannot be read", "kind", "name"
@@ -335,7 +338,21 @@
 STORE_UNREACHABLE = define_event(
     6020, "WARNING", "store does not answer", "kind", "age"
 )
-STORE_REACHABLE = define_event(6021, "INFO", "store answers again", "kind", "revision")
+STORE_REACHABLE = define_event(
+    6021, "INFO", "store answers again", "kind", "era", "revision"
+)
+STORE_RESTORED = define_event(
+    6026,
+    "WARNING",
+    "store was restored from an earlier copy",
+    "kind",
+    "era_before",
+    "era",
+    "revision",
+    "changed",
+    "kept",
+    "source",
+)
 PEER_DECLARED_DEAD = define_event(
     6022, "WARNING", "peer declared dead", "peer", "reason"
 )
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -249,6 +249,12 @@
 STORE_AGE = define_metric(
     "dispatch.store_age", "gauge", "s", "time since the store answered this instance"
 )
+STORE_ERA = define_metric(
+    "dispatch.store_era",
+    "gauge",
+    "restorations",
+    "era of the store, which rises with each restoration from an earlier copy",
+)
 CONFIGURATION_VERSION = define_metric(
     "dispatch.configuration_version",
     "gauge",
