Let no call or peer of before a restoration bring its state back

An instance that started after it served an API key that had been withdrawn, because the restored copy still held it.

Cause: calls were slowed only after failures, and both calls succeeded; a peer compared replicas by the store's revision only.

Change: an instance that has to list a kind twice without a watch in between pauses, longer each time, whatever the cause. A restoration that one kind shows ends the watches of the others and the wait for the range records. Heartbeats tell the version of the configuration, and a newer one is pulled, once a second at most; a starting seed asks the other seeds once. A patch names the record on which it builds, as two records may now have one version.

Earlier builds ignore the two new message fields, which are optional.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -52,6 +52,8 @@
     ``sent_at`` is the time on the sender's clock. ``echo`` holds the receiver's
     incarnation and a time on its clock, in seconds, that had passed when the heartbeat
     was sent; it is empty if the sender has had no heartbeat of the receiver.
+
+    ``configuration`` is the version of the configuration in force, 0 if there is none.
     """
 
     instance: str
@@ -60,6 +62,7 @@
     store_lost: bool = False  # whether the sender's calls to the store fail
     sent_at: float = 0.0
     echo: list = attrs.field(factory=list)
+    configuration: int = 0
 
 
 @message("replica-pull")
@@ -85,12 +88,18 @@
 @message("record-patch")
 @attrs.frozen
 class RecordPatch:
-    """Carry what changed in the record of a service since an earlier version."""
+    """Carry what changed in the record of a service since an earlier version.
+
+    ``base`` holds the epoch and the next fencing token of the record before the change.
+    A record may be newer than what the store has of it, so its version does not tell
+    its content. It is empty in messages of earlier builds.
+    """
 
     service: str
     since: int
     version: int
     patch: bytes  # compressed JSON
+    base: list = attrs.field(factory=list)
 
 
 @message("slot-request")
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -202,6 +202,7 @@
             self.store_unreachable,
             round(now, 4),
             [] if clock is None else [clock.incarnation, round(clock.at(now), 4)],
+            self._state.configuration_version,
         )
 
     def _replica_age(self, kind: str) -> float:
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -27,7 +27,14 @@
 from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import lease_clock
 from .membership import Membership
-from .ports import CONFIGURATION, INSTANCES, KINDS, RANGES, StorePort
+from .ports import (
+    CONFIGURATION,
+    INSTANCES,
+    KINDS,
+    RANGES,
+    KindSnapshot,
+    StorePort,
+)
 from .state import ChangeSource, RoutingState
 
 __all__ = ["ReplicaSync"]
@@ -62,6 +69,8 @@
 PULL_TIMEOUT = 0.5  # seconds
 NEVER = float("-inf")  # seconds; the time of a confirmation that there was not
 CONFIGURATION_PULL_INTERVAL = 0.5  # seconds between two rounds of pulls
+# Between two pulls of a configuration that only its own version shows to be newer.
+NEWER_CONFIGURATION_INTERVAL = 1.0  # seconds
 
 
 class ReplicaSync:
@@ -88,10 +97,14 @@
         self._incomplete_since_by_kind: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self._failing_kinds: set[str] = set()
+        self._listed_kinds: set[str] = set()  # for which the last watch had no history
+        self._watches_by_kind: dict[str, trio.CancelScope] = {}
+        self._next_newer_pull = float("-inf")
         self.store_answered_at = float("-inf")
         membership.network.set_direct_handler(ReplicaPull, self._handle_pull)
         membership.network.set_direct_handler(ReplicaCopy, self._handle_push)
         membership.network.set_direct_handler(RecordPatch, self._handle_patch)
+        state.listeners.append(self._end_earlier_watches)
 
     async def run(self) -> None:
         """Keep the replicas of all kinds current until cancelled."""
@@ -102,8 +115,11 @@
             self._nursery.start_soon(self._pull_configuration)
 
     async def _pull_from_seeds(self) -> None:
-        """Pull the first replicas from a seed, unless this instance is a seed."""
-        if self._is_seed or not self._seeds:
+        """Pull the first replicas from a seed; a seed asks the other seeds once.
+
+        A store that was restored may hold an older configuration than the seeds.
+        """
+        if not self._seeds:
             return
         with trio.move_on_after(SEED_TIMEOUT):
             while not self._has_replicas():
@@ -111,6 +127,8 @@
                     await self._pull_from(seed)
                     if self._has_replicas():
                         return
+                if self._is_seed:
+                    return
                 await trio.sleep(SEED_RETRY_INTERVAL)
 
     def _has_replicas(self) -> bool:
@@ -139,17 +157,37 @@
             if kind == RANGES and self._are_coordinators_live():
                 # The coordinators send every change; an infrequent check of the store
                 # finds the changes whose messages were lost.
-                await trio.sleep(RANGES_INTERVAL)
+                await self._wait_for_ranges()
             try:
-                await self._fetch(kind)
+                listed_again = await self._fetch(kind)
             except (StoreUnavailableError, ProtocolError) as error:
                 self._handle_failure(kind, error)
                 await trio.sleep(backoff)
                 backoff = min(MAX_BACKOFF, 2 * backoff)
                 continue
             self._handle_success(kind)
+            if listed_again:
+                # The store has no history for the revision of its own last list.
+                await trio.sleep(backoff)
+                backoff = min(MAX_BACKOFF, 2 * backoff)
+                continue
             backoff = INITIAL_BACKOFF
 
+    async def _wait_for_ranges(self) -> None:
+        """Wait for the next check of the records, or until the store was restored."""
+        with trio.move_on_after(RANGES_INTERVAL):
+            while not self._is_of_earlier_era(RANGES):
+                await self._state.changed.wait()
+
+    def _is_of_earlier_era(self, kind: str) -> bool:
+        return era_of(self._state.replicas_by_kind[kind].revision) < self._state.era
+
+    def _end_earlier_watches(self, changed_kind: str) -> None:
+        """End the watches that began before the store was restored."""
+        for kind, scope in self._watches_by_kind.items():
+            if self._is_of_earlier_era(kind):
+                scope.cancel()
+
     def _should_watch(self, kind: str) -> bool:
         replica = self._state.replicas_by_kind[kind]
         if replica.revision == 0:
@@ -175,7 +213,8 @@
             self._membership.is_live(record.holder) for record in records
         )
 
-    async def _fetch(self, kind: str) -> None:
+    async def _fetch(self, kind: str) -> bool:
+        """Watch or list a kind; tell whether it was listed twice without a watch."""
         replica = self._state.replicas_by_kind[kind]
         requested_at = self._clock()
         since = replica.revision
@@ -186,8 +225,10 @@
                 wait = 0.0
             if kind in self._failing_kinds or self._is_confirmation_due(kind):
                 wait = 0.0
-            snapshot = await self._store.watch(kind, since, wait)
+            snapshot = await self._watch(kind, since, wait)
+        listed_again = snapshot is None and kind in self._listed_kinds
         if snapshot is not None:
+            self._listed_kinds.discard(kind)
             confirmed_at = requested_at
             if not snapshot.items and self._clock() - requested_at >= wait:
                 # The store sends an empty response at the end of the wait, not before.
@@ -198,6 +239,7 @@
         else:
             requested_at = self._clock()
             snapshot = await self._store.list(kind)
+            self._listed_kinds.add(kind)
             since = replica.revision
             changes = self._state.replace(
                 kind, snapshot.revision, snapshot.items, requested_at
@@ -205,11 +247,35 @@
         if kind == INSTANCES:
             self._membership.refresh_addresses()
         if changes:
-            # Another watcher may have pushed some of the changes before, and a peer may
-            # have missed that push, so all changes after ``since`` are sent.
-            self.push(kind, since, snapshot.revision, replica.changes_after(since))
+            self._push_after(kind, since, snapshot.revision)
             if kind == INSTANCES:
                 await trio.sleep(REGISTRATION_DELAY)
+        return listed_again
+
+    async def _watch(self, kind: str, since: int, wait: float) -> KindSnapshot | None:
+        """Watch the store until the wait is over or a later era is known."""
+        if self._is_of_earlier_era(kind):
+            return None
+        with trio.CancelScope() as scope:
+            self._watches_by_kind[kind] = scope
+            try:
+                return await self._store.watch(kind, since, wait)
+            finally:
+                del self._watches_by_kind[kind]
+        return None
+
+    def _push_after(self, kind: str, since: int, revision: int) -> None:
+        """Send the peers all changes after a revision, of which they may lack some.
+
+        Another watcher may have pushed some of the changes before, and a peer may have
+        missed that push.
+        """
+        replica = self._state.replicas_by_kind[kind]
+        if era_of(since) != era_of(revision):
+            # What the restored store lacks is not known to be deleted at each peer.
+            self.push(kind, 0, revision, list(replica.by_name.values()))
+        else:
+            self.push(kind, since, revision, replica.changes_after(since))
 
     def _handle_failure(self, kind: str, error: Exception) -> None:
         if kind not in self._failing_kinds:
@@ -251,16 +317,24 @@
         if before is None:
             return self.push(RANGES, change.version, change.version, [change])
         patch = _compress(make_patch(before.value, change.value))
+        base = _base(before.value)
         self._membership.broadcast(
-            RecordPatch(change.name, before.version, change.version, patch)
+            RecordPatch(change.name, before.version, change.version, patch, base)
         )
 
     def _handle_patch(self, message: RecordPatch, link: PeerLink, reply: Reply) -> None:
-        known = self._state.replicas_by_kind[RANGES].by_name.get(message.service)
+        replica = self._state.replicas_by_kind[RANGES]
+        known = replica.by_name.get(message.service)
         version = message.version
+        if era_of(version) < era_of(replica.revision):
+            return
         if known is not None and known.version >= version:
             return
-        if known is not None and known.version == message.since:
+        if (
+            known is not None
+            and known.version == message.since
+            and message.base in ([], _base(known.value))
+        ):
             value = apply_patch(known.value, _decompress(message.patch))
             change = ObjectChange(message.service, version, value)
             self._state.apply(
@@ -290,8 +364,30 @@
                 sent_after - confirmation.age,
             )
             if self._should_pull(confirmation.kind, state, now):
-                self._pulling_kinds.add(confirmation.kind)
-                self._nursery.start_soon(self._pull, peer, confirmation.kind)
+                self._start_pull(peer, confirmation.kind)
+        if heartbeat.configuration > self._state.configuration_version:
+            self._pull_newer_configuration(peer, heartbeat, now)
+
+    def _start_pull(self, peer: str, kind: str) -> None:
+        self._pulling_kinds.add(kind)
+        self._nursery.start_soon(self._pull, peer, kind)
+
+    def _pull_newer_configuration(self, peer: str, heartbeat: Beat, now: float) -> None:
+        """Pull a configuration that a restored store holds in an older version."""
+        changed = max(
+            (fields[2] for fields in heartbeat.proofs if fields[0] == CONFIGURATION),
+            default=0,
+        )
+        replica = self._state.replicas_by_kind[CONFIGURATION]
+        if (
+            self._nursery is None
+            or CONFIGURATION in self._pulling_kinds
+            or changed > replica.revision  # then it is pushed or pulled in any case
+            or now < self._next_newer_pull
+        ):
+            return
+        self._next_newer_pull = now + NEWER_CONFIGURATION_INTERVAL
+        self._start_pull(peer, CONFIGURATION)
 
     def _should_pull(self, kind: str, state: ReplicaState, now: float) -> bool:
         if kind in self._pulling_kinds or self._nursery is None:
@@ -359,6 +455,11 @@
             self._membership.refresh_addresses()
 
 
+def _base(value: Any) -> list:
+    """Return what tells the content of a range record."""
+    return [value.get("epoch"), value.get("next_fence")]
+
+
 def _pack(changes: Iterable[ObjectChange]) -> bytes:
     """Return changes as one compressed block: objects of a kind are much alike."""
     rows = [[change.name, change.version, change.value] for change in changes]
