--- a/packages/router/src/fireflystand_router/dispatch/tests/test_replication.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_replication.py
@@ -4,8 +4,10 @@
 
 import trio
 
+from fireflystand_core.replica import era_of
+
 from ..flow import CONFIRMATION_MARGIN
-from ..ports import CONFIGURATION, KINDS, DispatchBounds
+from ..ports import CONFIGURATION, KINDS, TARGETS, DispatchBounds
 from ..replicas import WATCHER_COUNT
 from ..state import OUTAGE_AGE
 from .replication_model import ReplicationModel, play_model
@@ -137,6 +139,90 @@
                 play_model(30, scenario, seed=seed)
 
 
+class RestorationTests(unittest.TestCase):
+    """Guard against instances that differ for long after the store was restored."""
+
+    LOST_WRITES = 200
+    CALLS_PER_SECOND = 40  # of all instances together
+
+    async def restore(self, model: ReplicationModel) -> None:
+        """Lose some seconds of writes, among them those of some instances' records."""
+        copy = model.store.copy()
+        model.configure(2)
+        for number in range(self.LOST_WRITES):
+            model.store.write(TARGETS, f"t{number % 20}", {"n": number})
+        await trio.sleep(model.random.uniform(0.5, 3.0))
+        for instance in model.instances:
+            instance.store.without_store = True
+        await trio.sleep(model.random.uniform(0.2, 2.0))
+        for instance in model.instances:
+            instance.store.without_store = False
+        model.store.restore(copy)
+
+    def is_current(self, instance, model: ReplicationModel) -> bool:
+        """Tell whether an instance has what the restored store has, of each kind."""
+        return all(
+            era_of(replica.revision) == era_of(model.store.revision)
+            and set(replica.by_name) == set(model.store.objects.get(kind, {}))
+            for kind, replica in instance.state.replicas_by_kind.items()
+        )
+
+    async def watch_current(self, model: ReplicationModel) -> float:
+        """Wait until all instances are current; return the seconds that it took."""
+        began_at = trio.current_time()
+        with trio.fail_after(60.0):
+            while not all(self.is_current(i, model) for i in model.instances):
+                await trio.sleep(STEP)
+        return trio.current_time() - began_at
+
+    def test_change_after_the_restoration_reaches_all_instances(self):
+        async def scenario(model):
+            model.fabric.push_loss = 0.1
+            await self.restore(model)
+            await trio.sleep(model.random.uniform(0.0, 2.0))
+            calls = model.store.calls.copy()
+            began_at = trio.current_time()
+            for version in (2, 3):
+                model.configure(version)
+            seconds, found = await watch_versions(model, 3)
+            self.assertLess(seconds, APPLY_LIMIT)
+            self.assertEqual(found, set())
+            await self.watch_current(model)
+            await trio.sleep(5.0)
+            seconds = trio.current_time() - began_at
+            made = model.store.calls - calls
+            self.assertLess(
+                made["list"] + made["watch"], self.CALLS_PER_SECOND * seconds
+            )
+
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                play_model(30, scenario, seed=seed)
+
+    def test_instances_that_were_cut_off_bring_nothing_back(self):
+        async def scenario(model):
+            count = round(CUT_SHARE * len(model.instances))
+            cut = {i.id for i in model.random.sample(model.instances, count)}
+            model.fabric.cut |= cut
+            await trio.sleep(1.0)
+            await self.restore(model)
+            model.configure(3)
+            seconds, _ = await watch_versions(model, 3, without=cut)
+            self.assertLess(seconds, APPLY_LIMIT)
+            await trio.sleep(CUT_SECONDS)
+            model.fabric.heal(cut)
+            seconds, _ = await watch_versions(model, 3)
+            self.assertLess(seconds, APPLY_LIMIT)
+            await self.watch_current(model)
+            await trio.sleep(5.0)
+            self.assertTrue(all(self.is_current(i, model) for i in model.instances))
+            self.assertEqual(model.find_false_confirmations(), [])
+
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                play_model(30, scenario, seed=seed)
+
+
 class ConfirmationTests(unittest.TestCase):
     """Guard against confirmations that are too recent, and against missing ones."""
 
