Keep instances whose records a restoration lost until they can register

Instances that missed the push of the restored store's list learn with a heartbeat that their record is lost, which takes 2 s with many instances, and the others learn of the new record with a watch. The 2.2 s for which their records were kept could be over by then, and live peers would have been declared dead.

Change: such records are kept for 8 s. Whether an instance is live is decided by heartbeats, so a record that is kept in vain does no harm.

--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -44,6 +44,9 @@
 # Target records that expired during an outage of the store, or are missing in the copy
 # from which it was restored, are written again within 2 s of its return.
 RETURN_PERIOD = 2.2  # seconds
+# An instance may miss the push that shows that its record is lost. It then learns that
+# with a heartbeat, which takes 2 s with many instances, and the others with a watch.
+REGISTRATION_PERIOD = 8.0  # seconds
 # An instance asks the store itself before its confirmation is this old. An older one
 # means that no instance can reach the store, not merely that the store is slow.
 OUTAGE_AGE = 2.5  # seconds
@@ -329,7 +332,8 @@
     def _is_recovering(self, kind: str) -> bool:
         """Tell whether what a restored store lacks may still be written again."""
         restored_at = self._restored_at_by_kind.get(kind, float("-inf"))
-        return self._clock() < restored_at + RETURN_PERIOD
+        period = REGISTRATION_PERIOD if kind == INSTANCES else RETURN_PERIOD
+        return self._clock() < restored_at + period
 
     def _decode(
         self,
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restoration.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restoration.py
@@ -20,7 +20,7 @@
     KindSnapshot,
 )
 from ..restoration import LAPSE_PERIOD
-from ..state import RETURN_PERIOD, RoutingState
+from ..state import REGISTRATION_PERIOD, RETURN_PERIOD, RoutingState
 from .node_support import Caller, SharedStore, eventually, play_with_targets
 
 WATCH_PERIOD = 3.0  # seconds for which what must not happen is watched
@@ -320,6 +320,23 @@
 
         self.run_scenario(scenario)
 
+    def test_instance_that_the_list_lacks_is_kept_until_it_could_register(self):
+        """It may miss the push that shows this, and heartbeats take 2 s."""
+
+        def scenario(state):
+            value = {"incarnation": "1", "address": "h:1", "data_centre": "x"}
+            self.list(state, INSTANCES, 20, a=value)
+            self.list(state, INSTANCES, make_revision(1, 15))
+            self.assertFalse(state.is_registered("a", "1"))
+            self.now += REGISTRATION_PERIOD - 0.1
+            state.expire()
+            self.assertIn("a", state.instances_by_id)
+            self.now += 0.2
+            self.assertIn(INSTANCES, state.expire())
+            self.assertNotIn("a", state.instances_by_id)
+
+        self.run_scenario(scenario)
+
     def test_departure_that_the_list_lacks_ends_after_the_recovery(self):
         def scenario(state):
             self.list(state, DEPARTURES, 20, x={}, y={})
