Take later changes from a list that is out of date

After a restoration the coordinator may write a range record before it has the list of the new era. Peers that pulled its replica dropped the copy with the new record, because the copy's revision was below their own.

Change: the objects of such a copy that are later than the replica's revision are applied; all others are left out, and it confirms nothing.

Failed before: test_copy_of_before_brings_the_changes_that_its_sender_got_after ([] is not the written record).

--- a/packages/core/src/fireflystand_core/replica.py
+++ b/packages/core/src/fireflystand_core/replica.py
@@ -79,7 +79,9 @@
     ) -> list[ObjectChange]:
         """Replace the contents by a complete list and return the changes."""
         if revision < self.revision:
-            return []
+            # The list is out of date, but a peer may have got later changes since.
+            later = [item for item in items if item.version > self.revision]
+            return self._apply_newer(later)
         new_by_name = {item.name: item for item in items}
         changes = [
             ObjectChange(name, revision, None)
@@ -110,8 +112,7 @@
         latest_by_name: dict[str, ObjectChange] = {}
         for event in events:
             latest_by_name[event.name] = event
-        changes = [event for event in latest_by_name.values() if self._is_newer(event)]
-        self._apply_changes(changes)
+        changes = self._apply_newer(latest_by_name.values())
         self._remember_deletions(latest_by_name.values())
         is_one_era = era_of(since) == era_of(revision)
         if is_one_era and since <= self.revision <= revision:
@@ -123,6 +124,11 @@
         self.by_name[change.name] = change
         self.deleted_by_name.pop(change.name, None)
 
+    def _apply_newer(self, events: Iterable[ObjectChange]) -> list[ObjectChange]:
+        changes = [event for event in events if self._is_newer(event)]
+        self._apply_changes(changes)
+        return changes
+
     def _is_newer(self, change: ObjectChange) -> bool:
         if era_of(change.version) < era_of(self.revision):
             return False
--- a/packages/core/src/fireflystand_core/tests/test_replica.py
+++ b/packages/core/src/fireflystand_core/tests/test_replica.py
@@ -80,6 +80,17 @@
         self.assertEqual(replica.revision, make_revision(1, 92))
         self.assertEqual(replica.confirmed_at, 2.0)
 
+    def test_copy_of_before_brings_the_changes_that_its_sender_got_after(self):
+        """A range record written after the restoration was pulled in vain."""
+        replica = KindReplica("k")
+        replica.replace(104, [change("a", 0, 60), change("b", 0, 61)], 1.0)
+        written = change("a", 1, 51, 2)
+        copy = [written, change("b", 0, 60), change("c", 0, 62)]
+        self.assertEqual(replica.replace(100, copy, 2.0), [written])
+        self.assertEqual(replica.by_name["a"], written)
+        self.assertEqual(set(replica.by_name), {"a", "b"})
+        self.assertEqual((replica.revision, replica.confirmed_at), (104, 1.0))
+
     def test_changes_between_two_eras_do_not_make_a_replica_complete(self):
         """It counted as complete and kept what the restored store lacks."""
         replica = KindReplica("k")
