Give no fencing token out twice after the store is restored

After a restoration, targets refused grants and keys had no owner, or two targets held the same keys and a target got keys under a token that another one had had (rule OWNER).

Cause: the restored range record has the owners, the epoch and the next token of before. The coordinator's confirmation passed (same epoch), its next write conflicted, and it went on from the older record. An instance that claimed after the coordinator's death did the same, while leases under the lost record still held.

Now an epoch and the tokens begin anew in each era of the store: the first claim in an era raises both to era << 40 plus 4096 for each revision up to the version that it replaces. So nothing needs to be known of what was lost, and a claim whose record a late write of the earlier era replaced has no tokens in common with the next one, up to revision 2**27. Tokens stay below 2**53 up to era 8191.

- A coordinator that sees a later era, or its record missing or replaced, claims again from its own record and renews meanwhile.
It never goes back to an older record of its epoch, and sends the whole record to its peers.
- It ends its claim instead if another instance may have claimed in the lost seconds: if its loop paused, or the live instances changed, since a second before the store last confirmed it, or if an instance became unreachable within 8 s before that.
Known ends count as changes too: the leases granted by a process that ended still hold.
An instance that could not be reached for longer would have claimed before the last confirmation.
- Any other claim that continues from a record of an earlier era comes 1.5 s later than otherwise, so that a coordinator in office goes first.
It marks the record (awaits_leases), grants nothing until every lease that may exist has ended, and then assigns all ranges again under new tokens.
A successor that finds the mark waits too.
- Event 6030 has the era and whether leases are awaited.

--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -10,6 +10,12 @@
 __all__ = ["KEY_SPACE", "KeyRange", "RangeRecord"]
 
 KEY_SPACE = 65536  # routing keys are numbers from 0 to 65535
+# The bits of an epoch or fencing token below the store's era. Both stay below 2**53,
+# the bound of whole numbers in JSON, up to era 8191.
+ERA_BITS = 40
+# A write uses one revision of the store and gives out fewer fencing tokens than this.
+TOKENS_PER_REVISION = 4096
+MAX_COUNTED_REVISION = 2**27  # leaves half of an era's tokens above its product
 
 
 @attrs.frozen
@@ -46,8 +52,10 @@
 class RangeRecord:
     """Hold the ranges of a service in order, without gaps, and its coordinator.
 
-    ``epoch`` counts the claims of coordinators; ``next_fence`` only increases.
-    ``holder`` and ``holder_incarnation`` name the process that may change it.
+    ``epoch`` rises with each claim of a coordinator; ``next_fence`` only increases.
+    ``holder`` and ``holder_incarnation`` name the process that may change it. With
+    ``awaits_leases``, a restored store may have lost the latest assignments, and no
+    range is granted until every lease under them has ended.
     """
 
     service: str
@@ -56,6 +64,7 @@
     epoch: int = 0
     holder: str = ""
     holder_incarnation: str = ""
+    awaits_leases: bool = False
     _firsts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
 
     @_firsts.default
@@ -80,15 +89,64 @@
         ranges.sort(key=lambda item: item.first)
         return attrs.evolve(self, ranges=_merged(ranges), next_fence=fence + 1)
 
-    def claim(self, holder: str, incarnation: str) -> "RangeRecord":
-        """Return the record with the next epoch, under a new coordinator."""
+    @property
+    def era(self) -> int:
+        """Return the store's era in which the coordinator claimed the service."""
+        return self.epoch >> ERA_BITS
+
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Return what orders the records of a service by their content."""
+        return self.epoch, self.next_fence
+
+    def is_held_by(self, holder: str, incarnation: str) -> bool:
+        """Tell whether the record names this process as its coordinator."""
+        return (self.holder, self.holder_incarnation) == (holder, incarnation)
+
+    def claim(
+        self,
+        holder: str,
+        incarnation: str,
+        *,
+        era: int = 0,
+        number: int = 0,
+        is_complete: bool = False,
+    ) -> "RangeRecord":
+        """Return the record with a later epoch, under a new coordinator.
+
+        The claim replaces the version ``number`` of the store's ``era``. The first
+        claim in an era raises the epoch and the fencing tokens above all that earlier
+        coordinators may have given out in records that are lost. ``is_complete`` tells
+        that no assignment can be missing here.
+        """
+        is_first = era > self.era
+        counted = min(number, MAX_COUNTED_REVISION) * TOKENS_PER_REVISION
+        floor = (era << ERA_BITS) + counted if is_first else 0
         return attrs.evolve(
             self,
-            epoch=self.epoch + 1,
+            epoch=max(self.epoch + 1, floor),
+            next_fence=max(self.next_fence, floor),
             holder=holder,
             holder_incarnation=incarnation,
+            awaits_leases=self.awaits_leases or (is_first and not is_complete),
         )
 
+    def settle(self, started_at_by_target: Mapping[str, int]) -> "RangeRecord":
+        """Assign all ranges again once every earlier lease has ended.
+
+        A range whose owner's process is not among the given ones gets no owner.
+        """
+        if not self.awaits_leases:
+            return self
+        record = attrs.evolve(self, awaits_leases=False)
+        for item in self.ranges:
+            target = item.target
+            if target and started_at_by_target.get(target) != item.started_at:
+                target = ""
+            started_at = item.started_at if target else 0
+            record = record.assign(item.first, item.last, target, started_at)
+        return record
+
     def owned_by(self, target: str) -> list[KeyRange]:
         """Return the ranges of a target."""
         return self.ranges_by_target.get(target, [])
@@ -104,7 +162,8 @@
 
     def to_value(self) -> dict[str, Any]:
         """Return the form that is stored in the object store."""
-        return {
+        value: dict[str, Any] = {"awaits_leases": True} if self.awaits_leases else {}
+        return value | {
             "service": self.service,
             "epoch": self.epoch,
             "holder": self.holder,
@@ -126,6 +185,7 @@
             epoch=value["epoch"],
             holder=value["holder"],
             holder_incarnation=value["holder_incarnation"],
+            awaits_leases=value.get("awaits_leases", False),
         )
 
 
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -49,6 +49,7 @@
     emit,
 )
 from ..http_client import ConnectionFailedError
+from .claim_watch import ClaimWatch
 from .clock import lease_clock
 from .load import ServiceLoad
 from .membership import Membership
@@ -64,6 +65,7 @@
 # it end later, and requests with an API key are refused after 4 s without the store.
 AUTHORITY_PERIOD = 6.0  # seconds
 CONFIRM_INTERVAL = 1.5  # seconds
+RECLAIM_INTERVAL = 0.3  # seconds between two tries to claim in a restored store
 # A coordinator whose store calls fail for this long resigns if others reach the store.
 RESIGN_AFTER = 2.5  # seconds
 DISCOVERY_PERIOD = 1.6  # seconds after the start until all peers have been contacted
@@ -149,12 +151,18 @@
         self._claimable_epoch = 0
         self._resigned_epoch = -1
         self._stopping = False
+        self._is_claim_lost = False
+        self._is_claiming_again = False
+        self._next_reclaim = 0.0
+        self._grants_from = float("-inf")
+        self._next_settling = 0.0
+        self._watch = ClaimWatch(service, state, membership, clock)
         self.writer = RecordWriter(
             service,
             store,
             state,
             share,
-            may_write=self.has_valid_authority,
+            may_write=self._may_write,
             clock=clock,
         )
         self._nursery: trio.Nursery | None = None
@@ -173,6 +181,7 @@
         """Claim and coordinate until cancelled."""
         async with trio.open_nursery() as self._nursery:
             while True:
+                self._watch.update_era()
                 if self.is_coordinator:
                     await self._coordinate()
                 elif not self._stopping:
@@ -225,10 +234,14 @@
         )
         if self._membership.reachable_share < 0.5:
             delay += MINORITY_DELAY
+        may_be_lost = self._may_be_lost(record)
+        if may_be_lost:
+            # A coordinator that knows the latest assignments claims again first.
+            delay += CONFIRM_INTERVAL
         if record is None or record.epoch == self._resigned_epoch:
             return delay
         if record.holder == self._membership.own_id:
-            return 0.0
+            return delay if may_be_lost else 0.0
         if self._is_holder_replaced(record):
             return delay
         if self._membership.is_live(record.holder):
@@ -244,11 +257,17 @@
 
     async def _claim(self, record: RangeRecord | None) -> None:
         requested_at = self._clock()
+        is_complete = not self._may_be_lost(record)
         if record is None:
             record = RangeRecord(self.service)
-        version = self._state.range_version(self.service)
-        claimed = record.claim(self._membership.own_id, self._membership.incarnation)
-        if not await self.writer.claim(claimed, version):
+        claimed = await self.writer.claim(
+            record,
+            self._membership.own_id,
+            self._membership.incarnation,
+            self._watch.era,
+            is_complete=is_complete,
+        )
+        if claimed is None:
             return
         previous_until = requested_at
         previous_may_act = record.holder and not (
@@ -264,31 +283,114 @@
             previous_until = now + AUTHORITY_PERIOD
         elif not record.holder:
             previous_until = float("-inf")
+        self._grants_from = float("-inf")
+        if claimed.awaits_leases:
+            previous_until = now + self._lost_claim_period(bool(previous_may_act))
+            self._grants_from = previous_until + self._max_validity()
         self._ledger.timing = self._scaled_timing()
         self._status_by_target.clear()
         self._moving.clear()
         self._unsent_freezes.clear()
+        self._is_claim_lost = False
         self._previous_authority_until = previous_until
         self._authority_until = requested_at + AUTHORITY_PERIOD
         self._has_authority = True
         self._next_confirm = now + CONFIRM_INTERVAL
         self._next_plan = now
+        self._emit_claim(record, claimed, bool(previous_may_act))
+
+    def _emit_claim(
+        self, record: RangeRecord, claimed: RangeRecord, waits_for_predecessor: bool
+    ) -> None:
         emit(
             COORDINATOR_CLAIMED,
             service=self.service,
             epoch=claimed.epoch,
             predecessor=record.holder,
             ranges=len(claimed.ranges),
-            waits_for_predecessor=bool(previous_may_act),
+            waits_for_predecessor=waits_for_predecessor,
+            era=claimed.era,
+            awaits_leases=claimed.awaits_leases,
+        )
+
+    # Claims in a restored store
+
+    def _may_be_lost(self, record: RangeRecord | None) -> bool:
+        """Tell whether the store may have lost assignments that a record lacks."""
+        if record is not None:
+            return record.era < self._watch.era
+        # Without a record, leases may still hold under one that the store has lost.
+        period = AUTHORITY_PERIOD + self._max_validity()
+        return self._clock() - self._watch.risen_at < period
+
+    def _lost_claim_period(self, previous_may_act: bool) -> float:
+        """Return how long a coordinator whose claim was lost may still send grants.
+
+        One that is live learns of the new claim at its next confirmation.
+        """
+        if previous_may_act or self._watch.unreachable():
+            return AUTHORITY_PERIOD
+        return CONFIRM_INTERVAL
+
+    def _max_validity(self) -> float:
+        """Return the validity of leases that any coordinator may have granted."""
+        known = self._state.latest_records_by_target.values()
+        targets = sum(target.service == self.service for target in known)
+        return self._timing_for(targets).max_validity
+
+    def _handle_restoration(self, now: float) -> None:
+        """Claim again in the restored store, from this process's own record."""
+        confirmed_at = self._authority_until - AUTHORITY_PERIOD
+        is_restored = self._watch.era > self.record.era
+        if is_restored and self._watch.may_have_missed_claim(confirmed_at):
+            return self._end("another claim may have been lost with the store")
+        if now >= self._next_reclaim and not self._is_claiming_again:
+            self._next_reclaim = now + RECLAIM_INTERVAL
+            self._is_claiming_again = True
+            self._start_task(self._run_claim_again)
+
+    async def _run_claim_again(self) -> None:
+        try:
+            await self._claim_again()
+        finally:
+            self._is_claiming_again = False
+
+    async def _claim_again(self) -> None:
+        requested_at = self._clock()
+        record = self.record
+        claimed = await self.writer.claim(
+            record,
+            self._membership.own_id,
+            self._membership.incarnation,
+            self._watch.era,
+            is_complete=True,
         )
+        if claimed is None:
+            return
+        self._is_claim_lost = False
+        self._authority_until = max(
+            self._authority_until, requested_at + AUTHORITY_PERIOD
+        )
+        self._emit_claim(record, claimed, waits_for_predecessor=False)
+
+    async def _settle(self) -> None:
+        """Assign all ranges again under new tokens once no earlier lease can hold."""
+        usable = self._state.usable_targets(self.service)
+        started_at_by_target = {target.id: target.started_at for target in usable}
+        await self.writer.change(lambda record: record.settle(started_at_by_target))
 
     # Authority
 
     async def _coordinate(self) -> None:
         now = self._clock()
+        self._watch.follow_instances()
         known = self._state.records_by_service.get(self.service)
-        if known is not None and known.epoch > self.record.epoch:
+        if known is not None and self._is_later_claim(known):
             return self._end("another instance claimed the service")
+        if self._has_to_claim_again():
+            self._handle_restoration(now)
+            if not self.is_coordinator:
+                return
         if now >= self._next_confirm:
             self._next_confirm = now + CONFIRM_INTERVAL
             self._start_task(self._confirm)
@@ -297,6 +399,11 @@
             return
         if self._should_resign(now):
             return self.resign("the store turns this instance away")
+        if self.record.awaits_leases:
+            if now >= max(self._grants_from, self._next_settling):
+                self._next_settling = now + RECLAIM_INTERVAL
+                self._start_task(self._settle)
+            return
         self._renew(now)
         self._probe_unresponsive(now)
         if now >= self._next_plan:
@@ -314,22 +421,43 @@
         """Tell whether this process may send grants now."""
         return self.is_coordinator and self._clock() < self._authority_until
 
+    def _has_to_claim_again(self) -> bool:
+        """Tell whether the store may have lost this process's claim."""
+        return self._is_claim_lost or self._watch.era > self.record.era
+
+    def _may_write(self) -> bool:
+        return self.has_valid_authority() and not self._has_to_claim_again()
+
     async def _confirm(self) -> None:
-        """Extend the authority, or end the claim if the stored epoch is another."""
+        """Extend the authority, or end the claim if another one is stored."""
         requested_at = self._clock()
+        epoch = self.record.epoch
         try:
-            stored = await self._store.get(RANGES, self.service)
+            stored = await self.writer.read()
         except (StoreUnavailableError, ProtocolError) as error:
             emit(RECORD_WRITE_FAILED, error, service=self.service, what="confirm")
             return
-        if self.record is None:
+        if self.record is None or self.record.epoch != epoch:
             return
-        if stored is None or stored.value["epoch"] != self.record.epoch:
+        self._watch.update_era()
+        found = None if stored is None else RangeRecord.from_value(stored.value)
+        if found is not None and self._is_later_claim(found):
             return self._end("the record has another coordinator")
+        if found is None or found.epoch < epoch:
+            self._is_claim_lost = True
+        if self._has_to_claim_again() or found.epoch > epoch:
+            return
         self._authority_until = max(
             self._authority_until, requested_at + AUTHORITY_PERIOD
         )
 
+    def _is_later_claim(self, record: RangeRecord) -> bool:
+        """Tell whether a record holds a claim of another process that replaced this."""
+        own_id, incarnation = self._membership.own_id, self._membership.incarnation
+        return record.epoch >= self.record.epoch and not record.is_held_by(
+            own_id, incarnation
+        )
+
     def _should_resign(self, now: float) -> bool:
         if self._authority_until - AUTHORITY_PERIOD > now - RESIGN_AFTER:
             return False
@@ -380,7 +508,9 @@
 
     def _scaled_timing(self) -> LeaseTiming:
         """Return lease times long enough that one instance can send all renewals."""
-        targets = len(self._state.usable_targets(self.service))
+        return self._timing_for(len(self._state.usable_targets(self.service)))
+
+    def _timing_for(self, targets: int) -> LeaseTiming:
         base = self._base_timing
         renewal_interval = max(base.renewal_interval, targets / MAX_RENEWALS_PER_SECOND)
         lease_duration = min(
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -13,7 +13,7 @@
     StoreUnavailableError,
 )
 from fireflystand_core.ranges import RangeRecord
-from fireflystand_core.replica import ObjectChange
+from fireflystand_core.replica import ObjectChange, era_of, number_of
 
 from ..events import RECORD_WRITE_FAILED, emit
 from ..future import Future
@@ -39,7 +39,8 @@
 class RecordWriter:
     """Write the range record of a service while this instance coordinates the service.
 
-    All writes are conditional, so two coordinators cannot both change the record.
+    All writes are conditional, so two coordinators cannot both change the record. A
+    claim holds in one era of the store: after a restoration it has to be made again.
     """
 
     def __init__(
@@ -60,16 +61,65 @@
         self._may_write = may_write
         self._clock = clock
         self._version = 0
+        # Peers may hold another content of the version that the next write replaces.
+        self._shares_whole = True
         self._write_lock = trio.Lock()
         self._pending: list[_PendingChange] = []
 
-    async def claim(self, record: RangeRecord, version: int) -> bool:
-        """Write the record of a new claim if the stored one has the given version."""
-        new_version = await self._write(record, version, "claim")
-        if new_version is None:
-            return False
-        self.record, self._version = record, new_version
-        return True
+    async def claim(
+        self,
+        record: RangeRecord,
+        holder: str,
+        incarnation: str,
+        era: int,
+        *,
+        is_complete: bool,
+    ) -> RangeRecord | None:
+        """Write a claim that continues from a record, unless a later one is stored.
+
+        A process that has a claim continues from its own record. Nothing is written if
+        the store is in a later era than ``era``. Return the claimed record.
+        """
+        async with self._write_lock:
+            record = self.record or record
+            version = await self._replaced_version(record, era)
+            if version is None or era_of(version) > era:
+                return None
+            known = self._state.records_by_service.get(self._service)
+            if known is not None and known.epoch > record.epoch:
+                if not known.is_held_by(holder, incarnation):
+                    return None
+                record = known  # a claim of this process whose response was lost
+            claimed = record.claim(
+                holder,
+                incarnation,
+                era=era,
+                number=number_of(version),
+                is_complete=is_complete,
+            )
+            self._shares_whole = True
+            new_version = await self._write(claimed, version, "claim")
+            if new_version is None or self._is_outdated(claimed, new_version):
+                return None
+            self.record, self._version = claimed, new_version
+            return claimed
+
+    async def _replaced_version(self, record: RangeRecord, era: int) -> int | None:
+        """Return the stored version that a claim replaces; None if it is unknown."""
+        version = self._state.range_version(self._service)
+        is_current = number_of(version) and era_of(version) >= era
+        if not record.holder or is_current:
+            return version
+        try:
+            stored = await self.read()
+        except (StoreUnavailableError, ProtocolError) as error:
+            emit(RECORD_WRITE_FAILED, error, service=self._service, what="claim")
+            return None
+        return 0 if stored is None else stored.version
+
+    def _is_outdated(self, record: RangeRecord, version: int) -> bool:
+        """Tell whether the store was restored after the claim of a record."""
+        return era_of(version) > record.era
 
     def end(self) -> None:
         """Stop writing the record; another coordinator may change it from now on."""
@@ -110,18 +160,24 @@
         version = await self._write(changed, self._version, "assign")
         if self.record is None or self.record.epoch != epoch:
             return None
-        if version is None:
+        if version is None or self._is_outdated(self.record, version):
             self._continue_from_replica(epoch)
             return None
         self.record, self._version = changed, version
         return changed
 
     def _continue_from_replica(self, epoch: int) -> None:
-        """Continue from the replica's record after a write that may have failed."""
+        """Continue from the stored version after a write that may have failed.
+
+        The record never goes back to an older one, which a restored store may hold.
+        """
         known = self._state.records_by_service.get(self._service)
-        if known is not None and known.epoch == epoch:
+        if known is not None and known.epoch > epoch:
+            return  # another claim; the next write must conflict too
+        self._version = self._state.range_version(self._service)
+        self._shares_whole = True
+        if known is not None and known.progress >= self.record.progress:
             self.record = known
-            self._version = self._state.range_version(self._service)
 
     async def _write(self, record: RangeRecord, version: int, step: str) -> int | None:
         """Write the record if the stored one has the given version.
@@ -135,7 +191,7 @@
             emit(RECORD_WRITE_FAILED, error, service=self._service, what=step)
             # If this read fails, the next write conflicts again and repeats the read.
             with suppress(StoreUnavailableError, ProtocolError):
-                await self._read_back()
+                await self.read()
             return None
         except (StoreUnavailableError, ProtocolError) as error:
             emit(RECORD_WRITE_FAILED, error, service=self._service, what=step)
@@ -147,7 +203,7 @@
         """Return the version of a write without a response if the write took effect."""
         for _ in range(READ_BACK_ATTEMPTS):
             try:
-                stored = await self._read_back()
+                stored = await self.read()
             except (StoreUnavailableError, ProtocolError):
                 await trio.sleep(READ_BACK_INTERVAL)
                 continue
@@ -156,7 +212,8 @@
             return None
         return None
 
-    async def _read_back(self) -> ObjectChange | None:
+    async def read(self) -> ObjectChange | None:
+        """Return the stored record and apply it to the own replica."""
         stored = await self._store.get(RANGES, self._service)
         if stored is not None:
             since = self._state.replicas_by_kind[RANGES].revision
@@ -169,4 +226,5 @@
         before = self._state.replicas_by_kind[RANGES].by_name.get(self._service)
         # Other objects may have changed meanwhile, so the replica may be incomplete.
         self._state.apply(RANGES, version, version, [change], self._clock())
-        self._share_change(change, before)
+        self._share_change(change, None if self._shares_whole else before)
+        self._shares_whole = False
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -7,11 +7,16 @@
 
 from fireflystand_core.exceptions import StoreConflictError, StoreUnavailableError
 from fireflystand_core.ranges import KeyRange, LeaseTiming, RangeRecord
-from fireflystand_core.replica import ObjectChange
+from fireflystand_core.replica import (
+    ObjectChange,
+    era_of,
+    make_revision,
+    number_of,
+)
 from fireflystand_core.traffic import EntryLimits, RoutingTable, TargetRecord
 
 from ...http_client import ConnectionFailedError
-from ..ports import RANGES, TARGETS, GrantRefusedError
+from ..ports import RANGES, TARGETS, GrantRefusedError, KindSnapshot
 from ..ranges import RangeCoordinator
 from ..state import RoutingState
 
@@ -19,34 +24,90 @@
 
 
 class FakeStore:
-    """Store objects with versions and simulate outages and lost responses."""
+    """Store objects with versions; simulate outages, lost responses and restorations.
+
+    ``objects`` and ``history`` hold the store's own numbers, as before any restoration.
+    """
 
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], ObjectChange] = {}
         self.history: list[ObjectChange] = []  # all writes, of every kind
         self.revision = 0
+        self.era = 0
         self.down = False
         self.delay = 0.0  # seconds beyond the usual response time
+        self.write_response_delay = 0.0  # seconds from a write to its response
         self.lost_responses = 0  # number of writes whose responses are dropped
+        self.held_writes = 0  # number of writes to be carried out later
+        self._held: list[tuple[str, str, object, int]] = []
+        self._copies: list[tuple[float, int, dict[tuple[str, str], ObjectChange]]] = []
+
+    async def list(self, kind) -> KindSnapshot:
+        await self._respond()
+        items = [
+            self._current(change)
+            for (of_kind, _), change in self.objects.items()
+            if of_kind == kind
+        ]
+        return KindSnapshot(make_revision(self.era, self.revision), items)
 
     async def get(self, kind, name):
         await self._respond()
-        return self.objects.get((kind, name))
+        known = self.objects.get((kind, name))
+        return known and self._current(known)
 
     async def put(self, kind, name, value, version):
         await self._respond()
+        if self.held_writes:
+            self.held_writes -= 1
+            self._held.append((kind, name, value, number_of(version)))
+            raise StoreUnavailableError("response was lost", step="put")
+        if version is not None and version and era_of(version) != self.era:
+            raise StoreConflictError("version of an earlier era", step="put")
+        number = None if version is None else number_of(version)
+        change = self._write(kind, name, value, number)
+        await trio.sleep(self.write_response_delay)
+        if self.lost_responses:
+            self.lost_responses -= 1
+            raise StoreUnavailableError("response was lost", step="put")
+        return self._current(change).version
+
+    def carry_out_held_writes(self) -> None:
+        """Carry out the writes held up whose condition holds now."""
+        held, self._held = self._held, []
+        for kind, name, value, number in held:
+            with suppress(StoreConflictError):
+                self._write(kind, name, value, number)
+
+    def restore(self, seconds: float) -> None:
+        """Go back to the copy of some seconds ago."""
+        at = trio.current_time() - seconds
+        self._restore([copy for copy in self._copies if copy[0] <= at])
+
+    def restore_number(self, number: int) -> None:
+        """Go back to the copy with the given last number."""
+        self._restore([copy for copy in self._copies if copy[1] <= number])
+
+    def _restore(self, kept: list) -> None:
+        _, self.revision, objects = kept[-1] if kept else (0.0, 0, {})
+        self.objects = dict(objects)
+        self._copies = kept
+        self.era += 1
+
+    def _write(self, kind, name, value, number) -> ObjectChange:
         known = self.objects.get((kind, name))
         current = known.version if known else 0
-        if version is not None and version != current:
+        if number is not None and number != current:
             raise StoreConflictError("object has another version", step="put")
         self.revision += 1
         change = ObjectChange(name, self.revision, value)
         self.objects[kind, name] = change
         self.history.append(change)
-        if self.lost_responses:
-            self.lost_responses -= 1
-            raise StoreUnavailableError("response was lost", step="put")
-        return self.revision
+        self._copies.append((trio.current_time(), self.revision, dict(self.objects)))
+        return change
+
+    def _current(self, change: ObjectChange) -> ObjectChange:
+        return attrs.evolve(change, version=make_revision(self.era, change.version))
 
     async def _respond(self):
         await trio.sleep(0.004 + self.delay)
@@ -184,6 +245,7 @@
     reachable_share: float = 1.0
     incarnations_by_id: dict[str, str] = attrs.field(factory=dict)
     ended: set[tuple[str, str]] = attrs.field(factory=set)
+    unreachable_since_by_id: dict[str, float] = attrs.field(factory=dict)
 
     def rank(self, name: str) -> int:
         return 0
@@ -194,6 +256,10 @@
     def has_process_ended(self, instance: str, incarnation: str) -> bool:
         return (instance, incarnation) in self.ended
 
+    def seconds_unreachable(self, instance: str) -> float:
+        now = trio.current_time()
+        return now - self.unreachable_since_by_id.setdefault(instance, now)
+
     def broadcast(self, message: object) -> None:
         pass
 
@@ -206,26 +272,31 @@
         self.targets = [FakeTarget(f"t{number}") for number in range(targets)]
         self.control = FakeControl(self.targets)
 
-    def new_coordinator(self, own_id: str = "a") -> RangeCoordinator:
+    def new_coordinator(self, own_id: str = "a", **options) -> RangeCoordinator:
+        """Return a coordinator of an instance; ``options`` replace its fakes."""
         state = RoutingState(
             lambda value: None, lambda change: change.value, trio.current_time
         )
         state.table = RoutingTable(1, [], [], [], EntryLimits())
         state.replicas_by_kind[RANGES].revision = 1
-        membership = FakeMembership(
+        membership = options.pop("membership", None) or FakeMembership(
             own_id=own_id, incarnation=f"{own_id}1", live=[own_id]
         )
-        coordinator = RangeCoordinator(
+        kind = options.pop("kind", RangeCoordinator)
+        fakes = {
+            "store": self.store,
+            "control": self.control,
+            "share": lambda *change: None,
+        }
+        coordinator = kind(
             SERVICE,
-            store=self.store,
-            control=self.control,
             state=state,
             membership=membership,
             lease_timing=LeaseTiming(),
             max_lease=10.0,
-            share=lambda *change: None,
             store_age=lambda: 0.0,
             clock=trio.current_time,
+            **(fakes | options),
         )
         coordinator.state, coordinator.membership = state, membership
         for target in self.targets:
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -370,6 +370,8 @@
     "predecessor",
     "ranges",
     "waits_for_predecessor",
+    "era",
+    "awaits_leases",
 )
 COORDINATOR_ENDED = define_event(
     6031,
