Replace a record that a late write put into the store

Requests for keys went to a target that did not hold them, until the coordinator's next write.

Cause: a write without a response is given up, but may take effect seconds later. All instances then route by its assignments, while the coordinator goes on by its own record and notices only when a write conflicts.

The coordinator compares the record of its replica with its own in each iteration, unless it is writing, and claims again if the other is newer.

Failed before: test_late_write_stays_although_its_move_was_given_up (record names t0, t1 holds the keys).

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -387,6 +387,7 @@
         known = self._state.records_by_service.get(self.service)
         if known is not None and self._is_later_claim(known):
             return self._end("another instance claimed the service")
+        self.writer.check_replica()
         if self._has_to_claim_again():
             self._handle_restoration(now)
             if not self.is_coordinator:
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -120,6 +120,14 @@
             return None
         return 0 if stored is None else stored.version
 
+    def check_replica(self) -> None:
+        """Compare the replica's record with the own one while nothing is written."""
+        known = self._state.records_by_service.get(self._service)
+        if self._write_lock.locked() or known is None or self.record is None:
+            return
+        if known.epoch == self.record.epoch and known.progress > self.record.progress:
+            self.is_replaced = True
+
     def _is_outdated(self, record: RangeRecord, version: int) -> bool:
         """Tell whether the store was restored after the claim of a record."""
         return era_of(version) > record.era
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
@@ -49,6 +49,8 @@
         self.assertIsNotNone(cluster.coordinator())
         for record in cluster.records():
             self.assertEqual(record, cluster.stored())
+        for key in (0, 9999, 22000, 45000, 50000, 65535):
+            self.assertEqual(cluster.owners(key), [cluster.stored().owner(key).target])
 
     def test_tokens_of_lost_moves_are_given_out_again(self):
         """The coordinator went on from the restored record after a conflict."""
@@ -250,6 +252,25 @@
             with self.subTest(seconds=seconds):
                 run_scenario(partial(scenario, seconds=seconds))
 
+    def test_late_write_stays_although_its_move_was_given_up(self):
+        """Requests for the keys went to a target that did not hold them."""
+
+        async def scenario(cluster):
+            await start_instances(cluster)
+            cluster.set_usable("t0", False)
+            await trio.sleep(3)
+            cluster.store.held_writes = 1
+            cluster.set_usable("t0", True)
+            while cluster.store.held_writes:
+                await trio.sleep(0.01)
+            cluster.set_usable("t0", False)
+            await trio.sleep(1.2)
+            cluster.store.carry_out_held_writes()
+            await trio.sleep(3)
+            self.assert_sole_owners(cluster)
+
+        run_scenario(scenario)
+
     def test_another_instance_claims_a_lost_record_first(self):
         """An instance of higher rank took the service over, and keys had no owner."""
 
