Send nothing new to a target that states that it leaves

An upstream that leaves says so in all its answers with Server-Leaving: 1, and a request sent later than `drain` after a machine has passed on such an answer must not reach it from that machine, in touch or not.

Cause: the header was read nowhere; only the record in the store decided.

So the admission queue drops it, coordinators move its keys as at a departure in the store, and a request that still waits for a connection to it is withdrawn before its first byte. A request that waited for a slot of the target is placed again where it was refused before; its time to wait for an owner starts anew with that. Who else is told: the instance that grants the target's slots, with the slot that is returned, and the coordinator, with the work report of each half second. No message is added. Both fields have defaults, so that peers of an older build read the messages.

Event 6043 and gauge dispatch.leaving_targets.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -19,6 +19,7 @@
 from .slots import HeldSlot, TargetLoad, TargetSlots
 
 __all__ = [
+    "TARGET_GONE",
     "AdmissionQueue",
     "QueuedRequest",
     "SlotGranted",
@@ -26,6 +27,7 @@
     "SlotResult",
 ]
 
+TARGET_GONE = "target is gone"  # reason of a refusal
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
 # A request that has to wait is queued only if its expected end leaves a margin before
 # its deadline.
@@ -132,7 +134,7 @@
         self.targets_by_id.pop(target, None)
         queue = self._queues_by_target.pop(target, {})
         return [
-            SlotRefused(request, "target is gone", MIN_RETRY_AFTER)
+            SlotRefused(request, TARGET_GONE, MIN_RETRY_AFTER)
             for request in queue.values()
         ]
 
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -145,6 +145,8 @@
     """Return a slot with the result of its request and the target's reported load.
 
     ``seconds`` is how long the request ran, or a lower bound if not ``complete``.
+    ``leaving`` is the target and the start of its process if that process has stated
+    that it leaves.
     """
 
     service: str
@@ -154,6 +156,7 @@
     shed: bool = False
     unreachable: bool = False
     load: list[float] | None = None
+    leaving: list[Any] | None = None
 
 
 @message("slot-withdrawal")
@@ -208,13 +211,15 @@
     """Report requests by key and work by target since the last report.
 
     ``targets`` lists target, requests that ran, their seconds in total, and the same
-    at the usual speed of the target's machine.
+    at the usual speed of the target's machine. ``leaving`` lists the targets that have
+    stated that they leave, each with the start of its process.
     """
 
     service: str
     seconds: float
     keys: list[list[int]]
     targets: list[list[Any]]
+    leaving: list[list[Any]] = attrs.field(factory=list)
 
 
 @message("crash-notice")
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -8,6 +8,7 @@
 import trio
 
 from fireflystand_core.admission import RetryBudget
+from fireflystand_core.dispatch import TARGET_GONE
 from fireflystand_core.messages import SlotRefusal, SlotReturn
 from fireflystand_core.traffic import ClientAccount, Route, TargetRecord, WeightedChoice
 
@@ -103,6 +104,7 @@
     received_at: float
     soft_deadline_at: float
     limit: TimeLimit
+    placed_at: float  # arrival, or the last departure of a target that it waited for
     service: str = ""
     body_prefix: bytes = b""
     fingerprint: int = 0
@@ -306,6 +308,7 @@
             account=account,
             body=body,
             received_at=received_at,
+            placed_at=received_at,
             soft_deadline_at=received_at + route.target_latency - elapsed,
             limit=TimeLimit(
                 received_at
@@ -411,6 +414,9 @@
             target_id = await self._wait_for_owner(context)
             context.target = target_id or context.target
             slot = await self._acquire_slot(context, target_id)
+            if slot is None:
+                context.placed_at = trio.current_time()
+                continue
             target = self._target_of_slot(context, slot)
             if target is None:
                 self._slots.release(slot, SlotReturn(slot.service, slot.number))
@@ -418,6 +424,9 @@
             result = await self._send_once(context, slot, target)
             if isinstance(result, _TargetResponse):
                 return result
+            if result.withdrawn:
+                context.slots_used -= 1
+                continue
             context.last_failure = result.outcome.reason
             if not self._may_retry(context, result):
                 raise self._refusal_after(context, result)
@@ -455,7 +464,7 @@
                 return owner.target
             frozen = self._state.is_frozen(context.service, context.request.routing_key)
             if not frozen and owner is not None and owner.target:
-                until = min(until, context.received_at + NO_TARGET_RETRY_AFTER)
+                until = min(until, context.placed_at + NO_TARGET_RETRY_AFTER)
             await self._state.wait_for_change(max(0.0, until - trio.current_time()))
         self._raise_no_target(context, "the key has no owner")
 
@@ -465,10 +474,13 @@
         wait = NO_TARGET_RETRY_AFTER * (0.5 + self._random.random())
         raise RequestRefusedError(503, reason, retry_after=wait)
 
-    async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot:
+    async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot | None:
+        """Return a slot, or None if the target left while the request waited for it."""
         context.phase = _Phase.SLOT
         slot = await self._wait_for_slot(context, target)
         if isinstance(slot, SlotRefusal):
+            if slot.reason == TARGET_GONE and not self._state.usable_target(target):
+                return None
             if context.may_have_run:
                 raise self._unknown_outcome(context, 502, context.last_failure)
             if context.limit.shortened:
@@ -523,6 +535,7 @@
         opened: Exchange | Failure | None = None
         try:
             opened = await self._open(context, forward)
+            self._note_response(target, opened)
         except (RequestRefusedError, MalformedMessageError) as error:
             # The caller's body failed while the target was receiving it.
             raise RequestRefusedError(
@@ -532,7 +545,7 @@
             context.attempts += forward.may_have_been_sent
             if not isinstance(opened, Exchange):
                 if isinstance(opened, Failure):
-                    unreachable = not forward.may_have_been_sent
+                    unreachable = not (forward.may_have_been_sent or opened.withdrawn)
                     result = attrs.evolve(
                         result, shed=opened.shed, unreachable=unreachable
                     )
@@ -582,6 +595,13 @@
             # After a cancelled wait the target may still run the request.
             context.may_have_run = context.may_have_run or forward.may_have_been_sent
 
+    def _note_response(
+        self, target: TargetRecord, response: Exchange | Failure
+    ) -> None:
+        """Apply what the fields of a response state about its target."""
+        if self._settings.target_fields.states_leaving(response.fields):
+            self._state.mark_leaving(target.id, target.started_at)
+
     def _record_failure(
         self,
         context: _RequestContext,
@@ -624,6 +644,7 @@
             repeatable=repeatable,
             read_more_body=None if complete else context.body.read,
             idle_limit=REPEATABLE_IDLE_LIMIT if repeatable else UNREPEATABLE_IDLE_LIMIT,
+            is_withdrawn=lambda: self._state.usable_target(target.id) is None,
         )
 
     async def _deliver(
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -30,6 +30,7 @@
     COORDINATED,
     HELD_SLOTS,
     KNOWN_TARGETS,
+    LEAVING_TARGETS,
     LIVE_PEERS,
     LOOP_LAG,
     PROOF_AGE,
@@ -238,6 +239,7 @@
         gauge(CONFIGURATION_VERSION, table.version if table else 0)
         gauge(LOOP_LAG, self.loop_lag.last)
         gauge(KNOWN_TARGETS, len(self.state.targets_by_id))
+        gauge(LEAVING_TARGETS, self.state.leaving_count)
         gauge(COORDINATED, len(self.summary()["coordinates"]))
 
     def _not_ready_reason(self) -> str:
@@ -255,6 +257,12 @@
         policy = services.get(target.service) if target else None
         return policy.health_path if policy else "/health"
 
+    def note_leaving(self, target_id: str) -> None:
+        """Send a target no new requests, as a response to a control call asks."""
+        target = self.state.targets_by_id.get(target_id)
+        if target is not None:
+            self.state.mark_leaving(target_id, target.started_at)
+
     def summary(self) -> dict:
         """Return this instance's view of the fleet, for operators."""
         table = self.state.table
--- a/packages/router/src/fireflystand_router/dispatch/ownership.py
+++ b/packages/router/src/fireflystand_router/dispatch/ownership.py
@@ -81,4 +81,6 @@
             coordinator.record_resignation(message.epoch)
 
     def _handle_report(self, report: WorkReport, link: PeerLink, reply: Reply) -> None:
+        for target_id, started_at in report.leaving:
+            self._state.mark_leaving(target_id, started_at)
         self.add_work_report(report)
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -126,12 +126,14 @@
 class TargetFields:
     """Hold the names of the request fields that the router sets for targets.
 
-    ``read_load`` returns the target's load as its response fields report it.
+    ``read_load`` returns the target's load as its response fields report it, and
+    ``states_leaving`` tells whether they state that the target leaves.
     """
 
     account: bytes = b"Fireflystand-Client-Account"
     expected_target: bytes = b"Fireflystand-Target"
     read_load: Callable[[Fields], list[float] | None] = lambda fields: None
+    states_leaving: Callable[[Fields], bool] = lambda fields: False
 
 
 @attrs.frozen
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -204,6 +204,8 @@
         self._enqueue(queued, _Requester(request.service, deliver, link))
 
     def _handle_return(self, message: SlotReturn, link: PeerLink, reply: Reply) -> None:
+        if message.leaving:
+            self._state.mark_leaving(*message.leaving)
         self.release(message.service, _slot_result(message))
 
     def _handle_withdrawal(
@@ -352,6 +354,10 @@
 
     def release(self, slot: Slot, result: SlotReturn) -> None:
         """Return a slot to the queue that counts it."""
+        for target in self._state.stated_leaving(slot.service):
+            if target.id == slot.target:
+                leaving = [target.id, target.started_at]
+                result = attrs.evolve(result, leaving=leaving)
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -24,6 +24,7 @@
     STORE_RESTORED,
     TARGET_RECORD_CHANGED,
     TARGET_RECORD_REMOVED,
+    TARGET_STATED_LEAVING,
     emit,
 )
 from .clock import lease_clock
@@ -122,6 +123,8 @@
         self._in_outage = False
         self._deletions_by_target: dict[str, int] = {}  # revision of the deletion
         self._recovery_ends_at = float("-inf")
+        # Start times of the processes that stated in a response that they leave.
+        self._leaving_starts_by_target: dict[str, int] = {}
         self._unreadable: set[tuple[str, str]] = set()  # kinds and names, as logged
         self._removals = TargetRemovals(clock)
         # The revision of the list of the restored store that lacks an object.
@@ -145,6 +148,41 @@
         """Return the seconds since the configuration in force was applied."""
         return self._clock() - self.table_applied_at
 
+    def mark_leaving(self, target_id: str, started_at: int) -> None:
+        """Send a target no new requests as long as its process is the given one."""
+        target = self.targets_by_id.get(target_id)
+        if target is None or target.started_at != started_at:
+            return
+        if self._leaving_starts_by_target.get(target_id) == started_at:
+            return
+        self._leaving_starts_by_target[target_id] = started_at
+        emit(TARGET_STATED_LEAVING, target=target_id, service=target.service)
+        target = self._with_statement(target)
+        self.targets_by_id[target_id] = target
+        self.latest_records_by_target[target_id] = target
+        self.notify(TARGETS)
+
+    def _with_statement(self, target: TargetRecord) -> TargetRecord:
+        """Return a record that says what the target's process has stated since."""
+        if self._leaving_starts_by_target.get(target.id) == target.started_at:
+            return attrs.evolve(target, leaving=True)
+        self._leaving_starts_by_target.pop(target.id, None)
+        return target
+
+    def stated_leaving(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that stated that they leave."""
+        return [
+            target
+            for target_id in self._leaving_starts_by_target
+            if (target := self.targets_by_id.get(target_id))
+            and target.service == service
+        ]
+
+    @property
+    def leaving_count(self) -> int:
+        """Return the number of known targets that stated that they leave."""
+        return len(self._leaving_starts_by_target.keys() & self.targets_by_id.keys())
+
     def usable_target(self, target_id: str) -> TargetRecord | None:
         """Return a target if new requests may be sent to it."""
         target = self.targets_by_id.get(target_id)
@@ -446,6 +484,7 @@
             self._removals.add_restored(target)
         else:
             self._removals.add_written(target.id)
+        target = self._with_statement(target)
         known = self.targets_by_id.get(target.id)
         if known is None or attrs.evolve(known, version=target.version) != target:
             emit(
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -36,6 +36,7 @@
     DispatchBounds,
     DispatchSettings,
     KindSnapshot,
+    TargetFields,
 )
 
 HOST = "a.example"
@@ -178,6 +179,9 @@
     status: int = 200
     not_run: bool = False
     breaks: bool = False
+    closes: bool = False  # each connection after its first response
+    extra: list[tuple[str, str]] = attrs.field(factory=list)  # response fields
+    arrivals: list[float] = attrs.field(factory=list)  # times of the requests
     requests: list[dict[bytes, bytes]] = attrs.field(factory=list)
     connections: int = 0
 
@@ -198,6 +202,7 @@
             elif isinstance(event, h11.Request):
                 fields = dict(event.headers)
                 self.requests.append(fields | {b":target": event.target})
+                self.arrivals.append(trio.current_time())
             elif isinstance(event, h11.EndOfMessage):
                 if not await self._answer(connection, stream, fields):
                     return
@@ -211,12 +216,15 @@
             return False
         echoed = fields.get(b"fireflystand-request-id", b"")
         headers = [("Content-Length", "2"), ("Fireflystand-Request-Id", echoed)]
+        headers += self.extra
+        if self.closes:
+            headers.append(("Connection", "close"))
         if self.not_run:
             headers.append(("Fireflystand-Outcome", "not-run"))
         data = connection.send(h11.Response(status_code=self.status, headers=headers))
         data += connection.send(h11.Data(data=b"ok"))
         await stream.send_all(data + connection.send(h11.EndOfMessage()))
-        return True
+        return not self.closes
 
 
 class Fleet:
@@ -231,6 +239,7 @@
         self.target_options = TargetOptions()
         self.bounds = DispatchBounds()
         self.caller_options = CallerOptions()
+        self.target_fields = TargetFields()
 
     async def add_target(
         self, service: str = "keyed", *, target: HttpTarget | None = None, **fields
@@ -263,6 +272,7 @@
             target_options=self.target_options,
             bounds=self.bounds,
             caller_options=self.caller_options,
+            target_fields=self.target_fields,
         )
         node = DispatchNode(
             settings, self.store, SharedControl(), self.read_table, read_record
--- a/packages/router/src/fireflystand_router/dispatch/work.py
+++ b/packages/router/src/fireflystand_router/dispatch/work.py
@@ -60,6 +60,10 @@
                 [target, int(count), seconds, nominal_seconds]
                 for target, (count, seconds, nominal_seconds) in work.items()
             ],
+            leaving=[
+                [target.id, target.started_at]
+                for target in self._state.stated_leaving(service)
+            ],
         )
         record = self._state.records_by_service.get(service)
         holder = record.holder if record else ""
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -447,6 +447,9 @@
 TARGET_RESPONSIVE = define_event(
     6042, "INFO", "target answers grants again", "service", "target", "address"
 )
+TARGET_STATED_LEAVING = define_event(
+    6043, "INFO", "target stated in a response that it leaves", "target", "service"
+)
 PEER_REPLY_DROPPED = define_event(
     6041,
     "INFO",
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -7,6 +7,7 @@
 from fireflystand_core.outcomes import NotRun, Unknown
 
 from ..events import CANCEL_FAILED, emit
+from ..fields import Fields
 from ..http_client import ConnectionFailedError, HttpClient
 from .exchange import BrokenExchangeError, Exchange, ForwardRequest
 from .pool import IDLE_LIMIT, UNREPEATABLE_IDLE_LIMIT, TargetPool
@@ -23,13 +24,19 @@
 
 @attrs.frozen
 class Failure:
-    """Describe a failed attempt; the flags are copied into ``PermitReturn``."""
+    """Describe a failed attempt; the flags are copied into ``PermitReturn``.
+
+    ``status`` and ``fields`` are those of the target's refusal, if there is one.
+    """
 
     outcome: NotRun | Unknown
     refused: bool = False
     broken: bool = False
     shed: bool = False
     stale: bool = False
+    withdrawn: bool = False  # before it was sent
+    status: int = 0
+    fields: Fields = attrs.field(factory=list)
 
 
 class Forwarder:
@@ -79,6 +86,9 @@
         if trio.current_time() > request.send_before:
             pool.release(connection)
             return Failure(NotRun("permit expired before the request was sent"))
+        if request.is_withdrawn():
+            pool.release(connection)
+            return Failure(NotRun("target takes no new requests"), withdrawn=True)
         exchange = Exchange(pool, connection, request, self._options)
         try:
             await exchange.start(self._nursery)
@@ -108,7 +118,13 @@
         finally:
             exchange.abort()
         reason = "target sheds load" if status == 503 else "target is not the owner"
-        return Failure(NotRun(reason), shed=status == 503, stale=status == 421)
+        return Failure(
+            NotRun(reason),
+            shed=status == 503,
+            stale=status == 421,
+            status=status,
+            fields=exchange.fields,
+        )
 
     async def _drain_refusal(self, exchange: Exchange) -> None:
         """Receive the body of a refusal if it is short, to reuse the connection."""
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -49,6 +49,7 @@
     may_have_been_sent: bool = False  # set once bytes may have reached the target
     cancellation_pending: bool = False  # at the target
     on_cancelled: Callable[[bool], None] | None = None  # gets True if acknowledged
+    is_withdrawn: Callable[[], bool] = lambda: False  # asked before the first byte
 
 
 class Exchange:
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -270,6 +270,12 @@
 LOOP_LAG = define_metric(
     "dispatch.loop_lag", "gauge", "s", "delay of timers on the event loop"
 )
+LEAVING_TARGETS = define_metric(
+    "dispatch.leaving_targets",
+    "gauge",
+    "targets",
+    "targets with a record whose process has stated that it leaves",
+)
 KNOWN_TARGETS = define_metric(
     "dispatch.targets", "gauge", "targets", "targets with a record in the store"
 )
