Send a target nothing in a pause that it asks for

An upstream that turns a request away with 503 may add Retry-After: it wants nothing from that machine for so long, and at most two requests may reach it from that machine between half a second after the refusal and the end.

Cause: the header was read nowhere.

The slot that it returns tells the queue which grants the target's slots; that queue keeps the pauses of instances apart and grants the slots to others. The sender checks its own pauses again when it gets a slot and before the first byte. A request that no target takes before its deadline is refused with the time left as its Retry-After, before a retry is spent; any other goes elsewhere or waits.

Limit: health checks that identify a new control connection are still sent, since grants depend on them.

Event 6044 and gauge dispatch.pausing_targets. No message is added; the new field has a default for peers of an older build.

Test: test_pauses (core), test_pausing_targets (kept and new connections, keys, Retry-After, other targets, three instances), PauseTests in test_target_fields with the platform's own fields. With the reading of the header taken out 7 of these fail: 10 requests in the last second of a pause of 1.5 s (2 allowed) on kept and on new connections, with keys and with the platform's fields; 50 from three instances (6 allowed).

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "TARGET_GONE",
+    "TARGET_PAUSES",
     "AdmissionQueue",
     "QueuedRequest",
     "SlotGranted",
@@ -28,6 +29,7 @@
 ]
 
 TARGET_GONE = "target is gone"  # reason of a refusal
+TARGET_PAUSES = "target wants no requests now"  # reason of a refusal
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
 # A request that has to wait is queued only if its expected end leaves a margin before
 # its deadline.
@@ -82,6 +84,7 @@
     """Report how a request that held a slot ended.
 
     ``seconds`` is how long it ran, or a lower bound of that if not ``complete``.
+    ``pause`` is for how many seconds the target wants nothing from the instance.
     """
 
     number: int
@@ -90,6 +93,7 @@
     shed: bool = False
     unreachable: bool = False
     load: TargetLoad | None = None
+    pause: float = 0.0
 
 
 Decision = SlotGranted | SlotRefused
@@ -159,6 +163,9 @@
         targets = self._candidates(request.target)
         if not targets:
             return float("inf"), self.mean.seconds
+        if wait := self._pause_left_for(request, now):
+            return wait, self.mean.seconds
+        targets = [t for t in targets if not t.pause_left_for(request.instance, now)]
         mean = sum(target.mean.seconds for target in targets) / len(targets)
         queue = self._queues_by_target.get(request.target, {})
         ahead = [mean] * self._count_ahead(request, queue.values(), now)
@@ -186,6 +193,13 @@
             for other in queued
         )
 
+    def _pause_left_for(self, request: QueuedRequest, now: float) -> float:
+        """Return the seconds for which all targets pause for the request's instance."""
+        targets = self._candidates(request.target)
+        return min(
+            (t.pause_left_for(request.instance, now) for t in targets), default=0
+        )
+
     def _unreachable_for(self, target: str, now: float) -> float:
         return self.targets_by_id[target].unreachable_for(now) if target else 0.0
 
@@ -214,7 +228,9 @@
         for request in sorted(queue.values(), key=self._urgency(now)):
             slots = self._choose_target(request, now)
             if slots is None:
-                break
+                if not any(t.has_pauses for t in self._candidates(target)):
+                    break
+                continue
             del queue[request.id]
             if self._is_too_late(request, slots.mean, now):
                 reason = "no time left for the work"
@@ -245,7 +261,12 @@
         return key
 
     def _choose_target(self, request: QueuedRequest, now: float) -> TargetSlots | None:
-        free = [t for t in self._candidates(request.target) if t.free_slots(now) > 0]
+        free = [
+            target
+            for target in self._candidates(request.target)
+            if target.free_slots(now) > 0
+            and not target.pause_left_for(request.instance, now)
+        ]
         if not free:
             return None
 
@@ -285,10 +306,26 @@
             target.record_load(result.load, now)
         if result.shed:
             target.pause_after_shed(now)
+        decisions: list[Decision] = []
+        if result.pause > 0:
+            target.pause_for(slot.instance, now + result.pause)
+            decisions = self._refuse_paused(target.record.id, slot.instance, now)
         if result.unreachable:
             target.pause_as_unreachable(now)
-            return self._refuse_queue(target, now)
-        return self._dispatch_freed(target, now)
+            return decisions + self._refuse_queue(target, now)
+        return decisions + self._dispatch_freed(target, now)
+
+    def _refuse_paused(self, target: str, instance: str, now: float) -> list[Decision]:
+        """Refuse the requests of an instance that no target takes in their time."""
+        decisions: list[Decision] = []
+        for name in (target, ""):
+            queue = self._queues_by_target.get(name, {})
+            for request in [r for r in queue.values() if r.instance == instance]:
+                wait = self._pause_left_for(request, now)
+                if now + wait >= request.deadline_at:
+                    del queue[request.id]
+                    decisions.append(self._refusal(request, TARGET_PAUSES, wait, now))
+        return decisions
 
     def _record_duration(
         self, target: TargetSlots, route: str, result: SlotResult
@@ -354,6 +391,8 @@
             for number, target in self._targets_by_slot.items()
             if target.held_by_number[number].expires_at <= now
         ]
+        for slots in self.targets_by_id.values():
+            slots.drop_ended_pauses(now)
         decisions = self._free_slots(expired, now)
         for target, queue in list(self._queues_by_target.items()):
             if not queue:
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -63,6 +63,7 @@
         self._nominal_mean = MeanDuration(mean)  # at slowdown 1
         self._paused_until = float("-inf")
         self._unreachable_until = float("-inf")
+        self._pause_ends_by_instance: dict[str, float] = {}
         self._slowdown = 1.0
         self._slowdown_at = float("-inf")
         self._cold_until = now + record.cold_for
@@ -130,6 +131,28 @@
         """Pause after the target refused a request for lack of free capacity."""
         self._paused_until = now + SHED_PAUSE
 
+    def pause_for(self, instance: str, until: float) -> None:
+        """Send the target nothing from an instance until the given time."""
+        known = self._pause_ends_by_instance.get(instance, until)
+        self._pause_ends_by_instance[instance] = max(known, until)
+
+    def pause_left_for(self, instance: str, now: float) -> float:
+        """Return the seconds until the target gets requests from an instance again."""
+        if not self._pause_ends_by_instance:
+            return 0.0
+        return max(0.0, self._pause_ends_by_instance.get(instance, now) - now)
+
+    def drop_ended_pauses(self, now: float) -> None:
+        """Forget the instances that may send the target requests again."""
+        for instance, until in list(self._pause_ends_by_instance.items()):
+            if until <= now:
+                del self._pause_ends_by_instance[instance]
+
+    @property
+    def has_pauses(self) -> bool:
+        """Tell whether some instance may not send the target requests now."""
+        return bool(self._pause_ends_by_instance)
+
     def pause_as_unreachable(self, now: float) -> None:
         """Send the target no requests for a while, as it refuses connections."""
         self._unreachable_until = now + UNREACHABLE_PAUSE
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -146,7 +146,8 @@
 
     ``seconds`` is how long the request ran, or a lower bound if not ``complete``.
     ``leaving`` is the target and the start of its process if that process has stated
-    that it leaves.
+    that it leaves. ``pause`` is for how many seconds the target wants no request from
+    the sender of this message.
     """
 
     service: str
@@ -157,6 +158,7 @@
     unreachable: bool = False
     load: list[float] | None = None
     leaving: list[Any] | None = None
+    pause: float = 0.0
 
 
 @message("slot-withdrawal")
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -8,7 +8,7 @@
 import trio
 
 from fireflystand_core.admission import RetryBudget
-from fireflystand_core.dispatch import TARGET_GONE
+from fireflystand_core.dispatch import TARGET_GONE, TARGET_PAUSES, TargetPauses
 from fireflystand_core.messages import SlotRefusal, SlotReturn
 from fireflystand_core.traffic import ClientAccount, Route, TargetRecord, WeightedChoice
 
@@ -22,6 +22,7 @@
     REQUEST_REFUSED,
     REQUEST_RETRIED,
     RESPONSE_LATE,
+    TARGET_PAUSED,
     Event,
     emit_limited,
 )
@@ -78,6 +79,7 @@
 # A response body of unknown length is given up so long past the deadline in any case,
 # since a faulty target may send bytes without end.
 MAX_UNFRAMED_OVERRUN = 5.0  # seconds
+RETURN_SPREAD = 0.1  # of the Retry-After of a request that a pause refuses
 RETRY_DELAY = 0.02  # seconds before a request is sent again
 REPORTED_LATENESS = 0.25  # seconds past the deadline at which a response ends
 
@@ -155,7 +157,9 @@
         metrics: Metrics,
         random: Random,
         loop_lag: LoopLag,
+        pauses: TargetPauses,
     ) -> None:
+        self._pauses = pauses
         self._settings = settings
         self._state = state
         self._rate_limiter = rate_limiter
@@ -413,6 +417,9 @@
         while True:
             target_id = await self._wait_for_owner(context)
             context.target = target_id or context.target
+            if left := self._check_pause(context, target_id):
+                await trio.sleep(left)
+                continue
             slot = await self._acquire_slot(context, target_id)
             if slot is None:
                 context.placed_at = trio.current_time()
@@ -428,6 +435,7 @@
                 context.slots_used -= 1
                 continue
             context.last_failure = result.outcome.reason
+            self._check_pause(context, target_id)
             if not self._may_retry(context, result):
                 raise self._refusal_after(context, result)
             emit_limited(
@@ -468,6 +476,37 @@
             await self._state.wait_for_change(max(0.0, until - trio.current_time()))
         self._raise_no_target(context, "the key has no owner")
 
+    def _check_pause(self, context: _RequestContext, target_id: str) -> float:
+        """Return the seconds until a target takes the request.
+
+        Refuse the request if that is after its deadline.
+        """
+        left = self._pause_left(context.service, target_id)
+        if left and trio.current_time() + left >= context.deadline_at:
+            if context.may_have_run:
+                raise self._unknown_outcome(context, 502, context.last_failure)
+            # Callers that were refused together must not return together.
+            wait = left * (1 + RETURN_SPREAD * self._random.random())
+            raise RequestRefusedError(503, TARGET_PAUSES, retry_after=wait)
+        return left
+
+    def _pause_left(self, service: str, target_id: str) -> float:
+        """Return the seconds for which a target, or each of a service, pauses."""
+        now = trio.current_time()
+        if self._pauses.has_ended(now):
+            return 0.0
+        target = self._state.usable_target(target_id)
+        targets = [target] if target else self._state.usable_targets(service)
+        return min((self._pause_of(target, now) for target in targets), default=0.0)
+
+    def _pause_of(self, target: TargetRecord, now: float) -> float:
+        return self._pauses.left(target.id, target.started_at, now)
+
+    def _takes_requests(self, target_id: str) -> bool:
+        """Tell whether a target may be sent a request now."""
+        target = self._state.usable_target(target_id)
+        return target is not None and not self._pause_of(target, trio.current_time())
+
     def _raise_no_target(self, context: _RequestContext, reason: str) -> None:
         if context.may_have_run:
             raise self._unknown_outcome(context, 502, context.last_failure)
@@ -481,6 +520,8 @@
         if isinstance(slot, SlotRefusal):
             if slot.reason == TARGET_GONE and not self._state.usable_target(target):
                 return None
+            if slot.reason == TARGET_PAUSES:
+                self._check_pause(context, target)
             if context.may_have_run:
                 raise self._unknown_outcome(context, 502, context.last_failure)
             if context.limit.shortened:
@@ -513,8 +554,10 @@
         self, context: _RequestContext, slot: Slot
     ) -> TargetRecord | None:
         """Return the slot's target, or None if the request may not go to it now."""
+        if not self._takes_requests(slot.target):
+            return None
         target = self._state.usable_target(slot.target)
-        if target is None or not self._is_keyed(context.service):
+        if not self._is_keyed(context.service):
             return target
         owner = self._state.owner(context.service, context.request.routing_key)
         if owner is None or owner.target != target.id:
@@ -599,8 +642,18 @@
         self, target: TargetRecord, response: Exchange | Failure
     ) -> None:
         """Apply what the fields of a response state about its target."""
-        if self._settings.target_fields.states_leaving(response.fields):
+        names = self._settings.target_fields
+        if names.states_leaving(response.fields):
             self._state.mark_leaving(target.id, target.started_at)
+        seconds = names.read_pause(response.status, response.fields)
+        now = trio.current_time()
+        if self._pauses.add(target.id, target.started_at, seconds, now):
+            emit_limited(
+                TARGET_PAUSED,
+                target=target.id,
+                service=target.service,
+                seconds=round(min(seconds, 1e6), 3),
+            )
 
     def _record_failure(
         self,
@@ -644,7 +697,7 @@
             repeatable=repeatable,
             read_more_body=None if complete else context.body.read,
             idle_limit=REPEATABLE_IDLE_LIMIT if repeatable else UNREPEATABLE_IDLE_LIMIT,
-            is_withdrawn=lambda: self._state.usable_target(target.id) is None,
+            is_withdrawn=lambda: not self._takes_requests(target.id),
         )
 
     async def _deliver(
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from fireflystand_core.dispatch import TargetPauses
 from fireflystand_core.exceptions import (
     ProtocolError,
     StoreConflictError,
@@ -33,6 +34,7 @@
     LEAVING_TARGETS,
     LIVE_PEERS,
     LOOP_LAG,
+    PAUSING_TARGETS,
     PROOF_AGE,
     STORE_AGE,
     STORE_ERA,
@@ -120,8 +122,13 @@
             is_seed=len(others) < len(settings.seeds),
         )
         self.slot_service = SlotService(self.state, self.membership, random)
+        self.pauses = TargetPauses(random.random)
         slots = SlotClient(
-            self.slot_service, self.membership, self.state, settings.data_centre
+            self.slot_service,
+            self.membership,
+            self.state,
+            settings.data_centre,
+            self.pauses,
         )
         self.membership.set_callbacks(
             self.replica_sync.handle_confirmations, self.slot_service.release_instance
@@ -146,6 +153,7 @@
             metrics=self.metrics,
             random=random,
             loop_lag=self.loop_lag,
+            pauses=self.pauses,
         )
         self.entry = self._new_entry_server()
         self.health = self._new_health_server()
@@ -239,6 +247,7 @@
         gauge(CONFIGURATION_VERSION, table.version if table else 0)
         gauge(LOOP_LAG, self.loop_lag.last)
         gauge(KNOWN_TARGETS, len(self.state.targets_by_id))
+        gauge(PAUSING_TARGETS, self.pauses.count(trio.current_time()))
         gauge(LEAVING_TARGETS, self.state.leaving_count)
         gauge(COORDINATED, len(self.summary()["coordinates"]))
 
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -127,13 +127,15 @@
     """Hold the names of the request fields that the router sets for targets.
 
     ``read_load`` returns the target's load as its response fields report it, and
-    ``states_leaving`` tells whether they state that the target leaves.
+    ``states_leaving`` tells whether they state that the target leaves. ``read_pause``
+    returns for how many seconds a response with a status asks for no more requests.
     """
 
     account: bytes = b"Fireflystand-Client-Account"
     expected_target: bytes = b"Fireflystand-Target"
     read_load: Callable[[Fields], list[float] | None] = lambda fields: None
     states_leaving: Callable[[Fields], bool] = lambda fields: False
+    read_pause: Callable[[int, Fields], float] = lambda status, fields: 0.0
 
 
 @attrs.frozen
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -13,6 +13,7 @@
     SlotRefused,
     SlotResult,
     TargetLoad,
+    TargetPauses,
 )
 from fireflystand_core.messages import (
     SlotGrant,
@@ -223,6 +224,7 @@
         shed=message.shed,
         unreachable=message.unreachable,
         load=_target_load(message.load),
+        pause=message.pause,
     )
 
 
@@ -244,7 +246,9 @@
         membership: Membership,
         state: RoutingState,
         data_centre: str,
+        pauses: TargetPauses | None = None,
     ) -> None:
+        self._pauses = pauses or TargetPauses()
         self._slot_service = slot_service
         self._membership = membership
         self._state = state
@@ -358,6 +362,12 @@
             if target.id == slot.target:
                 leaving = [target.id, target.started_at]
                 result = attrs.evolve(result, leaving=leaving)
+        target = self._state.targets_by_id.get(slot.target)
+        if target is not None:
+            now = trio.current_time()
+            pause = self._pauses.left(target.id, target.started_at, now)
+            if pause:
+                result = attrs.evolve(result, pause=pause)
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -450,6 +450,9 @@
 TARGET_STATED_LEAVING = define_event(
     6043, "INFO", "target stated in a response that it leaves", "target", "service"
 )
+TARGET_PAUSED = define_event(
+    6044, "INFO", "target asked for a pause", "target", "service", "seconds"
+)
 PEER_REPLY_DROPPED = define_event(
     6041,
     "INFO",
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -270,6 +270,12 @@
 LOOP_LAG = define_metric(
     "dispatch.loop_lag", "gauge", "s", "delay of timers on the event loop"
 )
+PAUSING_TARGETS = define_metric(
+    "dispatch.pausing_targets",
+    "gauge",
+    "targets",
+    "targets that asked this instance for a pause",
+)
 LEAVING_TARGETS = define_metric(
     "dispatch.leaving_targets",
     "gauge",
