Keep the statement of a target whose record has lapsed

What callers could see: a target whose record was deleted states in a response that it leaves; its record returns with the same start and says ready, and the instance sends it new requests (DRAIN).

Cause: mark_leaving looked the target up among the present records only.

Why the fix works: the latest record of a target is kept after its deletion, so the statement is held for its process. The slot's return looks the target up there too, by one access, where it went through all statements before.

Test: test_record_that_lapses_and_returns_takes_the_statement_back.

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -358,15 +358,13 @@
 
     def release(self, slot: Slot, result: SlotReturn) -> None:
         """Return a slot to the queue that counts it."""
-        for target in self._state.stated_leaving(slot.service):
-            if target.id == slot.target:
+        target = self._state.latest_records_by_target.get(slot.target)
+        if target is not None:
+            if self._state.has_stated_leaving(target):
                 leaving = [target.id, target.started_at]
                 result = attrs.evolve(result, leaving=leaving)
-        target = self._state.targets_by_id.get(slot.target)
-        if target is not None:
             now = trio.current_time()
-            pause = self._pauses.left(target.id, target.started_at, now)
-            if pause:
+            if pause := self._pauses.left(target.id, target.started_at, now):
                 result = attrs.evolve(result, pause=pause)
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -150,21 +150,27 @@
 
     def mark_leaving(self, target_id: str, started_at: int) -> None:
         """Send a target no new requests as long as its process is the given one."""
-        target = self.targets_by_id.get(target_id)
+        # The record may be gone and come back while the process still answers.
+        target = self.latest_records_by_target.get(target_id)
         if target is None or target.started_at != started_at:
             return
-        if self._leaving_starts_by_target.get(target_id) == started_at:
+        if self.has_stated_leaving(target):
             return
         self._leaving_starts_by_target[target_id] = started_at
         emit(TARGET_STATED_LEAVING, target=target_id, service=target.service)
         target = self._with_statement(target)
-        self.targets_by_id[target_id] = target
         self.latest_records_by_target[target_id] = target
-        self.notify(TARGETS)
+        if target_id in self.targets_by_id:
+            self.targets_by_id[target_id] = target
+            self.notify(TARGETS)
+
+    def has_stated_leaving(self, target: TargetRecord) -> bool:
+        """Tell whether the process of a record stated that it leaves."""
+        return self._leaving_starts_by_target.get(target.id) == target.started_at
 
     def _with_statement(self, target: TargetRecord) -> TargetRecord:
         """Return a record that says what the target's process has stated since."""
-        if self._leaving_starts_by_target.get(target.id) == target.started_at:
+        if self.has_stated_leaving(target):
             return attrs.evolve(target, leaving=True)
         self._leaving_starts_by_target.pop(target.id, None)
         return target
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_leaving_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_leaving_targets.py
@@ -95,6 +95,32 @@
 
         self.play(scenario)
 
+    def test_record_that_lapses_and_returns_takes_the_statement_back(self):
+        """A response may state it after the record was deleted."""
+
+        async def scenario(fleet: Fleet) -> None:
+            node = await self.start(fleet, "pooled")
+            first, second = fleet.targets[1:]
+            first.extra.append(LEAVING)
+            first.work = 0.3
+            second.work = 0.15
+            record = fleet.store.objects[TARGETS]["t2"].value
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.requests, node, "/p/x", 1)
+                await eventually(lambda: first.requests)
+                fleet.store.write(TARGETS, "t2", None)
+                await eventually(lambda: "t2" not in node.state.targets_by_id)
+            version = fleet.store.write(TARGETS, "t2", record)
+            await eventually(lambda: "t2" in node.state.targets_by_id)
+            self.assertEqual(self.version(node, "t2"), version)
+            async with trio.open_nursery() as nursery:
+                for _ in range(6):  # more than the slots of the other target
+                    nursery.start_soon(self.requests, node, "/p/x", 1)
+            self.assertEqual(len(first.requests), 1)
+            self.assertEqual(len(second.requests), 6)
+
+        self.play(scenario)
+
     def version(self, node, target: str) -> int:
         return node.state.targets_by_id[target].version
 
