--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -13,6 +13,7 @@
     SlotRefused,
     SlotResult,
     TargetLoad,
+    TargetPauses,
 )
 from fireflystand_core.messages import (
     SlotGrant,
@@ -204,6 +205,8 @@
         self._enqueue(queued, _Requester(request.service, deliver, link))
 
     def _handle_return(self, message: SlotReturn, link: PeerLink, reply: Reply) -> None:
+        if message.leaving:
+            self._state.mark_leaving(*message.leaving)
         self.release(message.service, _slot_result(message))
 
     def _handle_withdrawal(
@@ -221,6 +224,7 @@
         shed=message.shed,
         unreachable=message.unreachable,
         load=_target_load(message.load),
+        pause=message.pause,
     )
 
 
@@ -242,7 +246,9 @@
         membership: Membership,
         state: RoutingState,
         data_centre: str,
+        pauses: TargetPauses | None = None,
     ) -> None:
+        self._pauses = pauses or TargetPauses()
         self._slot_service = slot_service
         self._membership = membership
         self._state = state
@@ -352,6 +358,14 @@
 
     def release(self, slot: Slot, result: SlotReturn) -> None:
         """Return a slot to the queue that counts it."""
+        target = self._state.latest_records_by_target.get(slot.target)
+        if target is not None:
+            if self._state.has_stated_leaving(target):
+                leaving = [target.id, target.started_at]
+                result = attrs.evolve(result, leaving=leaving)
+            now = trio.current_time()
+            if pause := self._pauses.left(target.id, target.started_at, now):
+                result = attrs.evolve(result, pause=pause)
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -447,6 +447,12 @@
 TARGET_RESPONSIVE = define_event(
     6042, "INFO", "target answers grants again", "service", "target", "address"
 )
+TARGET_STATED_LEAVING = define_event(
+    6043, "INFO", "target stated in a response that it leaves", "target", "service"
+)
+TARGET_PAUSED = define_event(
+    6044, "INFO", "target asked for a pause", "target", "service", "seconds"
+)
 PEER_REPLY_DROPPED = define_event(
     6041,
     "INFO",
