Answer 504 when a body stalls that a target is receiving

Callers got 408 for a request whose body stalled after its first part, although that part, and with it the request, had been passed on. 408 promises that a request has not run, so a caller may repeat one that must not run twice.

Cause: _send_once of the dispatch flow and _attempt of make run's flow took over the status that the reader of the body raises. They marked the outcome unknown in the fields and the body, but the status said otherwise.

failed_body_refusal gives both flows one refusal for a body that failed while a target was receiving it: 504 for one that stalls, 400 and 413 as before, all with the outcome unknown. 421, 429 and 503 are not raised by a body. 408 stays for a body that stalls before any part was passed on (test_slow_senders_get_408).

The support of the tests of stops moves to a module of its own.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -13,6 +13,7 @@
 
 from ..entry import RequestRefusedError, ResponseWriter
 from ..entry.body import CallerBody
+from ..entry.refusals import failed_body_refusal
 from ..entry.time_limits import STOPPING, TimeLimit, TimeLimits
 from ..events import (
     CALLER_LEFT,
@@ -517,10 +518,7 @@
         try:
             opened = await self._open(context, forward)
         except (RequestRefusedError, MalformedMessageError) as error:
-            # The caller's body failed while the target was receiving it.
-            raise RequestRefusedError(
-                error.status, error.message, outcome="unknown", close=True
-            ) from error
+            raise failed_body_refusal(error) from error
         finally:
             context.attempts += forward.may_have_been_sent
             if not isinstance(opened, Exchange):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -1,133 +1,29 @@
 """Test that a planned stop leaves no request without a final response."""
 
 import unittest
-from contextlib import suppress
 from random import Random
 
-import attrs
 import trio
 
-from fireflystand_core.traffic import ClientAccount, RequestKind
+from fireflystand_core.traffic import RequestKind
 
-from ...entry import CallerOptions
-from ..ports import DispatchBounds
-from .node_support import HOST, eventually, play_fleet
+from .node_support import eventually
+from .stop_support import (
+    GRACE,
+    LONG,
+    SILENT,
+    PipeliningCaller,
+    StopTestCase,
+    passed_on,
+    send_bytes,
+)
 
-GRACE = 3.0  # seconds from the signal to the end of the process
-LONG = "20000"  # milliseconds; a deadline long after the end of the process
-SILENT = 60.0  # seconds of work of a target that does not answer in time
 AT_ONCE = 0.5  # seconds
 
 
-@attrs.frozen
-class Answer:
-    """Hold one response as its caller saw it; seconds on trio's clock."""
-
-    status: int
-    fields: dict[str, str]
-    at: float
-
-
-class PipeliningCaller:
-    """Send requests on one connection without waiting for their responses."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self.answers: list[Answer] = []
-        self.sent = 0
-        self.cut = False  # whether the connection ended inside a response
-        self.ended = trio.Event()
-
-    @classmethod
-    async def connect(cls, nursery: trio.Nursery, node) -> "PipeliningCaller":
-        host, port = node.entry.address.rsplit(":", 1)
-        caller = cls(await trio.open_tcp_stream(host, int(port)))
-        nursery.start_soon(caller._receive)
-        return caller
-
-    async def send(
-        self, path: str, *, method: str = "GET", deadline: str = LONG, key: int = 7
-    ) -> bool:
-        """Send a request; return whether the connection was open."""
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Fireflystand-Routing-Key: {key}",
-            f"Fireflystand-Deadline-Ms: {deadline}",
-            "Authorization: Bearer key-1",
-        ]
-        if method == "POST":
-            lines.append("Content-Length: 0")
-        if self.ended.is_set():
-            return False
-        try:
-            await self._stream.send_all("\r\n".join([*lines, "", ""]).encode())
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return False
-        self.sent += 1
-        return True
-
-    async def _receive(self) -> None:
-        buffer = b""
-        with suppress(trio.BrokenResourceError):
-            while received := await self._stream.receive_some(65536):
-                buffer = self._parse(buffer + received)
-        self.cut = bool(buffer)
-        self.ended.set()
-        await self._stream.aclose()
-
-    def _parse(self, buffer: bytes) -> bytes:
-        """Take the complete responses from the buffer and return the rest."""
-        while b"\r\n\r\n" in buffer:
-            head, _, rest = buffer.partition(b"\r\n\r\n")
-            status, *lines = head.decode().split("\r\n")
-            fields = dict(line.lower().split(": ", 1) for line in lines)
-            length = int(fields["content-length"])
-            if len(rest) < length:
-                break
-            answer = Answer(int(status.split()[1]), fields, trio.current_time())
-            self.answers.append(answer)
-            buffer = rest[length:]
-        return buffer
-
-    @property
-    def statuses(self) -> list[int]:
-        """Return the status of each response, in order."""
-        return [answer.status for answer in self.answers]
-
-
-def passed_on(target) -> list[str]:
-    """Return the paths of the callers' requests that a target got."""
-    paths = [fields[b":target"].decode() for fields in target.requests]
-    return [path for path in paths if not path.startswith("/fireflystand/")]
-
-
-class PlannedStopTests(unittest.TestCase):
+class PlannedStopTests(StopTestCase):
     """Guard against connections that a planned stop closes without an answer."""
 
-    def play(self, scenario, *, nodes: int = 1, **route) -> None:
-        """Start a fleet whose targets answer at once, and run a scenario."""
-
-        async def with_nodes(fleet):
-            fleet.bounds = DispatchBounds(stop_grace=GRACE)
-            fleet.caller_options = CallerOptions(pipeline_limit=16)
-            accounts = [ClientAccount("shop", ("key-1",))]
-            fleet.configure(2, accounts=accounts, **{"timeout": 30.0} | route)
-            for service in ("keyed", "pooled"):
-                await fleet.add_target(service)
-            for _ in range(nodes):
-                await fleet.add_node()
-            await fleet.settle()
-            await scenario(fleet)
-
-        play_fleet(with_nodes)
-
-    async def stop(self, node) -> float:
-        """Stop an instance and return how long that took."""
-        began_at = trio.current_time()
-        await node.stop()
-        return trio.current_time() - began_at
-
     def test_request_that_waits_for_a_slot(self):
         """Requests in the admission queue were cut off at the end of the grace."""
 
@@ -299,5 +195,27 @@
         self.play(scenario, nodes=2)
 
 
+class UnknownOutcomeTests(StopTestCase):
+    """Guard against answers that promise too much about requests that were sent."""
+
+    def test_body_that_stalls_while_its_target_receives_it(self):
+        """Callers got 408, which promises that a request has not run."""
+
+        async def scenario(fleet):
+            stream = await send_bytes(
+                fleet.nodes[0],
+                "POST /p/x HTTP/1.1",
+                "Content-Length: 200000",
+                body=bytes(100_000),
+            )
+            await eventually(lambda: fleet.targets[1].requests)
+            with trio.fail_after(8):
+                answer = await stream.receive_some(65536)
+            self.assertIn(b"HTTP/1.1 504", answer[:20])
+            self.assertIn(b'"outcome": "unknown"', answer)
+
+        self.play(scenario, kind=RequestKind.UNSAFE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -32,7 +32,7 @@
 from .attempts import HeldPermit, PendingRequest, Sender
 from .body import CallerBody
 from .interfaces import AccountDirectory, Permits, Placement, Quotas
-from .refusals import RequestRefusedError
+from .refusals import RequestRefusedError, failed_body_refusal
 from .requests import (
     FINGERPRINT_BYTES,
     CallerRequest,
@@ -259,13 +259,10 @@
             await self._deliver(pending, held_permit, result, writer)
             return None
         except (RequestRefusedError, MalformedMessageError) as error:
-            # Reading the caller's body failed while it was being sent to the target.
             held_permit.close()
             if writer.started:
                 return writer.abort()
-            raise RequestRefusedError(
-                error.status, error.message, outcome="unknown", close=True
-            ) from error
+            raise failed_body_refusal(error) from error
         finally:
             held_permit.close()
 
--- a/packages/router/src/fireflystand_router/entry/refusals.py
+++ b/packages/router/src/fireflystand_router/entry/refusals.py
@@ -5,9 +5,10 @@
 
 from fireflystand_core.exceptions import FireflystandError
 
+from ..framing import MalformedMessageError
 from .caller_options import CallerOptions
 
-__all__ = ["RequestRefusedError"]
+__all__ = ["RequestRefusedError", "failed_body_refusal"]
 
 
 class RequestRefusedError(FireflystandError):
@@ -65,3 +66,12 @@
         if self.close:
             headers.append(("Connection", "close"))
         return headers
+
+
+def failed_body_refusal(
+    error: RequestRefusedError | MalformedMessageError,
+) -> RequestRefusedError:
+    """Return the refusal after a body failed while a target was receiving it."""
+    # Callers take 408 as a promise that the request has not run.
+    status = 504 if error.status == 408 else error.status
+    return RequestRefusedError(status, error.message, outcome="unknown", close=True)
--- a/packages/router/src/fireflystand_router/entry/tests/test_entry.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_entry.py
@@ -141,6 +141,15 @@
             answer = self.ask(data)
             self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer)
 
+    def test_body_that_stalls_while_its_target_receives_it(self):
+        """Callers got 408, which promises that a request has not run."""
+        answer = self.ask(
+            get(b"/labels", b"Content-Length: 90000\r\n", b"POST") + bytes(80_000)
+        )
+        self.assertEqual(self.edge.targets[0].connections, 1)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 504 "), answer)
+        self.assertIn(b'"outcome": "unknown"', answer)
+
     def test_idle_connection_is_closed_without_a_response(self):
         self.assertEqual(self.ask(b""), b"")
 
