Answer 502 when a response breaks off before a byte of it is sent

A response that waited behind an earlier one on its connection, or whose first bytes were only queued, and broke off at its target reset the connection. Its caller got no answer, nor did the requests behind it that had been passed on.

Cause: the writer of a response told only whether the header section was queued, not whether a byte had left. A queued response was aborted like a sent one. And a flow that waited for its turn to send looked at the socket of its target only after it had sent what was queued.

Tests that failed before:

dispatch test_stop: Lists differ: [200] != [200, 502, 200] test_entry: Lists differ: [] != [b'502', b'200']

refuse() now replaces a queued response by the refusal and resets the connection only if a part of the response was sent (partly_sent). Before the first byte is sent, a flow waits for its turn and takes in what its target has sent meanwhile, so that a break in that time is still answered. The 502 says that the outcome is unknown; the request is not sent again, since its attempt has ended in the books of the slots by then.

abort() is gone from the interface of the writers: all flows refuse.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -75,6 +75,7 @@
 # A response body of unknown length is given up so long past the deadline in any case,
 # since a faulty target may send bytes without end.
 MAX_UNFRAMED_OVERRUN = 5.0  # seconds
+BROKEN_OFF = "response broke off"
 RETRY_DELAY = 0.02  # seconds before a request is sent again
 REPORTED_LATENESS = 0.25  # seconds past the deadline at which a response ends
 
@@ -545,6 +546,8 @@
         """Deliver a response and free its slot."""
         context.phase = _Phase.DELIVERY
         result = SlotReturn(response.slot.service, response.slot.number)
+        delivered = False
+        refusal = self._unknown_outcome(context, 502, BROKEN_OFF)
         try:
             load = self._settings.target_fields.read_load(response.exchange.fields)
             delivered = await self._deliver(context, response.exchange, writer)
@@ -558,11 +561,12 @@
                 self._work_reporter.record_completed(
                     slot.service, slot.target, seconds, slowdown
                 )
-        except (RequestRefusedError, MalformedMessageError):
-            # The caller's body failed while the target was receiving it.
-            writer.abort()
+        except (RequestRefusedError, MalformedMessageError) as error:
+            refusal = failed_body_refusal(error)
         finally:
             self._slots.release(response.slot, result)
+        if not delivered:
+            await writer.refuse(refusal)
 
     async def _open(
         self, context: _RequestContext, forward: ForwardRequest
@@ -639,13 +643,12 @@
                 error,
                 request_id=context.request.id,
                 status=exchange.status,
-                reason="response broke off",
+                reason=BROKEN_OFF,
                 context=context,
                 received_at=context.received_at,
             )
             self._metrics.count(UNKNOWN)
-            self._metrics.count_reason(FAILURE_REASONS, "response broke off")
-            writer.abort()
+            self._metrics.count_reason(FAILURE_REASONS, BROKEN_OFF)
             return False
         finally:
             self._forwarder.cancel(exchange)
@@ -666,6 +669,10 @@
         self, context: _RequestContext, exchange: Exchange, writer: ResponseWriter
     ) -> bytes:
         part = exchange.receive_nowait()
+        if part is None and not writer.partly_sent:
+            # If the response has broken off, another one can be sent in its place.
+            await writer.wait_for_turn()
+            part = await exchange.receive_arrived()
         if part is None:
             await writer.flush()
             late_since = max(context.deadline_at, trio.current_time())
--- a/packages/router/src/fireflystand_router/dispatch/tests/stop_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/stop_support.py
@@ -124,6 +124,7 @@
     parts: int = 100
     part: bytes = b"ok"
     chunked: bool = False
+    pause: float = 0.0  # seconds before a response breaks off
 
     async def _answer(self, connection, stream, fields) -> bool:
         path = self.requests[-1][b":target"]
@@ -136,6 +137,7 @@
         data = connection.send(h11.Response(status_code=200, headers=headers))
         await stream.send_all(data + connection.send(h11.Data(data=self.part)))
         if b"broken" in path:
+            await trio.sleep(self.pause)
             return False
         for _ in range(self.parts - 1):
             await trio.sleep(self.part_interval)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -14,6 +14,7 @@
     SILENT,
     PipeliningCaller,
     StopTestCase,
+    StreamingTarget,
     passed_on,
     send_bytes,
 )
@@ -217,5 +218,37 @@
         self.play(scenario, kind=RequestKind.UNSAFE)
 
 
+class PipelineTests(StopTestCase):
+    """Guard against requests that end with a request ahead of or beside them."""
+
+    def test_broken_response_of_which_no_byte_was_sent(self):
+        """The connection was reset, and requests behind it got no answer."""
+
+        async def scenario(fleet):
+            fleet.targets[0].work = 0.6
+            caller = await PipeliningCaller.connect(fleet.nursery, fleet.nodes[0])
+            await caller.send("/k/x")
+            await caller.send("/p/broken")
+            await caller.send("/p/fast")
+            await eventually(lambda: len(fleet.targets[1].requests) == 2)
+            await trio.sleep(1.0)
+            self.assertEqual(caller.statuses, [200, 502, 200])
+            self.assertFalse(caller.ended.is_set())
+            self.assertNotIn("connection", caller.answers[1].fields)
+
+        self.play(scenario, pooled=StreamingTarget(), max_attempts=1)
+
+    def test_broken_response_of_which_a_part_was_sent(self):
+        """Its caller must not take it for a complete one."""
+
+        async def scenario(fleet):
+            caller = await PipeliningCaller.connect(fleet.nursery, fleet.nodes[0])
+            await caller.send("/p/broken")
+            await caller.ended.wait()
+            self.assertEqual(caller.answers, [])
+
+        self.play(scenario, pooled=StreamingTarget(pause=0.3), max_attempts=1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -47,6 +47,7 @@
 ATTEMPT_LIMIT = 5
 RETRY_DELAY = 0.01  # seconds; retry n > 1 waits this times 2**(n - 1)
 MAX_RETRY_DELAY = 0.16  # seconds
+BROKEN_OFF = "response broke off"
 DURABLE_TIMEOUT = 0.5  # seconds; send anyway if no coordinator has confirmed by then
 
 
@@ -55,11 +56,15 @@
 
     request_id: str
     received_at: float  # seconds on trio's clock; when the request was received
-    started: bool
+    started: bool  # whether the header section is queued
+    partly_sent: bool
     caller_left: bool  # whether the request was cancelled for the end of its connection
 
     async def refuse(self, refusal: RequestRefusedError) -> None:
-        """Send the refusal; if a response was started, abort it instead."""
+        """Send the refusal in place of a queued response; cut a partly sent one."""
+
+    async def wait_for_turn(self) -> None:
+        """Wait until all earlier responses are sent."""
 
     async def send_continue(self) -> None:
         """Send ``100 Continue`` if the caller waits for it."""
@@ -76,9 +81,6 @@
     async def finish(self) -> None:
         """Send the end of the response."""
 
-    def abort(self) -> None:
-        """Reset the connection so that the caller sees an incomplete response."""
-
 
 class Flow(Protocol):
     """Serve the requests of callers."""
@@ -215,12 +217,11 @@
             raise RequestRefusedError(429, "no quota before the deadline")
         if pending is None:
             raise MalformedMessageError("request body is too slow", status=408)
-        if writer.started:
-            return writer.abort()
         at_most_once = (
             pending.request.idempotency_key and not pending.request.idempotent
         )
-        if pending.may_have_run or (at_most_once and pending.permit_requested):
+        may_have_run = pending.may_have_run or writer.started
+        if may_have_run or (at_most_once and pending.permit_requested):
             # The first request with this idempotency key may still be running.
             reason = STOPPING if limit.shortened else "deadline passed"
             raise self._unknown_outcome(pending, 504, reason)
@@ -260,8 +261,6 @@
             return None
         except (RequestRefusedError, MalformedMessageError) as error:
             held_permit.close()
-            if writer.started:
-                return writer.abort()
             raise failed_body_refusal(error) from error
         finally:
             held_permit.close()
@@ -302,7 +301,8 @@
                 reason=error.message,
             )
             self._metrics.count(UNKNOWN)
-            return writer.abort()
+            refusal = RequestRefusedError(502, BROKEN_OFF, outcome="unknown")
+            return await writer.refuse(refusal)
         finally:
             self._sender.cancel(exchange)
         answer = None if kept is None else _stored_response(exchange, bytes(kept))
@@ -317,6 +317,10 @@
 
     async def _next_part(self, exchange: Exchange, writer: ResponseWriter) -> bytes:
         part = exchange.receive_nowait()
+        if part is None and not writer.partly_sent:
+            # If the response has broken off, another one can be sent in its place.
+            await writer.wait_for_turn()
+            part = await exchange.receive_arrived()
         if part is None:
             await writer.flush()
             part = await exchange.receive()
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -32,7 +32,7 @@
     ) -> None:
         self.request_id = ""
         self.received_at = received_at  # seconds on trio's clock
-        self.started = False
+        self.started = False  # whether the header section is queued
         self.closes_connection = False
         self.scope = trio.CancelScope()
         self.done = trio.Event()
@@ -43,11 +43,13 @@
         self._has_no_body = framer.complete
         self._previous = previous
         self._queued = bytearray()
-        self._aborted = False
+        self.partly_sent = False
+        self._head = b""
         self._expects_continue = False
 
     def parse(self, head: bytes) -> h11.Request:
         """Parse a header section and return the request."""
+        self._head = head
         try:
             self.http.receive_data(head)
             event = self.http.next_event()
@@ -63,24 +65,24 @@
         """Tell whether the request was cancelled for the end of its connection."""
         return self.scope.cancel_called
 
-    @property
-    def _earlier_responses_sent(self) -> bool:
-        return self._previous is None or self._previous.done.is_set()
-
-    async def _wait_for_earlier_responses(self) -> None:
+    async def wait_for_turn(self) -> None:
+        """Wait until all earlier responses are sent."""
         if self._previous is not None:
             await self._previous.done.wait()
             self._previous = None
-            if self._aborted:
-                self._connection.abort()
 
     async def refuse(self, refusal: RequestRefusedError) -> None:
-        """Send the refusal; if a response was started, abort it instead."""
+        """Send the refusal in place of a queued response; cut one that is partly sent.
+
+        The connection is then reset, so that the caller sees an incomplete response.
+        """
+        if self.partly_sent:
+            return self._abort()
         if self.started:
-            return self.abort()
+            self._discard_response()
         # Whether this response is the last one of its connection is decided when it can
         # be sent: until then, further requests may arrive and be served.
-        await self._wait_for_earlier_responses()
+        await self.wait_for_turn()
         body = refusal.body(self.request_id)
         options = self._connection.options
         headers = refusal.headers(self.request_id, len(body), options)
@@ -101,7 +103,14 @@
             else:
                 await self.finish()
         if scope.cancelled_caught:
-            self.abort()
+            self._abort()
+
+    def _discard_response(self) -> None:
+        """Discard a queued response of which nothing has been sent."""
+        self._queued.clear()
+        self.started = False
+        self.http = h11.Connection(h11.SERVER)
+        self.parse(self._head)
 
     def _decide_close(self) -> bool:
         last_in_drain = self._connection.draining and self._connection.is_last(self)
@@ -151,9 +160,10 @@
         """Send the queued bytes once all earlier responses have been sent."""
         if not self._queued:
             return
-        await self._wait_for_earlier_responses()
+        await self.wait_for_turn()
         if self._queued:
             data, self._queued = self._queued, bytearray()
+            self.partly_sent = self.started
             await self._connection.stream.send_all(data)
 
     async def finish(self) -> None:
@@ -163,10 +173,8 @@
         if self.http.our_state is not h11.DONE:
             self.closes_connection = True
 
-    def abort(self) -> None:
+    def _abort(self) -> None:
         """Reset the connection so that the caller sees an incomplete response."""
-        self._aborted = True
         self.closes_connection = True
         self._queued.clear()
-        if self._earlier_responses_sent:
-            self._connection.abort()
+        self._connection.abort()
--- a/packages/router/src/fireflystand_router/entry/tests/test_entry.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_entry.py
@@ -150,6 +150,20 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 504 "), answer)
         self.assertIn(b'"outcome": "unknown"', answer)
 
+    def test_request_behind_a_broken_response_of_which_no_byte_was_sent(self):
+        """The connection was reset, and the request behind it got no answer."""
+
+        async def scenario(edge):
+            broken = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd"
+            edge.targets[0].scripts.append(Script(broken, then="close"))
+            answer = await edge.ask(get() + get(b"/stock/k2", CLOSE))
+            statuses = [part[:3] for part in answer.split(b"HTTP/1.1 ")[1:]]
+            self.assertEqual(statuses, [b"502", b"200"])
+            self.assertEqual(answer.count(b'"outcome": "unknown"'), 1)
+            self.assertNotIn(b"abcd", answer)
+
+        self.run_edge(scenario)
+
     def test_idle_connection_is_closed_without_a_response(self):
         self.assertEqual(self.ask(b""), b"")
 
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -214,13 +214,27 @@
         Raise BrokenExchangeError if the response is cut off or too long.
         """
         while (part := self.receive_nowait()) is None:
-            try:
-                received = await self._connection.stream.receive_some(READ_SIZE)
-                self._http.receive_data(received)
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as e:
-                raise self._broken_error(f"connection broke: {e!r}", "body") from e
+            await self._receive_bytes()
+        return part
+
+    async def receive_arrived(self) -> bytes | None:
+        """Return a part if all its bytes are in the socket, else None.
+
+        Raise BrokenExchangeError if the response is cut off or too long.
+        """
+        while (part := self.receive_nowait()) is None:
+            if self._connection.stream.is_idle():
+                return None
+            await self._receive_bytes()
         return part
 
+    async def _receive_bytes(self) -> None:
+        try:
+            received = await self._connection.stream.receive_some(READ_SIZE)
+            self._http.receive_data(received)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise self._broken_error(f"connection broke: {error!r}", "body") from error
+
     def receive_nowait(self) -> bytes | None:
         """Return a part that has already arrived; None if more bytes are needed."""
         if self._ended:
