Answer requests behind a refusal that closes their connection

A request behind one that is refused with a close (a malformed target or field, a body too large) on a connection with pipelined requests was passed on, then cut with no answer when the refusal was sent. The same happened to a request behind one with "Connection: close".

Cause: the connection stopped reading only once the refusal could be sent, after the responses to earlier requests, and the end of that refusal cancelled the requests behind it. The wish of the caller was known only when its response ended.

A refusal with a close now stops the reading at once, and the connection closes after the last request that was read by then; only the response of that one carries "Connection: close". Such a refusal comes from the flow, whose requests have been framed without doubt, so that what follows is a request of its own. A message that cannot be framed still waits for the earlier responses, and nothing behind it is read. After a request with "Connection: close", or of HTTP/1.0, no further one is read.

--- a/packages/router/src/fireflystand_router/dispatch/tests/stop_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/stop_support.py
@@ -45,25 +45,28 @@
         return caller
 
     async def send(
-        self, path: str, *, method: str = "GET", deadline: str = LONG, key: int = 7
+        self, *paths: str, method: str = "GET", deadline: str = LONG, key: int = 7
     ) -> bool:
-        """Send a request; return whether the connection was open."""
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Fireflystand-Routing-Key: {key}",
-            f"Fireflystand-Deadline-Ms: {deadline}",
-            "Authorization: Bearer key-1",
-        ]
-        if method == "POST":
-            lines.append("Content-Length: 0")
+        """Send a request for each path; return whether the connection was open."""
+        lines = []
+        for path in paths:
+            lines += [
+                f"{method} {path} HTTP/1.1",
+                f"Host: {HOST}",
+                f"Fireflystand-Routing-Key: {key}",
+                f"Fireflystand-Deadline-Ms: {deadline}",
+                "Authorization: Bearer key-1",
+            ]
+            if method == "POST":
+                lines.append("Content-Length: 0")
+            lines.append("")
         if self.ended.is_set():
             return False
         try:
-            await self._stream.send_all("\r\n".join([*lines, "", ""]).encode())
+            await self._stream.send_all("\r\n".join([*lines, ""]).encode())
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
-        self.sent += 1
+        self.sent += len(paths)
         return True
 
     async def _receive(self) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -7,7 +7,7 @@
 
 from fireflystand_core.traffic import RequestKind
 
-from .node_support import eventually
+from .node_support import HOST, eventually
 from .stop_support import (
     GRACE,
     LONG,
@@ -238,6 +238,49 @@
 
         self.play(scenario, pooled=StreamingTarget(), max_attempts=1)
 
+    def test_refusal_that_closes_ahead_of_a_request_that_was_passed_on(self):
+        """Requests behind the refusal were passed on and got no answer."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[0].work = 0.5
+            target = fleet.targets[1]
+            paths = ("/k/x", "http://a.example/p/x", "/p/y")
+            together = await PipeliningCaller.connect(fleet.nursery, node)
+            await together.send(*paths)
+            await together.ended.wait()
+            self.assertEqual(together.statuses, [200, 400, 200])
+            self.assertEqual(passed_on(target), ["/p/y"])
+            apart = await PipeliningCaller.connect(fleet.nursery, node)
+            for path in paths:
+                await apart.send(path)
+                await trio.sleep(0.1)
+            await apart.ended.wait()
+            self.assertEqual(apart.statuses, [200, 400])
+            self.assertEqual(apart.answers[1].fields["connection"], "close")
+            self.assertEqual(passed_on(target), ["/p/y"])
+
+        self.play(scenario)
+
+    def test_request_behind_the_last_one_of_its_caller(self):
+        """A request behind one with "Connection: close" was passed on and cut."""
+
+        async def scenario(fleet):
+            target = fleet.targets[1]
+            line = "GET /p/x HTTP/1.1"
+            second = f"{line}\r\nHost: {HOST}\r\nAuthorization: Bearer key-1\r\n\r\n"
+            target.work = 0.2
+            stream = await send_bytes(
+                fleet.nodes[0], line, "Connection: close", body=second.encode()
+            )
+            answer = b""
+            while part := await stream.receive_some(65536):
+                answer += part
+            self.assertEqual(answer.count(b"HTTP/1.1 200"), 1)
+            self.assertEqual(passed_on(target), ["/p/x"])
+
+        self.play(scenario)
+
     def test_broken_response_of_which_a_part_was_sent(self):
         """Its caller must not take it for a complete one."""
 
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -39,6 +39,7 @@
         self.stream = stream
         self.options = options or CallerOptions()
         self.draining = False
+        self.closing = False  # whether no further request is served
         self._flow = flow
         self._metrics = metrics
         self._framer = RequestFramer(self.options.header_limit)
@@ -48,7 +49,6 @@
         self._response_ended = trio.Event()
         self._disconnected = False
         self._aborted = False
-        self._closing = False
         self._ends_idle = False  # whether the connection ends for want of requests
         self._idle_scope: trio.CancelScope | None = None
         self._received_at = float("-inf")  # seconds; time of the last bytes
@@ -69,7 +69,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read)
                 await self._serve_until_end()
-                if self._closing and not self._aborted and not self._disconnected:
+                if self.closing and not self._aborted and not self._disconnected:
                     await self._linger()
                 nursery.cancel_scope.cancel()
         finally:
@@ -151,20 +151,22 @@
             await self._wait_for_responses()
         while len(self._responses) >= self.options.pipeline_limit:
             await self._wait_for_response_end()
-        if self._closing:
+        if self.closing:
             return False
         previous = self._responses[-1] if self._responses else None
         writer = PipelinedResponseWriter(
             self, self._framer, previous, self._received_at
         )
         event = writer.parse(head)
+        if _is_last_request(event):
+            self.stop_reading()
         body = CallerBody(self._framer, writer.http, self._wait_for_bytes)
         self._responses.append(writer)
         if bodyless:
             response_nursery.start_soon(self._run_response, writer, event, body)
         else:
             await self._run_response(writer, event, body)
-        return not self._closing
+        return not self.closing
 
     async def _run_response(
         self, writer: PipelinedResponseWriter, event: h11.Request, body: CallerBody
@@ -183,7 +185,7 @@
         if writer.scope.cancelled_caught:
             self._metrics.count(DEPARTED)
         if writer.closes_connection or self._disconnected:
-            self._closing = True
+            self.closing = True
             for later in self._responses[self._responses.index(writer) + 1 :]:
                 later.scope.cancel()
             self._readable.set()
@@ -205,7 +207,7 @@
         """Return the next header section; None if no further request is served."""
         header_deadline = None
         while (head := self._framer.read_header_section()) is None:
-            if self._closing:
+            if self.closing:
                 return None
             limit = None
             if self._framer.buffer:
@@ -239,11 +241,11 @@
         return head
 
     async def _refuse_malformed(self, error: MalformedMessageError) -> None:
-        if self._closing or (self._disconnected and not self._framer.buffer):
+        if self.closing or (self._disconnected and not self._framer.buffer):
             return
         self._metrics.count(MALFORMED)
         emit(MESSAGE_REFUSED, status=error.status, reason=error.message)
-        self._closing = True
+        self.closing = True
         writer = PipelinedResponseWriter(self, self._framer, None, self._received_at)
         await writer.refuse(
             RequestRefusedError(error.status, error.message, close=True)
@@ -262,8 +264,8 @@
                 await self._wait_for_bytes()
 
     def stop_reading(self) -> None:
-        """Serve no further request, because a response announced the close."""
-        self._closing = True
+        """Serve no further request; those being served get their responses."""
+        self.closing = True
 
     def is_last(self, writer: PipelinedResponseWriter) -> bool:
         """Tell whether no later request is being served."""
@@ -274,3 +276,15 @@
         if not self._aborted:
             self._aborted = True
             self.stream.reset()
+
+
+def _is_last_request(event: h11.Request) -> bool:
+    """Tell whether the caller ends the connection after the request."""
+    if event.http_version < b"1.1":
+        return True
+    options = [value for name, value in event.headers if name == b"connection"]
+    return any(
+        option.strip() == b"close"
+        for value in options
+        for option in value.lower().split(b",")
+    )
--- a/packages/router/src/fireflystand_router/entry/refusals.py
+++ b/packages/router/src/fireflystand_router/entry/refusals.py
@@ -12,7 +12,7 @@
 
 
 class RequestRefusedError(FireflystandError):
-    """Refuse a request; ``close`` ends the connection after the response."""
+    """Refuse a request; with ``close``, its connection serves no later ones."""
 
     def __init__(
         self,
@@ -63,8 +63,6 @@
         headers.extend(self.fields.items())
         if self.retry_after is not None:
             headers.append(("Retry-After", options.retry_after(self.retry_after)))
-        if self.close:
-            headers.append(("Connection", "close"))
         return headers
 
 
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -80,14 +80,15 @@
             return self._abort()
         if self.started:
             self._discard_response()
+        if refusal.close:
+            self._connection.stop_reading()
         # Whether this response is the last one of its connection is decided when it can
         # be sent: until then, further requests may arrive and be served.
         await self.wait_for_turn()
         body = refusal.body(self.request_id)
         options = self._connection.options
         headers = refusal.headers(self.request_id, len(body), options)
-        self.closes_connection = self.closes_connection or refusal.close
-        if self._decide_close() and not refusal.close:
+        if self._decide_close():
             headers.append(("Connection", "close"))
         self.started = True
         self._enqueue(h11.Response(status_code=refusal.status, headers=headers))
@@ -113,10 +114,12 @@
         self.parse(self._head)
 
     def _decide_close(self) -> bool:
-        last_in_drain = self._connection.draining and self._connection.is_last(self)
+        ends = self._connection.draining or self._connection.closing
         # The framer is shared, and for a request without a body it may already be
         # reading the body of a later request.
-        if last_in_drain or not (self._has_no_body or self._framer.complete):
+        if (ends and self._connection.is_last(self)) or not (
+            self._has_no_body or self._framer.complete
+        ):
             self.closes_connection = True
         if self.closes_connection:
             # The connection closes after this response, so a request that is read
