End only the request in which the router has a fault

An unforeseen exception while one request was served ended its connection with no answer, and with it the requests beside and behind it.

Cause: the exception left the nursery of the connection's responses, which cancelled the tasks of the others; the server logged event 1011 and closed.

A test of dispatch test_stop with such a fault between two requests on one connection failed before:

Lists differ: [] != [200, 500, 200]

A response that is partly sent is cut as before. A broken connection of the caller ends all of its requests as before.

--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -4,9 +4,11 @@
 from random import Random
 
 import trio
+from loguru import logger
 
 from fireflystand_core.traffic import RequestKind
 
+from ...events import CONNECTION_FAULT
 from .node_support import HOST, eventually
 from .stop_support import (
     GRACE,
@@ -281,6 +283,33 @@
 
         self.play(scenario)
 
+    def test_fault_of_one_request_leaves_the_others_answered(self):
+        """An unforeseen exception cut the requests beside and behind its own."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].work = 0.4
+            rate = node.flow._check_rate
+
+            async def check_rate(context):
+                if context.request.path == "/k/fault":
+                    raise RuntimeError("a fault of the router")
+                await rate(context)
+
+            node.flow._check_rate = check_rate
+            caller = await PipeliningCaller.connect(fleet.nursery, node)
+            events = []
+            sink = logger.add(lambda m: events.append(m.record["extra"]["event"]))
+            await caller.send("/p/x", "/k/fault", "/p/y")
+            with trio.move_on_after(2.0):
+                await eventually(lambda: len(caller.answers) == 3)
+            logger.remove(sink)
+            self.assertEqual(events.count(CONNECTION_FAULT.number), 1)
+            self.assertEqual(caller.statuses, [200, 500, 200])
+            self.assertFalse(caller.ended.is_set())
+
+        self.play(scenario)
+
     def test_broken_response_of_which_a_part_was_sent(self):
         """Its caller must not take it for a complete one."""
 
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -3,7 +3,7 @@
 import h11
 import trio
 
-from ..events import MESSAGE_REFUSED, emit
+from ..events import CONNECTION_FAULT, MESSAGE_REFUSED, emit, emit_limited
 from ..framing import MalformedMessageError, RequestFramer
 from ..metrics import DEPARTED, MALFORMED, Metrics
 from ..streams import DirectStream
@@ -175,12 +175,27 @@
             with writer.scope:
                 if self._disconnected:
                     writer.scope.cancel()
-                await self._flow.run(event, body, writer)
+                await self._run_flow(writer, event, body)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._disconnected = True
         finally:
             self._end_response(writer)
 
+    async def _run_flow(
+        self, writer: PipelinedResponseWriter, event: h11.Request, body: CallerBody
+    ) -> None:
+        """Serve a request; a fault of the router ends this request only."""
+        try:
+            await self._flow.run(event, body, writer)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise
+        except Exception as error:
+            emit_limited(CONNECTION_FAULT, error, request_id=writer.request_id)
+            # A target may have got the request before the fault.
+            await writer.refuse(
+                RequestRefusedError(500, "fault of the router", outcome="unknown")
+            )
+
     def _end_response(self, writer: PipelinedResponseWriter) -> None:
         if writer.scope.cancelled_caught:
             self._metrics.count(DEPARTED)
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -143,14 +143,16 @@
 MESSAGE_REFUSED = define_event(
     1010, "INFO", "malformed request refused", "status", "reason"
 )
-CONNECTION_FAULT = define_event(1011, "ERROR", "caller connection failed", "request_id")
+CONNECTION_FAULT = define_event(
+    1011, "ERROR", "request or connection of a caller failed", "request_id"
+)
 REQUEST_UNKNOWN = define_event(
     1020, "WARNING", "outcome of a request is unknown", "request_id", "target", "reason"
 )
 RESPONSE_BROKEN = define_event(
     1021,
     "WARNING",
-    "response broke off after a part was forwarded",
+    "response broke off",
     "request_id",
     "target",
     "reason",
