Answer all requests when another part of a planned stop fails

If resigning from the key ranges, or make run's handover of its groups, raised an exception during a planned stop, every request in progress was cut with no answer.

Cause: these parts run in one nursery with the drain of the entry, which their exception cancelled.

Evidence: found by the review of planned stops.

run_stop_part runs such a part and logs its fault as event 3004; the drain and the close of the rest go on. A part that hangs was already ended by the end of the drain in the dispatch node. A fault while the store or the targets' connections are closed still ends the process with an error; the requests have their answers by then.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -38,6 +38,7 @@
     Metrics,
 )
 from ..peers import PeerNetwork
+from ..stop_parts import run_stop_part
 from ..streams import split_address
 from .clock import lease_clock
 from .crashes import CrashDetector
@@ -321,7 +322,7 @@
         emit(INSTANCE_STOPPING, groups=len(coordinated))
         self.readiness.stop()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.ownership.stop)
+            nursery.start_soon(run_stop_part, "key ranges", self.ownership.stop)
             nursery.start_soon(self.entry.close)
         with trio.move_on_after(CLOSE_TIMEOUT):
             await self.store.close()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -197,6 +197,27 @@
 
         self.play(scenario, nodes=2)
 
+    def test_fault_of_another_part_of_the_stop(self):
+        """All requests were cut when resigning from the key ranges failed."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].work = SILENT
+            callers = await self.callers(fleet, node, 4)
+            await eventually(lambda: len(fleet.targets[1].requests) == 4)
+
+            async def fail():
+                await trio.sleep(0.1)
+                raise RuntimeError("resigning failed")
+
+            node.ownership.stop = fail
+            self.assertLess(await self.stop(node), GRACE)
+            for caller in callers:
+                await caller.ended.wait()
+            self.assertEqual([c.statuses for c in callers], [[504]] * 4)
+
+        self.play(scenario)
+
 
 class UnknownOutcomeTests(StopTestCase):
     """Guard against answers that promise too much about requests that were sent."""
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -215,6 +215,7 @@
 )
 INSTANCE_STOPPING = define_event(3002, "INFO", "instance is stopping", "groups")
 INSTANCE_STOPPED = define_event(3003, "INFO", "instance stopped", "instance")
+STOP_PART_FAILED = define_event(3004, "ERROR", "part of a planned stop failed", "part")
 JOURNAL_LOADED = define_event(
     4001, "INFO", "journal loaded", "service", "group", "entries", "seconds"
 )
--- a/packages/router/src/fireflystand_router/node.py
+++ b/packages/router/src/fireflystand_router/node.py
@@ -35,6 +35,7 @@
 from .quotas import Quotas
 from .reports import InstanceReports
 from .settings import ProcessSettings
+from .stop_parts import run_stop_part
 from .store import StoreClient
 from .streams import split_address
 from .view import ClusterView
@@ -233,7 +234,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.entry.close)
             await trio.sleep(GRACE_PERIOD)
-            await self.groups.close()
+            await run_stop_part("groups", self.groups.close)
         with trio.move_on_after(RETURN_TIMEOUT):
             while self.permits.unacknowledged:
                 await trio.sleep(RETURN_POLL)
