Reset a response without length that the end of a stop cuts

An HTTP/1.0 caller whose response of unknown length was still being delivered at the end of a planned stop took the part that it had got for the whole.

Cause: such a response ends with the connection, and a request whose task was cancelled closed its connection plainly. Only a response that broke off at its target was reset.

Evidence: found by the review of planned stops. A test of dispatch test_stop failed before:

AssertionError: BrokenResourceError not raised

A writer now knows while the end of its connection would look like the end of its response. If its request ends in that state, for whatever reason, the connection is reset. Responses with a length or in chunks are still closed plainly, since their callers see the cut and a reset could take earlier responses from the socket.

--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -240,6 +240,34 @@
 
         self.play(scenario, kind=RequestKind.UNSAFE)
 
+    def test_cut_response_does_not_look_complete_to_an_old_caller(self):
+        """HTTP/1.0 callers took the plain close for the end of the response."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].chunked = True
+            stream = await send_bytes(node, "GET /p/slow HTTP/1.0")
+            await eventually(lambda: fleet.targets[1].requests)
+            fleet.nursery.start_soon(node.stop)
+            answer = b""
+            with self.assertRaises(trio.BrokenResourceError):
+                while part := await stream.receive_some(65536):
+                    answer += part
+            self.assertIn(b"HTTP/1.1 200", answer)
+
+        self.play(scenario, pooled=StreamingTarget())
+
+    def test_whole_response_ends_with_a_plain_close_for_an_old_caller(self):
+        async def scenario(fleet):
+            fleet.targets[1].chunked = True
+            stream = await send_bytes(fleet.nodes[0], "GET /p/slow HTTP/1.0")
+            answer = b""
+            while part := await stream.receive_some(65536):
+                answer += part
+            self.assertTrue(answer.endswith(b"okokok"), answer)
+
+        self.play(scenario, pooled=StreamingTarget(parts=3))
+
 
 class PipelineTests(StopTestCase):
     """Guard against requests that end with a request ahead of or beside them."""
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -199,6 +199,7 @@
     def _end_response(self, writer: PipelinedResponseWriter) -> None:
         if writer.scope.cancelled_caught:
             self._metrics.count(DEPARTED)
+        writer.reset_if_cut()
         if writer.closes_connection or self._disconnected:
             self.closing = True
             for later in self._responses[self._responses.index(writer) + 1 :]:
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -44,6 +44,7 @@
         self._previous = previous
         self._queued = bytearray()
         self.partly_sent = False
+        self._ends_with_connection = False  # until the last byte is sent
         self._head = b""
         self._expects_continue = False
 
@@ -148,6 +149,8 @@
         if self._decide_close():
             headers.append((b"Connection", b"close"))
         self.started = True
+        old_caller = self.http.their_http_version == b"1.0"
+        self._ends_with_connection = length is None and old_caller
         self._enqueue(h11.Response(status_code=status, headers=headers))
 
     def _enqueue(self, event: h11.Event) -> None:
@@ -173,9 +176,15 @@
         """Send the end of the response."""
         self._enqueue(h11.EndOfMessage())
         await self.flush()
+        self._ends_with_connection = False
         if self.http.our_state is not h11.DONE:
             self.closes_connection = True
 
+    def reset_if_cut(self) -> None:
+        """Reset the connection if its close would look like the response's end."""
+        if self.partly_sent and self._ends_with_connection:
+            self._abort()
+
     def _abort(self) -> None:
         """Reset the connection so that the caller sees an incomplete response."""
         self.closes_connection = True
