Let make run's responses in delivery use the last 0.2 s of a stop

In make run, a response that was being delivered when the limit of a planned stop was reached was reset at once, though the connections close 0.2 s later and the rest of it may come in that time.

Cause: the time limit of a request covers its delivery, and the stop brought all of it forward. In the dispatch flow the delivery lies outside the limit.

A test of test_entry failed before:

AssertionError: False is not true : b'...\r\n\r\nab<reset>'

Once the delivery begins, the scope of a request is bound by its own deadline again; the stop cuts it when the connections close. An order whose response waits for the coordinator's confirmation, up to 0.5 s, has its response sent at the limit of the stop at the latest; without that, its caller would now be cut with no answer (its test: AssertionError: 6.4 not less than 6.1).

Result: the response arrives whole, and its permit is returned as answered. A response whose own deadline ends in the stop is still reset at the deadline (3 s in the test).

--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -180,7 +180,7 @@
             progress.has_quota = True
             pending = await self._prepare(request, body, deadline, writer)
             progress.pending = pending
-            return await self._run_attempts(pending, writer)
+            return await self._run_attempts(pending, limit, writer)
         self._handle_expired(progress, limit, writer)
 
     async def _take_quota(self, request: CallerRequest, deadline: float) -> None:
@@ -230,14 +230,14 @@
         raise RequestRefusedError(503, "deadline passed before the request was sent")
 
     async def _run_attempts(
-        self, pending: PendingRequest, writer: ResponseWriter
+        self, pending: PendingRequest, limit: TimeLimit, writer: ResponseWriter
     ) -> None:
         self._budgets_by_service[pending.request.service.id].note_request()
         while True:
             held_permit = await self._sender.acquire(pending)
             if isinstance(held_permit, PermitRefused):
                 return await self._handle_permit_refused(pending, held_permit, writer)
-            failure = await self._attempt(pending, held_permit, writer)
+            failure = await self._attempt(pending, held_permit, limit, writer)
             if failure is None:
                 return
             if not self._may_retry(pending, failure):
@@ -251,13 +251,17 @@
             pending.attempt += 1
 
     async def _attempt(
-        self, pending: PendingRequest, held_permit: HeldPermit, writer: ResponseWriter
+        self,
+        pending: PendingRequest,
+        held_permit: HeldPermit,
+        limit: TimeLimit,
+        writer: ResponseWriter,
     ) -> Failure | None:
         try:
             held_permit, result = await self._sender.send(pending, held_permit)
             if isinstance(result, Failure):
                 return result
-            await self._deliver(pending, held_permit, result, writer)
+            await self._deliver(pending, held_permit, result, limit, writer)
             return None
         except (RequestRefusedError, MalformedMessageError) as error:
             held_permit.close()
@@ -270,8 +274,10 @@
         pending: PendingRequest,
         held_permit: HeldPermit,
         exchange: Exchange,
+        limit: TimeLimit,
         writer: ResponseWriter,
     ) -> None:
+        limit.begin_delivery()
         stores_response = pending.request.idempotency_key is not None
         kept: bytearray | None = bytearray() if stores_response else None
         durable = stores_response and not pending.request.idempotent
@@ -309,7 +315,8 @@
         held_permit.return_permit("answered", exchange.status, answer)
         self._metrics.count(ANSWERED)
         if durable and held_permit.return_accepted is not None:
-            with trio.move_on_after(DURABLE_TIMEOUT):
+            send_at = min(trio.current_time() + DURABLE_TIMEOUT, limit.ends_at)
+            with trio.move_on_at(send_at):
                 await held_permit.return_accepted.wait()
         if withheld:
             await writer.write(withheld)
--- a/packages/router/src/fireflystand_router/entry/tests/test_entry.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_entry.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import unittest
+from contextlib import suppress
 
 import trio
 import trio.testing
@@ -292,6 +293,68 @@
 
         self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
 
+    def test_shutdown_lets_a_response_use_the_time_for_the_last_ones(self):
+        """A response in delivery was reset 0.2 s before the connections closed."""
+
+        async def scenario(edge):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab"
+            edge.targets[0].scripts.append(Script(head, then="hang"))
+            busy = await edge.connect()
+            await busy.send_all(get())
+            await edge.targets[0].seen.wait()
+
+            async def finish():
+                await trio.sleep(6.1)
+                with suppress(trio.ClosedResourceError, trio.BrokenResourceError):
+                    await edge.targets[0].last_stream.send_all(b"cd")
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(finish)
+                nursery.start_soon(edge.server.close)
+                answer = await read_to_end(busy)
+            self.assertTrue(answer.endswith(b"abcd"), answer[-40:])
+            self.assertEqual(edge.permits.returns[0].outcome, "answered")
+
+        self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
+
+    def test_shutdown_sends_an_order_whose_outcome_is_not_confirmed(self):
+        """It would wait for longer than until the connections close."""
+
+        async def scenario(edge):
+            edge.permits.give_back = lambda returned: trio.Event()
+            body = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            edge.targets[0].scripts.append(Script(body, delay=5.9))
+            busy = await edge.connect()
+            key = b"Content-Length: 0\r\nIdempotency-Key: order-1\r\n"
+            await busy.send_all(get(extra=key, method=b"POST"))
+            await edge.targets[0].seen.wait()
+            began_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(edge.server.close)
+                answer = await read_to_end(busy)
+                nursery.cancel_scope.cancel()
+            self.assertTrue(answer.endswith(b"ok"), answer)
+            # The connections are closed 6.2 s after the signal.
+            self.assertLess(trio.current_time() - began_at, 6.1)
+
+        self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
+
+    def test_shutdown_does_not_extend_the_deadline_of_a_response(self):
+        async def scenario(edge):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab"
+            edge.targets[0].scripts.append(Script(head, then="hang"))
+            busy = await edge.connect()
+            began_at = trio.current_time()
+            await busy.send_all(get(extra=b"Fireflystand-Deadline-Ms: 3000\r\n"))
+            await edge.targets[0].seen.wait()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(edge.server.close)
+                answer = await read_to_end(busy)
+                self.assertAlmostEqual(trio.current_time() - began_at, 3.0, delta=0.1)
+            self.assertTrue(answer.endswith(b"ab<reset>"), answer[-40:])
+
+        self.run_edge(scenario, grace_period=2.0, drain_timeout=4.0)
+
     def test_shutdown_answers_requests_that_arrived_just_before_it(self):
         """Connections that waited to be accepted, or to be read, were closed."""
 
--- a/packages/router/src/fireflystand_router/entry/time_limits.py
+++ b/packages/router/src/fireflystand_router/entry/time_limits.py
@@ -27,6 +27,12 @@
     shortened: bool = False
     wait_scope: trio.CancelScope | None = None
     scope: trio.CancelScope = attrs.field(init=False)
+    _delivers: bool = False
+    _latest_end: float = attrs.field(init=False)  # without a planned stop
+
+    @_latest_end.default
+    def _first_end(self) -> float:
+        return self.ends_at
 
     @scope.default
     def _new_scope(self) -> trio.CancelScope:
@@ -36,11 +42,18 @@
         """Bring the end of the request forward, if it is later."""
         if ends_at >= self.ends_at:
             return
-        self.ends_at = self.scope.deadline = ends_at
+        self.ends_at = ends_at
         self.shortened = True
+        if not self._delivers:
+            self.scope.deadline = ends_at
         if self.wait_scope is not None:
             self.wait_scope.cancel()
 
+    def begin_delivery(self) -> None:
+        """Let the response use the time until a planned stop closes connections."""
+        self._delivers = True
+        self.scope.deadline = self._latest_end
+
     def refusal(self) -> RequestRefusedError:
         """Return the refusal of a request that cannot run before the stop."""
         return RequestRefusedError(503, STOPPING, retry_after=STOPPING_RETRY_AFTER)
