--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -1,133 +1,32 @@
 """Test that a planned stop leaves no request without a final response."""
 
 import unittest
-from contextlib import suppress
 from random import Random
 
-import attrs
 import trio
+from loguru import logger
+
+from fireflystand_core.traffic import RequestKind
+
+from ...events import CONNECTION_FAULT
+from .node_support import HOST, eventually
+from .stop_support import (
+    GRACE,
+    LONG,
+    SILENT,
+    PipeliningCaller,
+    StopTestCase,
+    StreamingTarget,
+    passed_on,
+    send_bytes,
+)
 
-from fireflystand_core.traffic import ClientAccount, RequestKind
-
-from ...entry import CallerOptions
-from ..ports import DispatchBounds
-from .node_support import HOST, eventually, play_fleet
-
-GRACE = 3.0  # seconds from the signal to the end of the process
-LONG = "20000"  # milliseconds; a deadline long after the end of the process
-SILENT = 60.0  # seconds of work of a target that does not answer in time
 AT_ONCE = 0.5  # seconds
 
 
-@attrs.frozen
-class Answer:
-    """Hold one response as its caller saw it; seconds on trio's clock."""
-
-    status: int
-    fields: dict[str, str]
-    at: float
-
-
-class PipeliningCaller:
-    """Send requests on one connection without waiting for their responses."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self.answers: list[Answer] = []
-        self.sent = 0
-        self.cut = False  # whether the connection ended inside a response
-        self.ended = trio.Event()
-
-    @classmethod
-    async def connect(cls, nursery: trio.Nursery, node) -> "PipeliningCaller":
-        host, port = node.entry.address.rsplit(":", 1)
-        caller = cls(await trio.open_tcp_stream(host, int(port)))
-        nursery.start_soon(caller._receive)
-        return caller
-
-    async def send(
-        self, path: str, *, method: str = "GET", deadline: str = LONG, key: int = 7
-    ) -> bool:
-        """Send a request; return whether the connection was open."""
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Fireflystand-Routing-Key: {key}",
-            f"Fireflystand-Deadline-Ms: {deadline}",
-            "Authorization: Bearer key-1",
-        ]
-        if method == "POST":
-            lines.append("Content-Length: 0")
-        if self.ended.is_set():
-            return False
-        try:
-            await self._stream.send_all("\r\n".join([*lines, "", ""]).encode())
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return False
-        self.sent += 1
-        return True
-
-    async def _receive(self) -> None:
-        buffer = b""
-        with suppress(trio.BrokenResourceError):
-            while received := await self._stream.receive_some(65536):
-                buffer = self._parse(buffer + received)
-        self.cut = bool(buffer)
-        self.ended.set()
-        await self._stream.aclose()
-
-    def _parse(self, buffer: bytes) -> bytes:
-        """Take the complete responses from the buffer and return the rest."""
-        while b"\r\n\r\n" in buffer:
-            head, _, rest = buffer.partition(b"\r\n\r\n")
-            status, *lines = head.decode().split("\r\n")
-            fields = dict(line.lower().split(": ", 1) for line in lines)
-            length = int(fields["content-length"])
-            if len(rest) < length:
-                break
-            answer = Answer(int(status.split()[1]), fields, trio.current_time())
-            self.answers.append(answer)
-            buffer = rest[length:]
-        return buffer
-
-    @property
-    def statuses(self) -> list[int]:
-        """Return the status of each response, in order."""
-        return [answer.status for answer in self.answers]
-
-
-def passed_on(target) -> list[str]:
-    """Return the paths of the callers' requests that a target got."""
-    paths = [fields[b":target"].decode() for fields in target.requests]
-    return [path for path in paths if not path.startswith("/fireflystand/")]
-
-
-class PlannedStopTests(unittest.TestCase):
+class PlannedStopTests(StopTestCase):
     """Guard against connections that a planned stop closes without an answer."""
 
-    def play(self, scenario, *, nodes: int = 1, grace: float = GRACE, **route) -> None:
-        """Start a fleet whose targets answer at once, and run a scenario."""
-
-        async def with_nodes(fleet):
-            fleet.bounds = DispatchBounds(stop_grace=grace)
-            fleet.caller_options = CallerOptions(pipeline_limit=16)
-            accounts = [ClientAccount("shop", ("key-1",))]
-            fleet.configure(2, accounts=accounts, **{"timeout": 30.0} | route)
-            for service in ("keyed", "pooled"):
-                await fleet.add_target(service)
-            for _ in range(nodes):
-                await fleet.add_node()
-            await fleet.settle()
-            await scenario(fleet)
-
-        play_fleet(with_nodes)
-
-    async def stop(self, node) -> float:
-        """Stop an instance and return how long that took."""
-        began_at = trio.current_time()
-        await node.stop()
-        return trio.current_time() - began_at
-
     def test_request_that_waits_for_a_slot(self):
         """Requests in the admission queue were cut off at the end of the grace."""
 
@@ -349,6 +248,179 @@
 
         self.play(scenario, nodes=2)
 
+    def test_fault_of_another_part_of_the_stop(self):
+        """All requests were cut when resigning from the key ranges failed."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].work = SILENT
+            callers = await self.callers(fleet, node, 4)
+            await eventually(lambda: len(fleet.targets[1].requests) == 4)
+
+            async def fail():
+                await trio.sleep(0.1)
+                raise RuntimeError("resigning failed")
+
+            node.ownership.stop = fail
+            self.assertLess(await self.stop(node), GRACE)
+            for caller in callers:
+                await caller.ended.wait()
+            self.assertEqual([c.statuses for c in callers], [[504]] * 4)
+
+        self.play(scenario)
+
+
+class UnknownOutcomeTests(StopTestCase):
+    """Guard against answers that promise too much about requests that were sent."""
+
+    def test_body_that_stalls_while_its_target_receives_it(self):
+        """Callers got 408, which promises that a request has not run."""
+
+        async def scenario(fleet):
+            stream = await send_bytes(
+                fleet.nodes[0],
+                "POST /p/x HTTP/1.1",
+                "Content-Length: 200000",
+                body=bytes(100_000),
+            )
+            await eventually(lambda: fleet.targets[1].requests)
+            with trio.fail_after(8):
+                answer = await stream.receive_some(65536)
+            self.assertIn(b"HTTP/1.1 504", answer[:20])
+            self.assertIn(b'"outcome": "unknown"', answer)
+
+        self.play(scenario, kind=RequestKind.UNSAFE)
+
+    def test_cut_response_does_not_look_complete_to_an_old_caller(self):
+        """HTTP/1.0 callers took the plain close for the end of the response."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].chunked = True
+            stream = await send_bytes(node, "GET /p/slow HTTP/1.0")
+            await eventually(lambda: fleet.targets[1].requests)
+            fleet.nursery.start_soon(node.stop)
+            answer = b""
+            with self.assertRaises(trio.BrokenResourceError):
+                while part := await stream.receive_some(65536):
+                    answer += part
+            self.assertIn(b"HTTP/1.1 200", answer)
+
+        self.play(scenario, pooled=StreamingTarget())
+
+    def test_whole_response_ends_with_a_plain_close_for_an_old_caller(self):
+        async def scenario(fleet):
+            fleet.targets[1].chunked = True
+            stream = await send_bytes(fleet.nodes[0], "GET /p/slow HTTP/1.0")
+            answer = b""
+            while part := await stream.receive_some(65536):
+                answer += part
+            self.assertTrue(answer.endswith(b"okokok"), answer)
+
+        self.play(scenario, pooled=StreamingTarget(parts=3))
+
+
+class PipelineTests(StopTestCase):
+    """Guard against requests that end with a request ahead of or beside them."""
+
+    def test_broken_response_of_which_no_byte_was_sent(self):
+        """The connection was reset, and requests behind it got no answer."""
+
+        async def scenario(fleet):
+            fleet.targets[0].work = 0.6
+            caller = await PipeliningCaller.connect(fleet.nursery, fleet.nodes[0])
+            await caller.send("/k/x")
+            await caller.send("/p/broken")
+            await caller.send("/p/fast")
+            await eventually(lambda: len(fleet.targets[1].requests) == 2)
+            await trio.sleep(1.0)
+            self.assertEqual(caller.statuses, [200, 502, 200])
+            self.assertFalse(caller.ended.is_set())
+            self.assertNotIn("connection", caller.answers[1].fields)
+
+        self.play(scenario, pooled=StreamingTarget(), max_attempts=1)
+
+    def test_refusal_that_closes_ahead_of_a_request_that_was_passed_on(self):
+        """Requests behind the refusal were passed on and got no answer."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[0].work = 0.5
+            target = fleet.targets[1]
+            paths = ("/k/x", "http://a.example/p/x", "/p/y")
+            together = await PipeliningCaller.connect(fleet.nursery, node)
+            await together.send(*paths)
+            await together.ended.wait()
+            self.assertEqual(together.statuses, [200, 400, 200])
+            self.assertEqual(passed_on(target), ["/p/y"])
+            apart = await PipeliningCaller.connect(fleet.nursery, node)
+            for path in paths:
+                await apart.send(path)
+                await trio.sleep(0.1)
+            await apart.ended.wait()
+            self.assertEqual(apart.statuses, [200, 400])
+            self.assertEqual(apart.answers[1].fields["connection"], "close")
+            self.assertEqual(passed_on(target), ["/p/y"])
+
+        self.play(scenario)
+
+    def test_request_behind_the_last_one_of_its_caller(self):
+        """A request behind one with "Connection: close" was passed on and cut."""
+
+        async def scenario(fleet):
+            target = fleet.targets[1]
+            line = "GET /p/x HTTP/1.1"
+            second = f"{line}\r\nHost: {HOST}\r\nAuthorization: Bearer key-1\r\n\r\n"
+            target.work = 0.2
+            stream = await send_bytes(
+                fleet.nodes[0], line, "Connection: close", body=second.encode()
+            )
+            answer = b""
+            while part := await stream.receive_some(65536):
+                answer += part
+            self.assertEqual(answer.count(b"HTTP/1.1 200"), 1)
+            self.assertEqual(passed_on(target), ["/p/x"])
+
+        self.play(scenario)
+
+    def test_fault_of_one_request_leaves_the_others_answered(self):
+        """An unforeseen exception cut the requests beside and behind its own."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            fleet.targets[1].work = 0.4
+            rate = node.flow._check_rate
+
+            async def check_rate(context):
+                if context.request.path == "/k/fault":
+                    raise RuntimeError("a fault of the router")
+                await rate(context)
+
+            node.flow._check_rate = check_rate
+            caller = await PipeliningCaller.connect(fleet.nursery, node)
+            events = []
+            sink = logger.add(lambda m: events.append(m.record["extra"]["event"]))
+            await caller.send("/p/x", "/k/fault", "/p/y")
+            with trio.move_on_after(2.0):
+                await eventually(lambda: len(caller.answers) == 3)
+            logger.remove(sink)
+            self.assertEqual(events.count(CONNECTION_FAULT.number), 1)
+            self.assertEqual(caller.statuses, [200, 500, 200])
+            self.assertFalse(caller.ended.is_set())
+
+        self.play(scenario)
+
+    def test_broken_response_of_which_a_part_was_sent(self):
+        """Its caller must not take it for a complete one."""
+
+        async def scenario(fleet):
+            caller = await PipeliningCaller.connect(fleet.nursery, fleet.nodes[0])
+            await caller.send("/p/broken")
+            await caller.ended.wait()
+            self.assertEqual(caller.answers, [])
+
+        self.play(scenario, pooled=StreamingTarget(pause=0.3), max_attempts=1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -32,7 +32,7 @@
 from .attempts import HeldPermit, PendingRequest, Sender
 from .body import CallerBody
 from .interfaces import AccountDirectory, Permits, Placement, Quotas
-from .refusals import RequestRefusedError
+from .refusals import RequestRefusedError, failed_body_refusal
 from .requests import (
     FINGERPRINT_BYTES,
     CallerRequest,
@@ -47,6 +47,7 @@
 ATTEMPT_LIMIT = 5
 RETRY_DELAY = 0.01  # seconds; retry n > 1 waits this times 2**(n - 1)
 MAX_RETRY_DELAY = 0.16  # seconds
+BROKEN_OFF = "response broke off"
 DURABLE_TIMEOUT = 0.5  # seconds; send anyway if no coordinator has confirmed by then
 
 
@@ -55,11 +56,15 @@
 
     request_id: str
     received_at: float  # seconds on trio's clock; when the request was received
-    started: bool
+    started: bool  # whether the header section is queued
+    partly_sent: bool
     caller_left: bool  # whether the request was cancelled for the end of its connection
 
     async def refuse(self, refusal: RequestRefusedError) -> None:
-        """Send the refusal; if a response was started, abort it instead."""
+        """Send the refusal in place of a queued response; cut a partly sent one."""
+
+    async def wait_for_turn(self) -> None:
+        """Wait until all earlier responses are sent."""
 
     async def send_continue(self) -> None:
         """Send ``100 Continue`` if the caller waits for it."""
@@ -76,9 +81,6 @@
     async def finish(self) -> None:
         """Send the end of the response."""
 
-    def abort(self) -> None:
-        """Reset the connection so that the caller sees an incomplete response."""
-
 
 class Flow(Protocol):
     """Serve the requests of callers."""
@@ -180,7 +182,7 @@
             if pending.body_prefix:
                 self._time_limits.check(limit, trio.current_time())
             progress.pending = pending
-            return await self._run_attempts(pending, writer)
+            return await self._run_attempts(pending, limit, writer)
         self._handle_expired(progress, limit, writer)
 
     async def _take_quota(self, request: CallerRequest, deadline: float) -> None:
@@ -217,12 +219,11 @@
             raise RequestRefusedError(429, "no quota before the deadline")
         if pending is None:
             raise MalformedMessageError("request body is too slow", status=408)
-        if writer.started:
-            return writer.abort()
         at_most_once = (
             pending.request.idempotency_key and not pending.request.idempotent
         )
-        if pending.may_have_run or (at_most_once and pending.permit_requested):
+        may_have_run = pending.may_have_run or writer.started
+        if may_have_run or (at_most_once and pending.permit_requested):
             # The first request with this idempotency key may still be running.
             reason = STOPPING if limit.shortened else "deadline passed"
             raise self._unknown_outcome(pending, 504, reason)
@@ -231,14 +232,14 @@
         raise RequestRefusedError(503, "deadline passed before the request was sent")
 
     async def _run_attempts(
-        self, pending: PendingRequest, writer: ResponseWriter
+        self, pending: PendingRequest, limit: TimeLimit, writer: ResponseWriter
     ) -> None:
         self._budgets_by_service[pending.request.service.id].note_request()
         while True:
             held_permit = await self._sender.acquire(pending)
             if isinstance(held_permit, PermitRefused):
                 return await self._handle_permit_refused(pending, held_permit, writer)
-            failure = await self._attempt(pending, held_permit, writer)
+            failure = await self._attempt(pending, held_permit, limit, writer)
             if failure is None:
                 return
             if not self._may_retry(pending, failure):
@@ -252,22 +253,21 @@
             pending.attempt += 1
 
     async def _attempt(
-        self, pending: PendingRequest, held_permit: HeldPermit, writer: ResponseWriter
+        self,
+        pending: PendingRequest,
+        held_permit: HeldPermit,
+        limit: TimeLimit,
+        writer: ResponseWriter,
     ) -> Failure | None:
         try:
             held_permit, result = await self._sender.send(pending, held_permit)
             if isinstance(result, Failure):
                 return result
-            await self._deliver(pending, held_permit, result, writer)
+            await self._deliver(pending, held_permit, result, limit, writer)
             return None
         except (RequestRefusedError, MalformedMessageError) as error:
-            # Reading the caller's body failed while it was being sent to the target.
             held_permit.close()
-            if writer.started:
-                return writer.abort()
-            raise RequestRefusedError(
-                error.status, error.message, outcome="unknown", close=True
-            ) from error
+            raise failed_body_refusal(error) from error
         finally:
             held_permit.close()
 
@@ -276,8 +276,10 @@
         pending: PendingRequest,
         held_permit: HeldPermit,
         exchange: Exchange,
+        limit: TimeLimit,
         writer: ResponseWriter,
     ) -> None:
+        limit.begin_delivery()
         stores_response = pending.request.idempotency_key is not None
         kept: bytearray | None = bytearray() if stores_response else None
         durable = stores_response and not pending.request.idempotent
@@ -307,14 +309,16 @@
                 reason=error.message,
             )
             self._metrics.count(UNKNOWN)
-            return writer.abort()
+            refusal = RequestRefusedError(502, BROKEN_OFF, outcome="unknown")
+            return await writer.refuse(refusal)
         finally:
             self._sender.cancel(exchange)
         answer = None if kept is None else _stored_response(exchange, bytes(kept))
         held_permit.return_permit("answered", exchange.status, answer)
         self._metrics.count(ANSWERED)
         if durable and held_permit.return_accepted is not None:
-            with trio.move_on_after(DURABLE_TIMEOUT):
+            send_at = min(trio.current_time() + DURABLE_TIMEOUT, limit.ends_at)
+            with trio.move_on_at(send_at):
                 await held_permit.return_accepted.wait()
         if withheld:
             await writer.write(withheld)
@@ -322,6 +326,10 @@
 
     async def _next_part(self, exchange: Exchange, writer: ResponseWriter) -> bytes:
         part = exchange.receive_nowait()
+        if part is None and not writer.partly_sent:
+            # If the response has broken off, another one can be sent in its place.
+            await writer.wait_for_turn()
+            part = await exchange.receive_arrived()
         if part is None:
             await writer.flush()
             part = await exchange.receive()
--- a/packages/router/src/fireflystand_router/entry/refusals.py
+++ b/packages/router/src/fireflystand_router/entry/refusals.py
@@ -5,13 +5,14 @@
 
 from fireflystand_core.exceptions import FireflystandError
 
+from ..framing import MalformedMessageError
 from .caller_options import CallerOptions
 
-__all__ = ["RequestRefusedError"]
+__all__ = ["RequestRefusedError", "failed_body_refusal"]
 
 
 class RequestRefusedError(FireflystandError):
-    """Refuse a request; ``close`` ends the connection after the response."""
+    """Refuse a request; with ``close``, its connection serves no later ones."""
 
     def __init__(
         self,
@@ -62,6 +63,13 @@
         headers.extend(self.fields.items())
         if self.retry_after is not None:
             headers.append(("Retry-After", options.retry_after(self.retry_after)))
-        if self.close:
-            headers.append(("Connection", "close"))
         return headers
+
+
+def failed_body_refusal(
+    error: RequestRefusedError | MalformedMessageError,
+) -> RequestRefusedError:
+    """Return the refusal after a body failed while a target was receiving it."""
+    # Callers take 408 as a promise that the request has not run.
+    status = 504 if error.status == 408 else error.status
+    return RequestRefusedError(status, error.message, outcome="unknown", close=True)
