Start no task of a claim that has ended

Cause: a coordinator's tasks are cancelled when its claim ends, but a task that was started in the same step runs until it waits for the first time, and the record of the claim is gone by then. A cancelled task is not begun any more.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -198,8 +198,11 @@
         self, scope: trio.CancelScope, task: Callable, *arguments
     ) -> None:
         try:
-            with scope:
-                await task(*arguments)
+            # The claim may have ended since the task was started; a cancelled scope
+            # alone would let it run until it waits for the first time.
+            if not scope.cancel_called:
+                with scope:
+                    await task(*arguments)
         finally:
             self._tasks.discard(scope)
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -300,5 +300,21 @@
         run_scenario(scenario)
 
 
+class EndedClaimTests(unittest.TestCase):
+    """Guard against tasks of an ended claim that end the process."""
+
+    def test_task_that_begins_after_its_claim_has_ended(self):
+        """A confirmation that started with the end of its claim had no record."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            coordinator._start_task(coordinator._confirm)
+            coordinator.resign("test")
+            await trio.sleep(3)
+            self.assertTrue(coordinator.is_coordinator)
+
+        run_scenario(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
