Claim again when the range record cannot be read

Cause: the confirmation decoded the stored record without a check. A record that cannot be read counts as lost now: the coordinator claims again and writes its own record over it.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -55,6 +55,7 @@
 from .membership import Membership
 from .ports import RANGES, GrantRefusedError, StorePort, TargetControlPort
 from .record_writer import RecordWriter
+from .restoration import MALFORMED
 from .state import FrozenRange, RoutingState
 
 __all__ = ["RangeCoordinator"]
@@ -445,7 +446,7 @@
         if self.record is None or self.record.epoch != epoch:
             return
         self._watch.update_era()
-        found = None if stored is None else RangeRecord.from_value(stored.value)
+        found = _readable_record(stored)
         if found is not None and self._is_later_claim(found):
             return self._end("the record has another coordinator")
         if found is None or found.epoch < epoch:
@@ -932,6 +933,14 @@
         )
 
 
+def _readable_record(stored: ObjectChange | None) -> RangeRecord | None:
+    """Return the record of a stored object, None if there is none that can be read."""
+    try:
+        return None if stored is None else RangeRecord.from_value(stored.value)
+    except MALFORMED:
+        return None
+
+
 def _granted_part(record: RangeRecord, part: KeyRange, handover: str) -> KeyRange:
     """Return a part with the owner and fence that the record gives for its keys."""
     return attrs.evolve(
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -8,6 +8,7 @@
 from fireflystand_core.messages import WorkReport
 from fireflystand_core.ranges import RangeRecord
 
+from ..ports import RANGES
 from ..ranges import RangeCoordinator
 from .support import SERVICE, FakeCluster
 
@@ -315,6 +316,19 @@
 
         run_scenario(scenario)
 
+    def test_record_that_another_writer_made_unreadable(self):
+        """A record without its parts ended the process at the next confirmation."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            await cluster.store.put(RANGES, SERVICE, {}, None)
+            await trio.sleep(5)
+            self.assertTrue(coordinator.is_coordinator)
+            self.assertTrue(cluster.record().ranges)
+            self.assertEqual(cluster.control.violations, [])
+
+        run_scenario(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
