--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -8,6 +8,7 @@
 from fireflystand_core.messages import WorkReport
 from fireflystand_core.ranges import RangeRecord
 
+from ..ports import RANGES
 from ..ranges import RangeCoordinator
 from .support import SERVICE, FakeCluster
 
@@ -300,5 +301,34 @@
         run_scenario(scenario)
 
 
+class EndedClaimTests(unittest.TestCase):
+    """Guard against tasks of an ended claim that end the process."""
+
+    def test_task_that_begins_after_its_claim_has_ended(self):
+        """A confirmation that started with the end of its claim had no record."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            coordinator._start_task(coordinator._confirm)
+            coordinator.resign("test")
+            await trio.sleep(3)
+            self.assertTrue(coordinator.is_coordinator)
+
+        run_scenario(scenario)
+
+    def test_record_that_another_writer_made_unreadable(self):
+        """A record without its parts ended the process at the next confirmation."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            await cluster.store.put(RANGES, SERVICE, {}, None)
+            await trio.sleep(5)
+            self.assertTrue(coordinator.is_coordinator)
+            self.assertTrue(cluster.record().ranges)
+            self.assertEqual(cluster.control.violations, [])
+
+        run_scenario(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
