End a planned stop with its requests, whatever its other parts do

What callers could see: a part of a stop that does not end, such as resigning from the key ranges, keeps the instance from closing its connections before it is killed.

The other parts are given up when the entry is closed.

Test: test_other_part_of_the_stop_that_does_not_end; before, 'the stop has not ended' after twice the grace period. test_stop passes.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -342,7 +342,8 @@
         self.readiness.stop()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_stop_part, "key ranges", self.ownership.stop)
-            nursery.start_soon(self.entry.close)
+            await self.entry.close()
+            nursery.cancel_scope.cancel()
         with trio.move_on_after(CLOSE_TIMEOUT):
             await self.store.close()
             await self.control.close()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -269,6 +269,19 @@
 
         self.play(scenario)
 
+    def test_other_part_of_the_stop_that_does_not_end(self):
+        """The instance waited for it beyond the end of the grace period."""
+
+        async def scenario(fleet):
+            node = fleet.nodes[0]
+            node.ownership.stop = trio.sleep_forever
+            with trio.move_on_after(2 * GRACE):
+                self.assertLess(await self.stop(node), GRACE)
+                return
+            self.fail("the stop has not ended")
+
+        self.play(scenario)
+
 
 class UnknownOutcomeTests(StopTestCase):
     """Guard against answers that promise too much about requests that were sent."""
