Keep what a restored store lacks until the store is read again

What callers could see: the store is restored, listed once, and then away again or turns the instance away. Evacuations that the copy lacked ended after 2.2 s, records of instances after 8 s (their peers would be declared dead), and targets that had been removed were used again after 3 s, although nothing had been read meanwhile.

Cause: these periods ended by the clock alone. They end now once the store has been read at their end or later, as the confirmations of the configuration show. Targets that the copy lacks still end by the clock, since one that is missing after 2 s is to be taken as gone.

Tests: three tests of test_restoration demand now that nothing ends before the store is read, which is stricter than before; on the earlier code they fail with the kind among those that changed. 48 passed with the fix.

--- a/packages/router/src/fireflystand_router/dispatch/restoration.py
+++ b/packages/router/src/fireflystand_router/dispatch/restoration.py
@@ -133,13 +133,15 @@
         """Tell whether a target's record may be one that had been removed."""
         return target_id in self._doubtful_until_by_target
 
-    def expire(self) -> bool:
-        """Trust the records that have not lapsed; tell whether there are any."""
-        now = self._clock()
+    def expire(self, read_at: float) -> bool:
+        """Trust the records that have not lapsed; tell whether there are any.
+
+        ``read_at`` is the time at which the store was last read.
+        """
         lasting = [
             name
             for name, until in self._doubtful_until_by_target.items()
-            if until <= now
+            if until <= read_at
         ]
         for name in lasting:
             self.add_written(name)
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -386,8 +386,15 @@
     def _is_recovering(self, kind: str) -> bool:
         """Tell whether what a restored store lacks may still be written again."""
         restored_at = self._restored_at_by_kind.get(kind, float("-inf"))
+        if kind == TARGETS:
+            return self._clock() < restored_at + RETURN_PERIOD
         period = REGISTRATION_PERIOD if kind == INSTANCES else RETURN_PERIOD
-        return self._clock() < restored_at + period
+        return self._store_read_at < restored_at + period
+
+    @property
+    def _store_read_at(self) -> float:
+        """Return when an instance last read the store, as far as is known here."""
+        return self.replicas_by_kind[CONFIGURATION].confirmed_at
 
     def _decode(
         self,
@@ -538,7 +545,7 @@
         Return the kinds of which something changed.
         """
         changed = {kind for kind in self._missing_by_kind if self._expire_missing(kind)}
-        if self._expire_targets() | self._removals.expire():
+        if self._expire_targets() | self._removals.expire(self._store_read_at):
             changed.add(TARGETS)
         for kind in changed:
             self.notify(kind)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restoration.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restoration.py
@@ -159,6 +159,12 @@
         since = state.replicas_by_kind[kind].revision
         state.apply(kind, since, version, [change], self.now)
 
+    def expire_after_read(self, state) -> set[str]:
+        """Let what is kept end; before the store is read again, nothing may."""
+        self.assertEqual(state.expire(), set())
+        self.list(state, CONFIGURATION, make_revision(1, 15), main={"version": 1})
+        return state.expire()
+
     def target(self, **fields) -> TargetRecord:
         return TargetRecord("t", "s", "10.0.0.1:1", "x", 3, **fields)
 
@@ -284,7 +290,7 @@
             state.expire()
             self.assertIsNone(state.usable_target("t"))
             self.now += 0.2
-            self.assertIn(TARGETS, state.expire())
+            self.assertIn(TARGETS, self.expire_after_read(state))
             self.assertIsNotNone(state.usable_target("t"))
 
         def lapsed(state):
@@ -332,7 +338,7 @@
             state.expire()
             self.assertIn("a", state.instances_by_id)
             self.now += 0.2
-            self.assertIn(INSTANCES, state.expire())
+            self.assertIn(INSTANCES, self.expire_after_read(state))
             self.assertNotIn("a", state.instances_by_id)
 
         self.run_scenario(scenario)
@@ -343,7 +349,7 @@
             self.list(state, DEPARTURES, make_revision(1, 15), y={})
             self.assertEqual(state.departed_data_centres, {"x", "y"})
             self.now += RETURN_PERIOD + 0.1
-            state.expire()
+            self.assertIn(DEPARTURES, self.expire_after_read(state))
             self.assertEqual(state.departed_data_centres, {"y"})
 
         self.run_scenario(scenario)
