Assign keys again when their target has started again under its id

What callers saw: requests for the keys of such a target were refused for want of an owner until its load was rebalanced; in a model without load a quarter of the keys had no owner for 10 s.

Cause: a planned move to the target that the record names already was skipped, although the record names the target's earlier process, whose leases have ended. The range counts as being there only if the process is the same.

Test: test_target_that_starts_again_under_its_id_gets_keys; before, the target had no lease after 8 s. test_ranges: 18 passed.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -720,14 +720,20 @@
             self._start_task(self._assign_vacant, vacant)
 
     def _parts_to_move(self, record: RangeRecord, move: PlannedMove) -> list[KeyRange]:
-        """Return the parts of a move that are neither moving nor at the destination."""
+        """Return the parts of a move that are neither moving nor at the destination.
+
+        A range is not there if an earlier process of the destination had it.
+        """
+        target = self._state.usable_target(move.destination)
+        started_at = target.started_at if target is not None else None
         parts = []
         for item in record.ranges:
             first, last = max(item.first, move.first), min(item.last, move.last)
             if first > last:
                 continue
             part = attrs.evolve(item, first=first, last=last)
-            if not self._is_moving(part) and item.target != move.destination:
+            is_there = (item.target, item.started_at) == (move.destination, started_at)
+            if not self._is_moving(part) and not is_there:
                 parts.append(part)
         return parts
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -300,6 +300,19 @@
 
         run_scenario(scenario)
 
+    def test_target_that_starts_again_under_its_id_gets_keys(self):
+        """Its keys had no owner while its record did not lapse in between."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            cluster.targets[0].leases.clear()
+            cluster.add_target_record(coordinator, "t0", started_at=9)
+            await trio.sleep(8)
+            self.assertTrue(cluster.targets[0].leases)
+            self.assert_sole_owners(cluster)
+
+        run_scenario(scenario)
+
 
 class EndedClaimTests(unittest.TestCase):
     """Guard against tasks of an ended claim that end the process."""
