Free no keys by the restored record of a target's earlier process

What callers could see (rule OWNER): a target restarted under its id in the lost seconds, its record lapsed, and the restored copy holds the record of its earlier process. The coordinator took the later process for ended and gave its keys to another target while it still held them.

Cause: any other start time counted as the end of the process that has the lease; only a later one does.

Test: test_restored_record_of_an_earlier_process_frees_the_keys_of_the_later; before, 't1 got 40960-49151, held by t0'. test_restored_store passes.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -847,8 +847,9 @@
     def _has_owner_ended(self, part: KeyRange, target: TargetRecord | None) -> bool:
         """Tell whether the process that holds a range is known to have ended."""
         if target is not None:
-            # The lease ended with the earlier process.
-            return target.started_at != part.started_at
+            # The lease ended with the earlier process. A restored store may hold the
+            # record of a process before the one that has the lease.
+            return target.started_at > part.started_at
         known = self._state.latest_records_by_target.get(part.target)
         if known is None:
             return False
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
@@ -8,6 +8,9 @@
 import trio
 import trio.testing
 
+from fireflystand_core.replica import ObjectChange, make_revision
+
+from ..ports import TARGETS
 from .restoration_support import RestorationCluster
 
 SEEDS = int(os.environ.get("RESTORATION_SEEDS", "4"))
@@ -391,6 +394,42 @@
             with self.subTest(seed=seed):
                 run_scenario(_RandomFaults(self, seed))
 
+    def test_restored_record_of_an_earlier_process_frees_the_keys_of_the_later(self):
+        """The later process still held its leases, out of the coordinator's reach.
+
+        It had restarted in the lost seconds, and its record had lapsed.
+        """
+
+        async def scenario(cluster, is_listed):
+            await start_instances(cluster, 1)
+            coordinator = cluster.instances_by_id["a"].coordinator
+            state = coordinator.state
+            earlier = state.targets_by_id["t0"]
+            cluster.remove_target_record(coordinator, "t0")
+            await trio.sleep(1)
+            cluster.targets[0].leases.clear()
+            cluster.add_target_record(coordinator, "t0", started_at=9)
+            await trio.sleep(3)
+            self.assertEqual(cluster.unowned_keys(), [])
+            self.assertTrue(cluster.targets[0].leases)
+            cluster.targets[0].reachable = False
+            cluster.remove_target_record(coordinator, "t0")
+            await trio.sleep(0.4)
+            await cluster.restore(1)
+            if is_listed:
+                number = state.replicas_by_kind[TARGETS].revision
+                version = make_revision(cluster.store.era, number)
+                listed = [*state.targets_by_id.values(), earlier]
+                changes = [ObjectChange(item.id, version, item) for item in listed]
+                state.replace(TARGETS, version, changes, trio.current_time())
+            for _ in range(16):
+                await trio.sleep(0.5)
+                self.assertEqual(cluster.control.violations, [])
+
+        for is_listed in (False, True):
+            with self.subTest(is_listed=is_listed):
+                run_scenario(partial(scenario, is_listed=is_listed))
+
 
 class _RandomFaults:
     """Apply random faults and restorations, then check that all keys have owners."""
