Keep a reset that a check for data has found

The check peeks into the socket, and the kernel reports a reset once only: the next read returned the end of the stream, which ends such a response. The stream keeps the error that a check has found and raises it in the next read.

--- a/packages/router/src/fireflystand_router/streams.py
+++ b/packages/router/src/fireflystand_router/streams.py
@@ -27,6 +27,7 @@
     def __init__(self, connected: socket.socket) -> None:
         connected.setblocking(False)
         self._socket = connected
+        self._found_error: OSError | None = None  # not yet raised by a read
 
     @classmethod
     def from_trio(cls, stream: trio.SocketStream) -> "DirectStream":
@@ -57,6 +58,8 @@
         """
         while True:
             await self._wait(trio.lowlevel.wait_readable)
+            if self._found_error is not None:
+                raise self._stream_error(self._found_error) from self._found_error
             try:
                 return self._socket.recv(size)
             except BlockingIOError:
@@ -80,7 +83,10 @@
             self._socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except OSError:
+        except OSError as error:
+            # The kernel reports an error once. The next read would return the end of
+            # the stream, and a response that was reset would look complete.
+            self._found_error = error
             return False
         return False
 
--- a/packages/router/src/fireflystand_router/tests/test_streams.py
+++ b/packages/router/src/fireflystand_router/tests/test_streams.py
@@ -1,5 +1,7 @@
 """Test streams, and the reset of a connection whose request was cancelled."""
 
+import socket
+import struct
 import unittest
 
 import trio
@@ -89,6 +91,32 @@
         run_scenario(scenario)
 
 
+class ResetTests(unittest.TestCase):
+    """Guard against a reset that is taken for the end of a stream."""
+
+    def test_reset_that_a_check_for_data_has_found(self):
+        """A response without length that its target reset was delivered as complete."""
+
+        async def main():
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                stream = await connect(f"127.0.0.1:{server.getsockname()[1]}")
+                peer, _ = server.accept()
+                peer.sendall(b"part")
+                self.assertEqual(await stream.receive_some(100), b"part")
+                linger = struct.pack("ii", 1, 0)
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                peer.close()
+                with trio.fail_after(5):
+                    while stream.is_idle():
+                        await trio.sleep(0.01)
+                for _ in range(2):
+                    with self.assertRaises(trio.BrokenResourceError):
+                        await stream.receive_some(100)
+                stream.close()
+
+        trio.run(main)
+
+
 class GivenUpTests(unittest.TestCase):
     """Guard against requests that are delivered when a network partition heals.
 
