--- a/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_stop.py
@@ -1,6 +1,7 @@
 """Test that a planned stop leaves no request without a final response."""
 
 import unittest
+from functools import partial
 from random import Random
 
 import trio
@@ -332,6 +333,27 @@
 
         self.play(scenario, pooled=StreamingTarget(parts=3))
 
+    def test_request_behind_a_response_that_outlasts_the_stop(self):
+        """It was passed on after the signal and cut with the earlier response."""
+        for wait, deadline in ((0.3, LONG), (GRACE * 2 / 3, "300")):
+            with self.subTest(wait=wait, deadline=deadline):
+                self.play(
+                    partial(self.send_behind_slow, wait=wait, deadline=deadline),
+                    pooled=StreamingTarget(),
+                )
+
+    async def send_behind_slow(self, fleet, *, wait: float, deadline: str) -> None:
+        node = fleet.nodes[0]
+        caller = await PipeliningCaller.connect(fleet.nursery, node)
+        await caller.send("/p/slow")
+        await eventually(lambda: len(fleet.targets[1].requests) == 1)
+        fleet.nursery.start_soon(node.stop)
+        await trio.sleep(wait)
+        await caller.send("/p/fast", deadline=deadline)
+        await caller.ended.wait()
+        if caller.statuses != [200, 200]:
+            self.assertEqual(passed_on(fleet.targets[1]), ["/p/slow"])
+
 
 class PipelineTests(StopTestCase):
     """Guard against requests that end with a request ahead of or beside them."""
