Pass no request on behind a response that may outlast a planned stop

What callers saw: a request that came after the signal, pipelined behind a response that its target streamed past the end of the stop, was passed on and cut with that response, so it ended without an answer.

Cause: the end of a response in delivery is not known to the requests behind it. Their own time limit does not help, since their responses wait for it.

Change: while an instance stops, a request is passed on only once no earlier response of its connection is in delivery. Behind a silent target nothing changes: its response has not started, and ends with its time limit.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -365,7 +365,7 @@
         with context.limit.scope:
             await writer.send_continue()
             await self._prepare(context)
-            response = await self._send_with_retries(context)
+            response = await self._send_with_retries(context, writer)
         # Outside the time limit: a response that has arrived is delivered, even if it
         # came just before the deadline or waits for earlier ones on the connection.
         if response is not None:
@@ -414,9 +414,15 @@
             self._budgets_by_service[context.service] = budget
         return budget
 
-    async def _send_with_retries(self, context: _RequestContext) -> "_TargetResponse":
+    async def _send_with_retries(
+        self, context: _RequestContext, writer: ResponseWriter
+    ) -> "_TargetResponse":
         """Send the request until a target responds; raise if none does."""
         while True:
+            if self._time_limits.is_stopping:
+                # A response that outlasts the stop is cut, and with it the responses
+                # behind it on the connection.
+                await writer.wait_for_deliveries()
             target_id = await self._wait_for_owner(context)
             context.target = target_id or context.target
             if left := self._check_pause(context, target_id):
@@ -427,7 +433,8 @@
                 context.placed_at = trio.current_time()
                 continue
             target = self._target_of_slot(context, slot)
-            if target is None:
+            must_wait = self._time_limits.is_stopping and writer.follows_delivery
+            if target is None or must_wait:
                 self._slots.release(slot, SlotReturn(slot.service, slot.number))
                 continue
             result = await self._send_once(context, slot, target)
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -287,6 +287,17 @@
         """Tell whether no later request is being served."""
         return not self._responses or self._responses[-1] is writer
 
+    def delivery_before(
+        self, writer: PipelinedResponseWriter
+    ) -> PipelinedResponseWriter | None:
+        """Return the first response before ``writer`` that has started, if any."""
+        for earlier in self._responses:
+            if earlier is writer:
+                return None
+            if earlier.started:
+                return earlier
+        return None
+
     def abort(self) -> None:
         """Reset the connection so that the caller sees an incomplete response."""
         if not self._aborted:
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -59,6 +59,7 @@
     started: bool  # whether the header section is queued
     partly_sent: bool
     caller_left: bool  # whether the request was cancelled for the end of its connection
+    follows_delivery: bool  # whether an earlier response is being delivered
 
     async def refuse(self, refusal: RequestRefusedError) -> None:
         """Send the refusal in place of a queued response; cut a partly sent one."""
@@ -66,6 +67,9 @@
     async def wait_for_turn(self) -> None:
         """Wait until all earlier responses are sent."""
 
+    async def wait_for_deliveries(self) -> None:
+        """Wait until no earlier response is being delivered."""
+
     async def send_continue(self) -> None:
         """Send ``100 Continue`` if the caller waits for it."""
 
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -72,6 +72,16 @@
             await self._previous.done.wait()
             self._previous = None
 
+    @property
+    def follows_delivery(self) -> bool:
+        """Tell whether an earlier response of the connection is being delivered."""
+        return self._connection.delivery_before(self) is not None
+
+    async def wait_for_deliveries(self) -> None:
+        """Wait until no earlier response of the connection is being delivered."""
+        while (earlier := self._connection.delivery_before(self)) is not None:
+            await earlier.done.wait()
+
     async def refuse(self, refusal: RequestRefusedError) -> None:
         """Send the refusal in place of a queued response; cut one that is partly sent.
 
--- a/packages/router/src/fireflystand_router/entry/time_limits.py
+++ b/packages/router/src/fireflystand_router/entry/time_limits.py
@@ -76,6 +76,11 @@
         for limit in self._open:
             limit.shorten(stops_at)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self._stops_at < float("inf")
+
     def check(self, limit: TimeLimit, received_at: float) -> None:
         """Raise RequestRefusedError if a request came too late to end before a stop.
 
