Grant no key while a lost claim may still hold its lease

What callers saw: after a restoration of the store two targets could own one key (OWNER), in two ways. An instance that started after the restoration took a missing range record as one that never was and granted its keys at once. And a coordinator whose claim was lost, which the store turned away and which was cut off within 1.3 s of the next claim, renewed leases for longer than the next coordinator waited.

Cause: a process that has seen one era of the store cannot tell a restored store from a new one, and the wait of a claim looked at the instances that were unreachable at the claim only.

Change: the setting bootstrap tells the first start of the whole system. Any other process takes a missing record as lost until leases from before its start have ended. While a claim waits for leases, an instance that becomes unreachable extends the wait to the period of its authority. The stand-ins write the setting at the first start of an instance.

A claim without a record after the first start waits some 10 s (by reading: 1.5 s or 6 s, then the validity of a lease).

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -174,6 +174,7 @@
             max_lease=bounds.max_lease,
             share=self.replica_sync.broadcast_record,
             store_age=lambda: self.replica_sync.store_age,
+            is_first_start=self.settings.is_first_start,
         )
 
     def _new_entry_server(self) -> EntryServer:
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -168,3 +168,4 @@
     target_options: TargetOptions = attrs.field(factory=TargetOptions)
     target_fields: TargetFields = attrs.field(factory=TargetFields)
     ready_path: str = "/fireflystand/v1/ready"
+    is_first_start: bool = False  # whether the whole system starts for the first time
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -124,6 +124,7 @@
         max_lease: float,
         share: Callable[[ObjectChange, ObjectChange | None], None],
         store_age: Callable[[], float],
+        is_first_start: bool = False,
         clock: Callable[[], float] = lease_clock,
     ) -> None:
         self.service = service
@@ -147,6 +148,7 @@
         self._next_plan = 0.0
         self._next_rebalancing = 0.0
         self._started_at = self._clock()
+        self._is_first_start = is_first_start
         self._tasks: set[trio.CancelScope] = set()
         self._claimable_since: float | None = None
         self._claimable_epoch = 0
@@ -155,6 +157,7 @@
         self._is_claim_lost = False
         self._is_claiming_again = False
         self._next_reclaim = 0.0
+        self._claimed_at = float("-inf")
         self._grants_from = float("-inf")
         self._next_settling = 0.0
         self._watch = ClaimWatch(service, state, membership, clock)
@@ -282,7 +285,7 @@
                 record.holder, record.holder_incarnation
             )
         )
-        now = self._clock()
+        now = self._claimed_at = self._clock()
         if previous_may_act:
             previous_until = now + AUTHORITY_PERIOD
         elif not record.holder:
@@ -323,9 +326,12 @@
         """Tell whether the store may have lost assignments that a record lacks."""
         if record is not None:
             return record.era < self._watch.era
-        # Without a record, leases may still hold under one that the store has lost.
-        period = AUTHORITY_PERIOD + self._max_validity()
-        return self._clock() - self._watch.risen_at < period
+        # Without a record, leases may still hold under one that the store has lost. A
+        # process cannot know of a restoration before its start.
+        lost_at = self._watch.risen_at
+        if not self._is_first_start:
+            lost_at = max(lost_at, self._started_at)
+        return self._clock() - lost_at < AUTHORITY_PERIOD + self._max_validity()
 
     def _lost_claim_period(self, previous_may_act: bool) -> float:
         """Return how long a coordinator whose claim was lost may still send grants.
@@ -336,6 +342,18 @@
             return AUTHORITY_PERIOD
         return CONFIRM_INTERVAL
 
+    def _follow_unreachable(self) -> None:
+        """Wait for the authority of an instance that was lost after the claim.
+
+        It may hold an earlier claim that the store has lost, and does not learn of the
+        new one.
+        """
+        if not self._watch.unreachable():
+            return
+        until = self._claimed_at + AUTHORITY_PERIOD
+        self._previous_authority_until = max(self._previous_authority_until, until)
+        self._grants_from = max(self._grants_from, until + self._max_validity())
+
     def _max_validity(self) -> float:
         """Return the validity of leases that any coordinator may have granted."""
         known = self._state.latest_records_by_target.values()
@@ -405,6 +423,7 @@
         if self._should_resign(now):
             return self.resign("the store turns this instance away")
         if self.record.awaits_leases:
+            self._follow_unreachable()
             if now >= max(self._grants_from, self._next_settling):
                 self._next_settling = now + RECLAIM_INTERVAL
                 self._start_task(self._settle)
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -273,6 +273,7 @@
             bounds=self.bounds,
             caller_options=self.caller_options,
             target_fields=self.target_fields,
+            is_first_start=True,
         )
         node = DispatchNode(
             settings, self.store, SharedControl(), self.read_table, read_record
--- a/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
@@ -173,12 +173,15 @@
         self.instances_by_id: dict[str, Instance] = {}
         self.whole_shares = 0  # number of records sent as a whole
         self._starts = 0
+        self._began_at = float("-inf")  # when the first instances started
         self._nursery = nursery
         nursery.start_soon(self._follow_membership)
 
     def start(self, own_id: str) -> Instance:
         """Start a process of an instance."""
         self._starts += 1
+        if self._starts == 1:
+            self._began_at = trio.current_time()
         instance = Instance(own_id, f"{own_id}{self._starts}")
         membership = ClusterMembership(
             own_id=own_id,
@@ -193,6 +196,7 @@
             store=InstanceStore(self, instance),
             control=InstanceControl(self, instance),
             share=lambda change, before: self._share(instance, change, before),
+            is_first_start=trio.current_time() == self._began_at,
         )
         coordinator.instance = instance
         instance.coordinator = coordinator
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -287,6 +287,7 @@
             "store": self.store,
             "control": self.control,
             "share": lambda *change: None,
+            "is_first_start": True,
         }
         coordinator = kind(
             SERVICE,
