Trust API keys of a restored store only with peers or a later version

What callers saw: an instance that was cut off while an API key was withdrawn, and then reached the restored store but no peer, served the key for 2.1 to 2.8 s beyond the 5 s of its withdrawal (CONFIG, revoke).

Cause: the list of a restored store, which still holds the key, counted as a confirmation of the configuration.

Change: after a restoration the store's responses confirm the configuration only once half of the instances are in reach, whose heartbeats name the latest version, or the operator has written again. Until then the store is asked with a growing pause.

An instance that reaches fewer than half of the others after a restoration refuses requests with an API key until then or until the operator writes.

--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -67,6 +67,8 @@
 REGISTRATION_DELAY = 0.25  # seconds from a change of the instances to the next watch
 INCOMPLETE_TIMEOUT = 1.5  # seconds until a replica that misses a change is pulled
 PULL_TIMEOUT = 0.5  # seconds
+# Share of the instances that know the latest configuration of before a restoration.
+MIN_PROVING_SHARE = 0.5
 NEVER = float("-inf")  # seconds; the time of a confirmation that there was not
 CONFIGURATION_PULL_INTERVAL = 0.5  # seconds between two rounds of pulls
 # Between two pulls of a configuration that only its own version shows to be newer.
@@ -100,6 +102,8 @@
         self._listed_kinds: set[str] = set()  # for which the last watch had no history
         self._watches_by_kind: dict[str, trio.CancelScope] = {}
         self._next_newer_pull = float("-inf")
+        # The first revision of a restored store that may lack known withdrawals.
+        self._unproved_revision: int | None = None
         self.store_answered_at = float("-inf")
         membership.network.set_direct_handler(ReplicaPull, self._handle_pull)
         membership.network.set_direct_handler(ReplicaCopy, self._handle_push)
@@ -166,8 +170,9 @@
                 backoff = min(MAX_BACKOFF, 2 * backoff)
                 continue
             self._handle_success(kind)
-            if listed_again:
-                # The store has no history for the revision of its own last list.
+            if listed_again or self._is_unproved(kind):
+                # The store has no history for the revision of its own last list, or
+                # its responses confirm nothing until peers are reached.
                 await trio.sleep(backoff)
                 backoff = min(MAX_BACKOFF, 2 * backoff)
                 continue
@@ -233,6 +238,7 @@
             if not snapshot.items and self._clock() - requested_at >= wait:
                 # The store sends an empty response at the end of the wait, not before.
                 confirmed_at += wait
+            confirmed_at = self._proved_at(kind, snapshot.revision, confirmed_at)
             changes = self._state.apply(
                 kind, since, snapshot.revision, snapshot.items, confirmed_at
             )
@@ -241,8 +247,9 @@
             snapshot = await self._store.list(kind)
             self._listed_kinds.add(kind)
             since = replica.revision
+            confirmed_at = self._proved_at(kind, snapshot.revision, requested_at)
             changes = self._state.replace(
-                kind, snapshot.revision, snapshot.items, requested_at
+                kind, snapshot.revision, snapshot.items, confirmed_at
             )
         if kind == INSTANCES:
             self._membership.refresh_addresses()
@@ -252,6 +259,30 @@
                 await trio.sleep(REGISTRATION_DELAY)
         return listed_again
 
+    def _is_unproved(self, kind: str) -> bool:
+        """Tell whether the store's responses do not confirm the replica of a kind."""
+        return kind == CONFIGURATION and self._unproved_revision is not None
+
+    def _proved_at(self, kind: str, revision: int, answered_at: float) -> float:
+        """Return the time for which a response of the store confirms a replica.
+
+        A restored store may hold API keys that were withdrawn after its copy. An
+        instance that was cut off then learns of the withdrawal from its peers, or from
+        a configuration that was written later.
+        """
+        if kind != CONFIGURATION:
+            return answered_at
+        replica = self._state.replicas_by_kind[kind]
+        if replica.revision and era_of(revision) > era_of(replica.revision):
+            self._unproved_revision = revision
+        if self._unproved_revision is None:
+            return answered_at
+        reaches_peers = self._membership.reachable_share >= MIN_PROVING_SHARE
+        if reaches_peers or replica.changed > self._unproved_revision:
+            self._unproved_revision = None
+            return answered_at
+        return NEVER
+
     async def _watch(self, kind: str, since: int, wait: float) -> KindSnapshot | None:
         """Watch the store until the wait is over or a later era is known."""
         if self._is_of_earlier_era(kind):
