Read only the changed ranges of a range record

Cause, one of several: each change of a range record reaches every instance, which built and checked all of its ranges again and compared each with each changed one. With 100, 300 and 600 ranges that took 0.19, 0.42 and 0.81 ms for the patch and 0.33, 0.74 and 1.37 ms for the record (processor time, one change among others on this machine).

Change: a patch replaces the ranges that it covers by bisection, and a record is read from the last one, since unchanged ranges remain the same objects.

Tests: test_patch compares 300 changes with the whole reading; the types of what changed are checked as before.

--- a/packages/core/src/fireflystand_core/ranges/patch.py
+++ b/packages/core/src/fireflystand_core/ranges/patch.py
@@ -4,6 +4,7 @@
 difference that a change of a few ranges makes takes a hundredth of that.
 """
 
+from bisect import bisect_left, bisect_right
 from typing import Any
 
 __all__ = ["apply_patch", "make_patch"]
@@ -17,13 +18,21 @@
 
 
 def apply_patch(before: dict[str, Any], patch: dict[str, Any]) -> dict[str, Any]:
-    """Return the later form of a record from the earlier one and their difference."""
-    changed = patch["ranges"]
-    kept = [item for item in before["ranges"] if not _is_covered(item, changed)]
-    return {**patch, "ranges": sorted(kept + changed, key=lambda item: item[0])}
+    """Return the later form of a record from the earlier one and their difference.
 
+    Both are in the order of their keys, and unchanged ranges remain the same objects.
+    """
+    ranges = list(before["ranges"])
+    for item in patch["ranges"]:
+        begin = bisect_left(ranges, item[0], key=_last_key)
+        end = bisect_right(ranges, item[1], key=_first_key)
+        ranges[begin:end] = [item]
+    return {**patch, "ranges": ranges}
 
-def _is_covered(item: list, changed: list[list]) -> bool:
-    """Tell whether a changed range overlaps the keys of an item."""
-    first, last = item[:2]
-    return any(other[0] <= last and first <= other[1] for other in changed)
+
+def _first_key(item: list) -> int:
+    return item[0]
+
+
+def _last_key(item: list) -> int:
+    return item[1]
--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -178,28 +178,60 @@
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "RangeRecord":
         """Return the record of a stored form; raise ValueError if a type is wrong."""
+        ranges = tuple(KeyRange(*item) for item in value["ranges"])
+        _check_types(ranges)
+        return cls._from_header(value, ranges)
+
+    def after(self, before: dict[str, Any], value: dict[str, Any]) -> "RangeRecord":
+        """Return the record of a later stored form; raise ValueError as from_value.
+
+        ``before`` is the stored form of this record. A range that is the same object
+        in both forms is not read again: a change of one range in hundreds comes to
+        every instance.
+        """
+        earlier, later = before["ranges"], value["ranges"]
+        shortest = min(len(earlier), len(later))
+        start = 0
+        while start < shortest and earlier[start] is later[start]:
+            start += 1
+        rest = 0
+        while rest < shortest - start and earlier[-1 - rest] is later[-1 - rest]:
+            rest += 1
+        end = len(later) - rest
+        changed = tuple(KeyRange(*item) for item in later[start:end])
+        _check_types(changed)
+        kept = self.ranges[len(earlier) - rest :]
+        return type(self)._from_header(value, self.ranges[:start] + changed + kept)
+
+    @classmethod
+    def _from_header(
+        cls, value: dict[str, Any], ranges: tuple[KeyRange, ...]
+    ) -> "RangeRecord":
         record = cls(
             service=value["service"],
-            ranges=tuple(KeyRange(*item) for item in value["ranges"]),
+            ranges=ranges,
             next_fence=value["next_fence"],
             epoch=value["epoch"],
             holder=value["holder"],
             holder_incarnation=value["holder_incarnation"],
             awaits_leases=value.get("awaits_leases", False),
         )
-        record._check_types()
+        _check_all([record.service, record.holder, record.holder_incarnation], str)
+        _check_all([record.next_fence, record.epoch], int)
+        if not ranges:
+            raise ValueError("a range record without ranges")
         return record
 
-    def _check_types(self) -> None:
-        texts = [self.service, self.holder, self.holder_incarnation]
-        numbers = [self.next_fence, self.epoch]
-        for item in self.ranges:
-            texts += (item.target, item.handover)
-            numbers += (item.first, item.last, item.started_at, item.fence)
-        if not all(type(text) is str for text in texts):
-            raise ValueError("something else than text in a range record")
-        if not numbers[2:] or not all(type(number) is int for number in numbers):
-            raise ValueError("something else than whole numbers in a range record")
+
+def _check_types(ranges: Iterable[KeyRange]) -> None:
+    for item in ranges:
+        _check_all((item.target, item.handover), str)
+        _check_all((item.first, item.last, item.started_at, item.fence), int)
+
+
+def _check_all(values: Iterable[Any], kind: type) -> None:
+    if not all(type(value) is kind for value in values):
+        raise ValueError(f"a value in a range record is not of type {kind.__name__}")
 
 
 def _outside(ranges: Iterable[KeyRange], first: int, last: int):
--- a/packages/core/src/fireflystand_core/ranges/tests/test_patch.py
+++ b/packages/core/src/fireflystand_core/ranges/tests/test_patch.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from fireflystand_core.ranges import RangeRecord, apply_patch, make_patch
+from fireflystand_core.ranges import KEY_SPACE, RangeRecord, apply_patch, make_patch
 
 
 class PatchTests(unittest.TestCase):
@@ -31,6 +31,38 @@
         patch = make_patch(record.to_value(), moved.to_value())
         self.assertEqual([item[:3] for item in patch["ranges"]], [[0, 382, "t5"]])
 
+    def test_record_read_by_its_changes_equals_the_whole_one(self):
+        """Guard against a record that keeps ranges which a change replaced."""
+        rng = random.Random(4)
+        record = RangeRecord("s")
+        value = record.to_value()
+        for step in range(300):
+            first = rng.randrange(KEY_SPACE)
+            last = min(KEY_SPACE - 1, first + rng.choice((0, 40, 3000, 30_000)))
+            later = record.assign(first, last, f"t{rng.randrange(9)}", step % 3)
+            patched = apply_patch(value, make_patch(value, later.to_value()))
+            self.assertEqual(patched, later.to_value())
+            read = record.after(value, patched)
+            self.assertEqual(read, RangeRecord.from_value(patched))
+            self.assertEqual(read.owner(first).target, later.owner(first).target)
+            record, value = read, patched
+
+    def test_odd_values_in_a_change_are_found(self):
+        record = RangeRecord("s").assign(0, 99, "a").assign(100, 199, "b")
+        value = record.to_value()
+        for odd in (
+            [100, 199, 7, 0, 2],
+            [100, "x", "b", 0, 2],
+            [100, 199, "b", 0, 2.5],
+        ):
+            ranges = [value["ranges"][0], odd, *value["ranges"][2:]]
+            with self.assertRaises(ValueError):
+                record.after(value, value | {"ranges": ranges})
+        with self.assertRaises(ValueError):
+            record.after(value, value | {"holder": 3})
+        with self.assertRaises(ValueError):
+            record.after(value, value | {"ranges": []})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -110,6 +110,7 @@
         self.latest_records_by_target: dict[str, TargetRecord] = {}
         self.departed_data_centres: frozenset[str] = frozenset()
         self.records_by_service: dict[str, RangeRecord] = {}
+        self._record_values_by_service: dict[str, dict] = {}  # their stored forms
         self.instances_by_id: dict[str, InstanceRecord] = {}
         self.frozen: list[FrozenRange] = []
         self.changed = trio.Event()
@@ -575,10 +576,16 @@
     def _decode_ranges(self, change: ObjectChange) -> None:
         if change.value is None:
             self.records_by_service.pop(change.name, None)
+            self._record_values_by_service.pop(change.name, None)
             return
-        record = RangeRecord.from_value(change.value)
         known = self.records_by_service.get(change.name)
+        if known is None:
+            record = RangeRecord.from_value(change.value)
+        else:
+            before = self._record_values_by_service[change.name]
+            record = known.after(before, change.value)
         self.records_by_service[change.name] = record
+        self._record_values_by_service[change.name] = change.value
         self.frozen = [
             item
             for item in self.frozen
