Import parts of packages when they are first used, and measure an instance

Cause: an instance on the platform imported the configuration of the other path with its YAML parser, its messages, its admission desk and the metrics page's library, none of which it uses.

Change: packages find such names when they are first used (lazy_names). The protocols between connections and flows have a module of their own. make profile measures the processor time of a request and of an idle instance beside a bare forwarder of h11 on trio.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/platform
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install run test lint format unit fuzz fuzz-check bench experiment
+.PHONY: install run test lint format unit fuzz fuzz-check bench experiment profile
 
 $(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -46,3 +46,6 @@
 
 bench: install
 	$(BIN)/python -m fireflystand_testing.bench
+
+profile: install
+	$(BIN)/python -m fireflystand_testing.node_profile
--- a/packages/core/src/fireflystand_core/accounts/__init__.py
+++ b/packages/core/src/fireflystand_core/accounts/__init__.py
@@ -1,21 +1,10 @@
 """Check API keys and limit the request rates of client accounts."""
 
-from .bucket import TokenBucket
-from .coordinator import AccountQuota, QuotaCoordinator
-from .holder import QuotaHolder, Refused, Verdict
-from .keys import KeyRegistry, KeyState, hash_api_key
-from .shared_rate import SharedTokenBucket, TokenReserve
+from ..lazy import lazy_names
+from . import bucket, shared_rate
+from .bucket import *  # noqa: F403
+from .shared_rate import *  # noqa: F403
 
-__all__ = [
-    "TokenReserve",
-    "AccountQuota",
-    "KeyRegistry",
-    "KeyState",
-    "QuotaCoordinator",
-    "QuotaHolder",
-    "SharedTokenBucket",
-    "Refused",
-    "TokenBucket",
-    "Verdict",
-    "hash_api_key",
-]
+__all__ = [*bucket.__all__, *shared_rate.__all__]
+
+__getattr__ = lazy_names(__name__, "coordinator", "holder", "keys")
--- a/packages/core/src/fireflystand_core/messages/kinds.py
+++ b/packages/core/src/fireflystand_core/messages/kinds.py
@@ -5,7 +5,6 @@
 from .registry import message
 
 __all__ = [
-    "Accepted",
     "WitnessRequest",
     "WitnessReply",
     "FeedItem",
@@ -16,7 +15,6 @@
     "HandOverReply",
     "Heartbeat",
     "HeartbeatReply",
-    "Hello",
     "JournalAppend",
     "JournalAppended",
     "JournalEntry",
@@ -36,23 +34,6 @@
 ]
 
 
-@message("hello")
-@attrs.frozen
-class Hello:
-    """Introduce the sender at the start of a stream."""
-
-    instance: str
-    incarnation: str
-    data_centre: str
-    address: str
-
-
-@message("accepted")
-@attrs.frozen
-class Accepted:
-    """Acknowledge a message that has no other reply."""
-
-
 @message("feed-item")
 @attrs.frozen
 class FeedItem:
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -9,7 +9,7 @@
 from ..streams import DirectStream
 from .body import CallerBody
 from .caller_options import CallerOptions
-from .flow import Flow
+from .protocols import Flow
 from .refusals import RequestRefusedError
 from .response_writer import PipelinedResponseWriter
 
--- a/packages/router/src/fireflystand_router/entry/flow.py
+++ b/packages/router/src/fireflystand_router/entry/flow.py
@@ -3,7 +3,6 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 import h11
@@ -16,7 +15,6 @@
 from fireflystand_core.outcomes import NotRun
 
 from ..events import REQUEST_UNKNOWN, RESPONSE_BROKEN, emit
-from ..fields import Fields
 from ..forward import BrokenExchangeError, Exchange, Failure, Forwarder
 from ..framing import MalformedMessageError
 from ..metrics import (
@@ -32,6 +30,7 @@
 from .attempts import HeldPermit, PendingRequest, Sender
 from .body import CallerBody
 from .interfaces import AccountDirectory, Permits, Placement, Quotas
+from .protocols import ResponseWriter
 from .refusals import RequestRefusedError, failed_body_refusal
 from .requests import (
     FINGERPRINT_BYTES,
@@ -41,7 +40,7 @@
 )
 from .time_limits import STOPPING, TimeLimit, TimeLimits
 
-__all__ = ["Flow", "RequestFlow", "ResponseWriter"]
+__all__ = ["RequestFlow"]
 
 STORED_BODY_LIMIT = 64 * 1024  # bytes
 ATTEMPT_LIMIT = 5
@@ -51,57 +50,6 @@
 DURABLE_TIMEOUT = 0.5  # seconds; send anyway if no coordinator has confirmed by then
 
 
-class ResponseWriter(Protocol):
-    """Write the response to one request of a caller."""
-
-    request_id: str
-    received_at: float  # seconds on trio's clock; when the request was received
-    started: bool  # whether the header section is queued
-    partly_sent: bool
-    caller_left: bool  # whether the request was cancelled for the end of its connection
-    follows_delivery: bool  # whether an earlier response is being delivered
-
-    async def refuse(self, refusal: RequestRefusedError) -> None:
-        """Send the refusal in place of a queued response; cut a partly sent one."""
-
-    async def wait_for_turn(self) -> None:
-        """Wait until all earlier responses are sent."""
-
-    async def wait_for_deliveries(self) -> None:
-        """Wait until no earlier response is being delivered."""
-
-    async def send_continue(self) -> None:
-        """Send ``100 Continue`` if the caller waits for it."""
-
-    def start(self, status: int, fields: Fields, length: int | None, close: bool):
-        """Queue the status line and header fields of the response."""
-
-    async def write(self, part: bytes) -> None:
-        """Queue a part of the body; send the queue if it has grown large."""
-
-    async def flush(self) -> None:
-        """Send the queued bytes."""
-
-    async def finish(self) -> None:
-        """Send the end of the response."""
-
-
-class Flow(Protocol):
-    """Serve the requests of callers."""
-
-    async def run(
-        self, event: h11.Request, body: CallerBody, writer: ResponseWriter
-    ) -> None:
-        """Serve one request; the call is cancelled if the caller disconnects."""
-
-    def begin_stop(self, drains_at: float, stops_at: float) -> None:
-        """Give every request a final response by ``stops_at`` (seconds, trio's clock).
-
-        Requests received from ``drains_at`` on are served only if they are sure to end
-        in time.
-        """
-
-
 @attrs.define
 class _Progress:
     """Record which steps of a request were completed before its deadline."""
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -16,7 +16,7 @@
 from ..streams import DirectStream
 from .caller_options import CallerOptions
 from .connection import CallerConnection
-from .flow import Flow
+from .protocols import Flow
 
 __all__ = ["EntryServer"]
 
