Release no keys that cannot be assigned, and resign when turned away

Cause: moves were planned whatever the store said; a range whose assignment failed stayed frozen; and a coordinator resigned only before its authority had ended, by the age of the ranges' replica, which is checked each 4 s, and by responses to long polls that had begun before. The same check let one resign in an outage of the whole store.

Change: nothing moves for its load while the last call to the store failed; a range whose assignment fails goes back to its owner at once, and the others are told; a coordinator resigns 2.5 s after its calls began to fail if a replica was confirmed since then, with or without authority; a failed confirmation is repeated after 0.5 s.

Evidence: the four FailingStoreTests fail before and pass now; test_ranges, test_restored_store, test_restoration pass (22, 20, 19).

--- a/packages/router/src/fireflystand_router/dispatch/ownership.py
+++ b/packages/router/src/fireflystand_router/dispatch/ownership.py
@@ -71,6 +71,9 @@
     ) -> None:
         until = trio.current_time() + message.seconds
         for first, last in message.ranges:
+            if message.seconds <= 0:
+                self._state.thaw(message.service, first, last)
+                continue
             self._state.freeze(FrozenRange(message.service, first, last, until))
 
     def _handle_resignation(
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -66,9 +66,13 @@
 # it end later, and requests with an API key are refused after 4 s without the store.
 AUTHORITY_PERIOD = 6.0  # seconds
 CONFIRM_INTERVAL = 1.5  # seconds
+CONFIRM_RETRY_INTERVAL = 0.5  # seconds from a failed confirmation to the next one
 RECLAIM_INTERVAL = 0.3  # seconds between two tries to claim in a restored store
 # A coordinator whose store calls fail for this long resigns if others reach the store.
 RESIGN_AFTER = 2.5  # seconds
+# Another instance's call may have been answered up to this long after one of this
+# instance's that an outage of the whole store left without an answer.
+OUTAGE_MARGIN = 0.5  # seconds
 DISCOVERY_PERIOD = 1.6  # seconds after the start until all peers have been contacted
 CLAIM_DELAY_PER_RANK = 0.3  # seconds for each instance of higher rank
 # Added to the delay of an instance that reaches less than half of the instances.
@@ -145,6 +149,7 @@
         self._previous_authority_until = float("-inf")
         self._has_authority = False
         self._next_confirm = 0.0
+        self._failing_since: float | None = None  # when the first such call was sent
         self._next_plan = 0.0
         self._next_rebalancing = 0.0
         self._started_at = self._clock()
@@ -299,6 +304,7 @@
         self._moving.clear()
         self._unsent_freezes.clear()
         self._is_claim_lost = False
+        self._failing_since = None
         self._previous_authority_until = previous_until
         self._authority_until = requested_at + AUTHORITY_PERIOD
         self._has_authority = True
@@ -414,14 +420,17 @@
             self._handle_restoration(now)
             if not self.is_coordinator:
                 return
+        if self.writer.is_failing:
+            retry_at = now + CONFIRM_RETRY_INTERVAL
+            self._next_confirm = min(self._next_confirm, retry_at)
         if now >= self._next_confirm:
             self._next_confirm = now + CONFIRM_INTERVAL
             self._start_task(self._confirm)
         self._update_authority(now)
-        if not self._has_authority:
-            return
         if self._should_resign(now):
             return self.resign("the store turns this instance away")
+        if not self._has_authority:
+            return
         if self.record.awaits_leases:
             self._follow_unreachable()
             if now >= max(self._grants_from, self._next_settling):
@@ -460,8 +469,13 @@
         try:
             stored = await self.writer.read()
         except (StoreUnavailableError, ProtocolError) as error:
+            self.writer.is_failing = True
+            if self._failing_since is None:
+                self._failing_since = requested_at
             emit(RECORD_WRITE_FAILED, error, service=self.service, what="confirm")
             return
+        self.writer.is_failing = False
+        self._failing_since = None
         if self.record is None or self.record.epoch != epoch:
             return
         self._watch.update_era()
@@ -484,14 +498,14 @@
         )
 
     def _should_resign(self, now: float) -> bool:
-        if self._authority_until - AUTHORITY_PERIOD > now - RESIGN_AFTER:
+        """Tell whether the store answers others, but not this instance."""
+        if self._failing_since is None or len(self._membership.live) < 2:
             return False
-        if self._store_age() < RESIGN_AFTER:
+        if min(now - self._failing_since, self._store_age()) < RESIGN_AFTER:
             return False
-        # A replica that others confirmed recently shows that they reach the store.
-        return self._state.confirmation_age(RANGES) < RESIGN_AFTER + 1.0 and (
-            len(self._membership.live) > 1
-        )
+        replicas = self._state.replicas_by_kind.values()
+        answered_at = max(replica.confirmed_at for replica in replicas)
+        return answered_at > self._failing_since + OUTAGE_MARGIN
 
     def resign(self, reason: str) -> None:
         """End the claim and let another instance claim the service at once."""
@@ -689,7 +703,7 @@
         vacated = self._without_lost_owners(record, usable)
         view = self.load.view(usable, recent=False)
         moves = initial_moves(vacated, view)
-        if not moves:
+        if not moves and not self.writer.is_failing:
             # Moving keys are counted at their destination.
             planned = record
             for (first, last), destination in self._moving.items():
@@ -793,7 +807,8 @@
             handover = await self._revoke(part)
             if handover is None or not self.has_valid_authority():
                 return
-            await self._assign_and_grant(part, destination, handover)
+            if not await self._assign_and_grant(part, destination, handover):
+                await self._give_back(attrs.evolve(part, handover=handover))
         finally:
             self._moving.pop((part.first, part.last), None)
 
@@ -903,6 +918,30 @@
             self._start_task(self._send_freezes)
         self._unsent_freezes.append((part.first, part.last))
 
+    async def _give_back(self, part: KeyRange) -> None:
+        """Grant a range that was released to its owner again.
+
+        The store did not take the new owner, and requests wait for the range.
+        """
+        owner = self._state.usable_target(part.target)
+        if owner is None:
+            return
+        status = self._target_status(owner.id)
+        async with status.lock:
+            if not self.has_valid_authority():
+                return
+            if self.record.owner(part.first).fence != part.fence:
+                return
+            if await self._grant(owner, part, status):
+                self._thaw(part)
+
+    def _thaw(self, part: KeyRange) -> None:
+        """Let requests for a range go to its owner again."""
+        self._state.thaw(self.service, part.first, part.last)
+        self._membership.broadcast(
+            RangesFrozen(self.service, [(part.first, part.last)], 0.0)
+        )
+
     async def _send_freezes(self) -> None:
         frozen, self._unsent_freezes = self._unsent_freezes, []
         seconds = self._ledger.timing.max_validity + FREEZE_MARGIN
@@ -913,17 +952,20 @@
 
     async def _assign_and_grant(
         self, part: KeyRange, destination: str, handover: str
-    ) -> None:
+    ) -> bool:
+        """Give a released range its new owner; tell whether the record names it."""
         target = self._state.usable_target(destination)
         if target is None:
             # The destination is no longer usable; the next plan assigns the keys.
-            await self.writer.change(
+            changed = await self.writer.change(
                 lambda record: record.assign(part.first, part.last, "")
             )
-            return
+            return changed is not None
         granted = await self._assign(part, target, handover)
-        if granted is not None:
-            await self._grant_until_accepted(part, target, granted)
+        if granted is None:
+            return False
+        await self._grant_until_accepted(part, target, granted)
+        return True
 
     async def _assign(
         self, part: KeyRange, target: TargetRecord, handover: str
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -56,6 +56,7 @@
         self.record: RangeRecord | None = None
         # Whether a write that was given up has replaced the record in the store.
         self.is_replaced = False
+        self.is_failing = False  # whether the last call to the store failed
         self._service = service
         self._store = store
         self._state = state
@@ -169,6 +170,7 @@
         for change in changes:
             changed = change(changed)
         version = await self._write(changed, self._version, "assign")
+        self.is_failing = version is None
         if self.record is None or self.record.epoch != epoch:
             return None
         if version is None or self._is_outdated(self.record, version):
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -147,7 +147,7 @@
 
     @property
     def store_age(self) -> float:
-        """Return the seconds since this instance last had a response from the store."""
+        """Return the seconds since this instance sent the last answered store call."""
         return self._clock() - self.store_answered_at
 
     async def _follow(self, kind: str) -> None:
@@ -164,6 +164,7 @@
                 # The coordinators send every change; an infrequent check of the store
                 # finds the changes whose messages were lost.
                 await self._wait_for_ranges()
+            sent_at = self._clock()
             try:
                 listed_again = await self._fetch(kind)
             except (StoreUnavailableError, ProtocolError) as error:
@@ -171,7 +172,7 @@
                 await trio.sleep(backoff)
                 backoff = min(MAX_BACKOFF, 2 * backoff)
                 continue
-            self._handle_success(kind)
+            self._handle_success(kind, sent_at)
             if listed_again or self._is_unproved(kind):
                 # The store has no history for the revision of its own last list, or
                 # its responses confirm nothing until peers are reached.
@@ -321,8 +322,9 @@
                 age=round(min(self.store_age, 1e6), 2),
             )
 
-    def _handle_success(self, kind: str) -> None:
-        self.store_answered_at = self._clock()
+    def _handle_success(self, kind: str, sent_at: float) -> None:
+        # A long poll that began before an outage for this instance may end well.
+        self.store_answered_at = max(self.store_answered_at, sent_at)
         if kind in self._failing_kinds:
             self._failing_kinds.discard(kind)
             self._membership.store_unreachable = bool(self._failing_kinds)
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -233,6 +233,15 @@
         self.frozen = [item for item in self.frozen if item.until > now]
         self.frozen.append(frozen)
 
+    def thaw(self, service: str, first: int, last: int) -> None:
+        """End the wait of requests for a range that did not move."""
+        self.frozen = [
+            item
+            for item in self.frozen
+            if (item.service, item.first, item.last) != (service, first, last)
+        ]
+        self.notify(RANGES)
+
     def _check_outage(self) -> bool:
         """Tell whether the store is in an outage or has just recovered from one."""
         now = self._clock()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -8,7 +8,7 @@
 from fireflystand_core.messages import WorkReport
 from fireflystand_core.ranges import RangeRecord
 
-from ..ports import RANGES
+from ..ports import CONFIGURATION, RANGES
 from ..ranges import RangeCoordinator
 from .support import SERVICE, FakeCluster
 
@@ -314,6 +314,98 @@
         run_scenario(scenario)
 
 
+class FailingStoreTests(unittest.TestCase):
+    """Guard against keys without an owner while the store fails for a coordinator."""
+
+    def test_coordinator_that_only_it_is_turned_away_resigns(self):
+        """It kept its claim without authority until the store took its calls again."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            coordinator.membership.live.append("b")
+            coordinator._store_age = lambda: 9.0
+            cluster.store.down = True  # for this instance
+            replicas = coordinator.state.replicas_by_kind
+            for _ in range(80):
+                await trio.sleep(0.1)
+                replicas[CONFIGURATION].confirmed_at = trio.current_time() - 1.5
+            self.assertFalse(coordinator.is_coordinator)
+
+        run_scenario(scenario)
+
+    def test_coordinator_stays_in_an_outage_of_all(self):
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            coordinator.membership.live.append("b")
+            coordinator._store_age = lambda: 9.0
+            cluster.store.down = True
+            replicas = coordinator.state.replicas_by_kind
+            for replica in replicas.values():
+                replica.confirmed_at = trio.current_time()
+            await trio.sleep(8)
+            self.assertTrue(coordinator.is_coordinator)
+
+        run_scenario(scenario)
+
+    def test_no_key_is_released_for_its_load_while_the_store_fails(self):
+        """Forty ranges had no owner for up to 7 s: their assignment was not written."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            cluster.store.down = True
+            await trio.sleep(2.5)  # a confirmation fails
+            released = []
+            release = cluster.control.release
+
+            async def record_release(address, item, timeout):
+                released.append(item)
+                return await release(address, item, timeout)
+
+            cluster.control.release = record_release
+            for _ in range(10):
+                coordinator.load.add_report(busy_report())
+                await trio.sleep(0.25)
+            self.assertEqual(released, [])
+            cluster.store.down = False
+            for _ in range(10):
+                coordinator.load.add_report(busy_report())
+                await trio.sleep(0.25)
+            self.assertNotEqual(released, [])
+
+        run_scenario(scenario)
+
+    def test_owner_gets_keys_back_whose_assignment_is_not_written(self):
+        """Requests for them waited until the announced end of the move."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            release = cluster.control.release
+
+            async def release_and_fail(address, item, timeout):
+                handover = await release(address, item, timeout)
+                cluster.store.down = True
+                return handover
+
+            cluster.control.release = release_and_fail
+            for _ in range(8):
+                coordinator.load.add_report(busy_report())
+                await trio.sleep(0.25)
+            self.assertTrue(cluster.store.down)
+            await trio.sleep(1.0)
+            self.assertEqual(coordinator.state.frozen, [])
+            for key in (0, 300, 599, 22000, 44000, 65535):
+                owner = coordinator.state.owner(SERVICE, key)
+                self.assertEqual(cluster.owners(key), [owner.target])
+            self.assertEqual(cluster.control.violations, [])
+
+        run_scenario(scenario)
+
+
+def busy_report() -> WorkReport:
+    """Return a report of neighbouring keys that one target cannot serve."""
+    return WorkReport(SERVICE, 0.5, [[key, 9] for key in range(0, 600, 20)], [])
+
+
 class EndedClaimTests(unittest.TestCase):
     """Guard against tasks of an ended claim that end the process."""
 
