Refuse requests at once whose key stays without an owner

Cause: each request waited up to 1 s for an owner, which is right for a move that ends soon, also when its range had been without one for seconds.

Change: a range has 1 s to get an owner from the first request that found none; a request waits a quarter of its time at most, and later ones are refused at once, with a Retry-After that grows with the time for which it has lasted.

--- a/packages/core/src/fireflystand_core/dispatch/__init__.py
+++ b/packages/core/src/fireflystand_core/dispatch/__init__.py
@@ -1,14 +1,16 @@
 """Decide which requests wait, which target runs each, and which are refused."""
 
-from . import admission_queue, estimates, pauses, slots
+from . import admission_queue, estimates, owner_waits, pauses, slots
 from .admission_queue import *  # noqa: F403
 from .estimates import *  # noqa: F403
+from .owner_waits import *  # noqa: F403
 from .pauses import *  # noqa: F403
 from .slots import *  # noqa: F403
 
 __all__ = [
     *admission_queue.__all__,
     *estimates.__all__,
+    *owner_waits.__all__,
     *pauses.__all__,
     *slots.__all__,
 ]
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -8,7 +8,12 @@
 import trio
 
 from fireflystand_core.admission import RetryBudget
-from fireflystand_core.dispatch import TARGET_GONE, TARGET_PAUSES, TargetPauses
+from fireflystand_core.dispatch import (
+    TARGET_GONE,
+    TARGET_PAUSES,
+    OwnerWaits,
+    TargetPauses,
+)
 from fireflystand_core.messages import SlotRefusal, SlotReturn
 from fireflystand_core.traffic import ClientAccount, Route, TargetRecord, WeightedChoice
 
@@ -55,7 +60,6 @@
 
 REPLAYABLE_BODY_BYTES = 64 * 1024  # first part of a body, buffered for retries
 UNCONFIRMED_RETRY_AFTER = 0.3  # seconds; while the configuration is not confirmed
-OWNER_TIMEOUT = 1.0  # seconds that a request waits until its key has an owner
 SHED_RETRY_AFTER = 0.1  # seconds; after a target shed the request
 NO_TARGET_RETRY_AFTER = 0.3  # seconds; while a key or service has no usable target
 RESPONSE_MARGIN = 0.01  # seconds before its deadline at which a request times out
@@ -177,6 +181,7 @@
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self._longest_deadlines_by_route: dict[str, float] = {}
         self._time_limits = TimeLimits()
+        self._owner_waits = OwnerWaits()
 
     def begin_stop(self, drains_at: float, stops_at: float) -> None:
         """Give every request a final response by ``stops_at``."""
@@ -474,16 +479,27 @@
         if context.request.routing_key is None:
             raise RequestRefusedError(400, "the service needs a routing key")
         self._work_reporter.record_request(context.service, context.request.routing_key)
-        until = min(context.deadline_at, trio.current_time() + OWNER_TIMEOUT)
-        while trio.current_time() < until:
-            owner = self._state.owner(context.service, context.request.routing_key)
+        key = context.request.routing_key
+        until = context.deadline_at
+        while True:
+            owner = self._state.owner(context.service, key)
+            item = self._state.range_id(context.service, key)
             if owner is not None and self._state.usable_target(owner.target):
+                self._owner_waits.record_owner(item)
                 return owner.target
-            frozen = self._state.is_frozen(context.service, context.request.routing_key)
-            if not frozen and owner is not None and owner.target:
+            now = trio.current_time()
+            wait_ends_at = self._owner_waits.wait_ends_at(
+                item, now, context.deadline_at
+            )
+            until = min(until, wait_ends_at)
+            if owner is not None and owner.target:
+                # The owner was lost; the coordinator has not announced a move yet.
                 until = min(until, context.placed_at + NO_TARGET_RETRY_AFTER)
-            await self._state.wait_for_change(max(0.0, until - trio.current_time()))
-        self._raise_no_target(context, "the key has no owner")
+            if now >= until:
+                break
+            await self._state.wait_for_change(until - now)
+        wait = self._owner_waits.retry_after(item, trio.current_time())
+        self._raise_no_target(context, "the key has no owner", wait)
 
     def _check_pause(self, context: _RequestContext, target_id: str) -> float:
         """Return the seconds until a target takes the request.
@@ -516,10 +532,15 @@
         target = self._state.usable_target(target_id)
         return target is not None and not self._pause_of(target, trio.current_time())
 
-    def _raise_no_target(self, context: _RequestContext, reason: str) -> None:
+    def _raise_no_target(
+        self,
+        context: _RequestContext,
+        reason: str,
+        retry_after: float = NO_TARGET_RETRY_AFTER,
+    ) -> None:
         if context.may_have_run:
             raise self._unknown_outcome(context, 502, context.last_failure)
-        wait = NO_TARGET_RETRY_AFTER * (0.5 + self._random.random())
+        wait = retry_after * (0.5 + self._random.random())
         raise RequestRefusedError(503, reason, retry_after=wait)
 
     async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot | None:
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -217,6 +217,14 @@
             return None
         return record.owner(key)
 
+    def range_id(self, service: str, key: int) -> tuple[str, int, int]:
+        """Return what names the range of a key until it gets another owner."""
+        record = self.records_by_service.get(service)
+        if record is None:
+            return service, 0, 0
+        item = record.owner(key)
+        return service, item.first, item.fence
+
     def is_frozen(self, service: str, key: int) -> bool:
         """Tell whether requests for a key have to wait because the key is moving."""
         now = trio.current_time()
