Look only at targets that may have room for a request

What callers saw: late answers of pooled services on the grown and large sites, whose queue one instance keeps, perhaps one with 0.43 of a core.

Cause: each request for any target of a service made five passes over all targets, and each returned slot sorted the queue.

Change: the queue keeps the targets that are not full. A request that nothing is queued before gets a free slot without an estimate of the wait, and one free slot goes to the most urgent request without a sort.

Tests: ManyTargetsTests; the first fails before (42,550 looks, 500 at most).

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -30,6 +30,7 @@
 
 TARGET_GONE = "target is gone"  # reason of a refusal
 TARGET_PAUSES = "target wants no requests now"  # reason of a refusal
+NO_ROOM = "no room before the deadline"  # reason of a refusal
 INITIAL_MEAN = 0.1  # seconds; replaced by the first measured durations
 # A request that has to wait is queued only if its expected end leaves a margin before
 # its deadline.
@@ -108,6 +109,10 @@
 
     def __init__(self, jitter: Callable[[], float] = lambda: 0.5) -> None:
         self.targets_by_id: dict[str, TargetSlots] = {}
+        # Those that may have a free slot: a busy service has few of them, and each
+        # request for any target would look at all.
+        self._open_targets_by_id: dict[str, TargetSlots] = {}
+        self._has_pauses = False  # whether some target may pause for an instance
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
@@ -131,11 +136,12 @@
         if known is not None and known.record.started_at == record.started_at:
             return known.update(record, warmup_rate, now)
         slots = TargetSlots(record, warmup_rate, now, self.mean.seconds)
-        self.targets_by_id[record.id] = slots
+        self.targets_by_id[record.id] = self._open_targets_by_id[record.id] = slots
 
     def remove_target(self, target: str) -> list[Decision]:
         """Remove a target and refuse the requests in its queue."""
         self.targets_by_id.pop(target, None)
+        self._open_targets_by_id.pop(target, None)
         queue = self._queues_by_target.pop(target, {})
         return [
             SlotRefused(request, TARGET_GONE, MIN_RETRY_AFTER)
@@ -148,16 +154,29 @@
             return [SlotRefused(request, "target is not known", MIN_RETRY_AFTER)]
         if wait := self._unreachable_for(request.target, now):
             return [self._refusal(request, "target cannot be reached", wait, now)]
+        if not self._queues_by_target.get(request.target):
+            slots = self._choose_target(request, now)
+            if slots is not None:
+                return [self._grant_at_once(request, slots, now)]
         left = request.deadline_at - now
         latest = now + MAX_SOFT_DEADLINE_SHARE * left
         if request.soft_deadline_at > latest:
             request = attrs.evolve(request, soft_deadline_at=latest)
         delay, duration = self._estimate(request, now)
         if duration > left or delay + duration > left * USABLE_TIME_SHARE and delay > 0:
-            return [self._refusal(request, "no room before the deadline", delay, now)]
+            return [self._refusal(request, NO_ROOM, delay, now)]
         self._queues_by_target.setdefault(request.target, {})[request.id] = request
         return self._dispatch(request.target, now)
 
+    def _grant_at_once(
+        self, request: QueuedRequest, slots: TargetSlots, now: float
+    ) -> Decision:
+        """Grant a free slot to a request that nothing is queued before."""
+        duration = slots.mean.seconds * self.route_durations.ratio(request.route)
+        if duration > request.deadline_at - now:
+            return self._refusal(request, NO_ROOM, 0.0, now)
+        return self._grant(request, slots, now)
+
     def _estimate(self, request: QueuedRequest, now: float) -> tuple[float, float]:
         """Return the expected start delay and duration of a request, in seconds."""
         targets = self._candidates(request.target)
@@ -220,15 +239,13 @@
     def _dispatch(self, target: str, now: float) -> list[Decision]:
         """Grant free slots to the requests of a queue, the most urgent first."""
         queue = self._queues_by_target.get(target)
-        if not queue or not any(
-            t.free_slots(now) > 0 for t in self._candidates(target)
-        ):
-            return []
         decisions: list[Decision] = []
-        for request in sorted(queue.values(), key=self._urgency(now)):
+        if not queue:
+            return decisions
+        for request in self._by_urgency(queue, target, now):
             slots = self._choose_target(request, now)
             if slots is None:
-                if not any(t.has_pauses for t in self._candidates(target)):
+                if not self._has_pauses:
                     break
                 continue
             del queue[request.id]
@@ -239,6 +256,28 @@
                 decisions.append(self._grant(request, slots, now))
         return decisions
 
+    def _by_urgency(
+        self, queue: dict[str, QueuedRequest], target: str, now: float
+    ) -> Iterable[QueuedRequest]:
+        """Yield the requests of a queue while a target has a free slot."""
+        urgency = self._urgency(now)
+        if self._has_pauses:
+            if self._has_free_slot(target, now):
+                yield from sorted(queue.values(), key=urgency)
+            return
+        # Mostly one slot is free, so the others need not be sorted.
+        while queue and self._has_free_slot(target, now):
+            yield min(queue.values(), key=urgency)
+
+    def _has_free_slot(self, target: str, now: float) -> bool:
+        return any(slots.free_slots(now) > 0 for slots in self._open_targets(target))
+
+    def _open_targets(self, target: str) -> list[TargetSlots]:
+        """Return the targets among which a free slot may be found."""
+        if target:
+            return [self.targets_by_id[target]]
+        return list(self._open_targets_by_id.values())
+
     def _is_too_late(
         self, request: QueuedRequest, mean: MeanDuration, now: float
     ) -> bool:
@@ -263,7 +302,7 @@
     def _choose_target(self, request: QueuedRequest, now: float) -> TargetSlots | None:
         free = [
             target
-            for target in self._candidates(request.target)
+            for target in self._open_targets(request.target)
             if target.free_slots(now) > 0
             and not target.pause_left_for(request.instance, now)
         ]
@@ -291,6 +330,8 @@
             route=request.route,
         )
         target.occupy(slot, now)
+        if target.is_full:
+            self._open_targets_by_id.pop(slot.target, None)
         self._targets_by_slot[slot.number] = target
         return SlotGranted(request, slot.number, slot.target)
 
@@ -299,7 +340,7 @@
         target = self._targets_by_slot.pop(result.number, None)
         if target is None:
             return []
-        slot = target.release(result.number)
+        slot = self._free(target, result.number)
         if result.seconds is not None:
             self._record_duration(target, slot.route, result)
         if result.load is not None:
@@ -309,12 +350,19 @@
         decisions: list[Decision] = []
         if result.pause > 0:
             target.pause_for(slot.instance, now + result.pause)
+            self._has_pauses = True
             decisions = self._refuse_paused(target.record.id, slot.instance, now)
         if result.unreachable:
             target.pause_as_unreachable(now)
             return decisions + self._refuse_queue(target, now)
         return decisions + self._dispatch_freed(target, now)
 
+    def _free(self, target: TargetSlots, number: int) -> HeldSlot:
+        """Take back a slot of a target."""
+        if self.targets_by_id.get(target.record.id) is target:
+            self._open_targets_by_id[target.record.id] = target
+        return target.release(number)
+
     def _refuse_paused(self, target: str, instance: str, now: float) -> list[Decision]:
         """Refuse the requests of an instance that no target takes in their time."""
         decisions: list[Decision] = []
@@ -380,7 +428,7 @@
         decisions: list[Decision] = []
         for number, target in slots:
             del self._targets_by_slot[number]
-            target.release(number)
+            self._free(target, number)
             decisions += self._dispatch_freed(target, now)
         return decisions
 
@@ -391,8 +439,10 @@
             for number, target in self._targets_by_slot.items()
             if target.held_by_number[number].expires_at <= now
         ]
+        self._open_targets_by_id = dict(self.targets_by_id)
         for slots in self.targets_by_id.values():
             slots.drop_ended_pauses(now)
+        self._has_pauses = any(t.has_pauses for t in self.targets_by_id.values())
         decisions = self._free_slots(expired, now)
         for target, queue in list(self._queues_by_target.items()):
             if not queue:
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -77,6 +77,11 @@
             self._bucket.change(warmup_rate, COLD_BURST, now)
         self.record = record
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether only a returned slot can make room."""
+        return len(self.held_by_number) >= self.record.slots + self._queue_allowance
+
     def is_cold(self, now: float) -> bool:
         """Tell whether the target takes requests only at its warm-up rate."""
         return self._bucket.rate > 0 and now < self._cold_until
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -1,6 +1,8 @@
 """Test the queueing, refusal and placement of requests under various loads."""
 
 import unittest
+from random import Random
+from unittest import mock
 
 from fireflystand_core.dispatch import (
     AdmissionQueue,
@@ -9,6 +11,7 @@
     SlotRefused,
     SlotResult,
     TargetLoad,
+    TargetSlots,
 )
 from fireflystand_core.traffic import TargetRecord
 
@@ -197,6 +200,65 @@
         self.assertNotEqual(first.target, second.target)
 
 
+class ManyTargetsTests(unittest.TestCase):
+    """Guard against work that grows with the number of a service's targets."""
+
+    def test_busy_service_looks_only_at_targets_with_room(self):
+        """With 200 targets, each request took 1.5 ms of the responsible instance."""
+        queue = queue_of(*(target(f"t{number}", slots=2) for number in range(200)))
+        held = fill(queue, 400)
+        looks = 0
+        free_slots = TargetSlots.free_slots
+
+        def count_look(slots: TargetSlots, now: float) -> int:
+            nonlocal looks
+            looks += 1
+            return free_slots(slots, now)
+
+        with mock.patch.object(TargetSlots, "free_slots", count_look):
+            for number in range(100):
+                queue.release(SlotResult(held[number], 0.1), 0.2)
+                request = slot_request(f"n{number}", target="")
+                decisions = queue.submit(request, 0.2)
+                self.assertIsInstance(decisions[0], SlotGranted)
+        self.assertLessEqual(looks, 500)
+
+    def test_no_request_waits_beside_a_free_slot(self):
+        random = Random(5)
+        queue = queue_of(*(target(f"t{number}", slots=3) for number in range(6)))
+        held: list[int] = []
+        now = 0.0
+        for number in range(3000):
+            now += 0.01
+            if held and random.random() < 0.5:
+                index = random.randrange(len(held))
+                result = SlotResult(held.pop(index), 0.1, shed=random.random() < 0.05)
+                decisions = queue.release(result, now)
+            else:
+                name = random.choice(["", "", "t1", "t4"])
+                fields = {"soft_deadline_at": now + 0.5, "deadline_at": now + 2}
+                request = slot_request(f"r{number}", target=name, **fields)
+                decisions = queue.submit(request, now)
+            decisions += queue.tick(now) if number % 10 == 0 else []
+            held += [d.number for d in decisions if isinstance(d, SlotGranted)]
+            if number % 10 == 0 and queue.queued_count:
+                waiting = [t for t, q in queue._queues_by_target.items() if q]
+                for name in waiting:
+                    open_ids = [name] if name else list(queue.targets_by_id)
+                    slots = [queue.targets_by_id[t].free_slots(now) for t in open_ids]
+                    self.assertEqual(max(slots), 0)
+
+
+def fill(queue: AdmissionQueue, count: int) -> list[int]:
+    """Submit requests for any target and return the numbers of their slots."""
+    decisions = [
+        decision
+        for number in range(count)
+        for decision in queue.submit(slot_request(f"r{number}", target=""), 0.0)
+    ]
+    return [d.number for d in decisions if isinstance(d, SlotGranted)]
+
+
 class LossTests(unittest.TestCase):
     """Guard against slots that stay taken after their holder is lost."""
 
