Choose responsible instances with less work, and strong ones for services

Cause: the queue of a whole service was kept by the first instance in rendezvous order, weak or strong. And each change of the live set cleared the responsible instance of every name, which was then found by hashing and sorting all live instances: 480 names x 195 instances on the large site.

Change: the queue of a whole service is kept by the first among the instances with the highest capacity. A death clears only the names of the dead one, and a peer that becomes live is compared with the known responsible instance.

Tests: test_mesh.ResponsibilityTests, which compares 120 changes with the whole choice; test_slots, test_node and test_start pass (2, 16, 3). During a rolling update instances of both builds ask different queues of a pooled service, so its targets may shed for that time.

--- a/packages/core/src/fireflystand_core/sharding/ranking.py
+++ b/packages/core/src/fireflystand_core/sharding/ranking.py
@@ -11,6 +11,7 @@
     "choose_witnesses",
     "coordinator_witnesses",
     "home_groups",
+    "rendezvous_first",
     "rendezvous_order",
     "witness_list_size",
 ]
@@ -23,6 +24,11 @@
     return sorted(members, key=lambda m: (stable_hash(name, m), m), reverse=True)
 
 
+def rendezvous_first(name: str, members: Iterable[str]) -> str:
+    """Return the member with the highest rendezvous score for ``name``."""
+    return max(members, key=lambda m: (stable_hash(name, m), m))
+
+
 def home_groups(service: str, targets: Iterable[str], groups: int) -> dict[str, int]:
     """Return the home group of each target; no group exceeds its equal part."""
     ordered = sorted(targets)
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -7,7 +7,7 @@
 import trio
 
 from fireflystand_core.messages import Beat, encode
-from fireflystand_core.sharding import rendezvous_order
+from fireflystand_core.sharding import rendezvous_first, rendezvous_order
 
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
@@ -117,10 +117,17 @@
         """Return the instance responsible for ``name``."""
         instance = self._responsible_by_name.get(name)
         if instance is None:
-            instance = rendezvous_order(name, self.live)[0]
+            instance = rendezvous_first(name, self.live)
             self._responsible_by_name[name] = instance
         return instance
 
+    def strongest_instance(self, name: str) -> str:
+        """Return the instance for a duty that takes much of a processor.
+
+        It is responsible for ``name`` among those with the highest capacity.
+        """
+        return self._order(name)[0]
+
     def rank(self, name: str) -> int:
         """Return this instance's position in the order for ``name``, from 0."""
         return self._order(name).index(self.own_id)
@@ -233,6 +240,7 @@
             return
         if peer not in self._heard_at_by_id:
             self._handle_live_set_change()
+            self._add_to_responsible(peer)
             self._dead_since_by_id.pop(peer, None)
             emit(PEER_REACHABLE, peer=peer, incarnation=heartbeat.incarnation)
         self._heard_at_by_id[peer] = self._clock()
@@ -286,8 +294,18 @@
             except PeerUnavailableError as error:
                 emit(PEER_CALL_FAILED, error, message=type(message).__name__)
 
+    def _add_to_responsible(self, peer: str) -> None:
+        """Give a peer that became live the names for which it comes first."""
+        for name, instance in self._responsible_by_name.items():
+            self._responsible_by_name[name] = rendezvous_first(name, (instance, peer))
+
+    def _remove_from_responsible(self, peer: str) -> None:
+        """Choose again for the names of a dead peer, when they are next needed."""
+        for name, instance in list(self._responsible_by_name.items()):
+            if instance == peer:
+                del self._responsible_by_name[name]
+
     def _handle_live_set_change(self) -> None:
-        self._responsible_by_name.clear()
         self._orders_by_name.clear()
         self.live_set_version += 1
 
@@ -305,6 +323,7 @@
         if self._heard_at_by_id.pop(peer, None) is None:
             return
         self._handle_live_set_change()
+        self._remove_from_responsible(peer)
         self._dead_since_by_id.setdefault(peer, self._clock())
         emit(PEER_DECLARED_DEAD, peer=peer, reason=reason)
         self._on_peer_dead(peer)
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -317,7 +317,11 @@
     async def _acquire(
         self, queue_name: str, service: str, queued: QueuedRequest
     ) -> Slot | SlotRefusal:
-        responsible = self._membership.responsible_instance(queue_name)
+        if queued.target:
+            responsible = self._membership.responsible_instance(queue_name)
+        else:
+            # One queue takes the requests of all instances for the service.
+            responsible = self._membership.strongest_instance(queue_name)
         if responsible != self._membership.own_id:
             now = trio.current_time()
             request = SlotRequest(
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_mesh.py
@@ -3,8 +3,9 @@
 import random
 import unittest
 
-from fireflystand_core.messages import Hello
+from fireflystand_core.messages import Beat, Hello
 from fireflystand_core.replica import ObjectChange
+from fireflystand_core.sharding import rendezvous_order
 
 from ...peers import PeerNetwork
 from ..membership import MAX_HEARTBEATS_PER_INTERVAL, Membership
@@ -78,5 +79,58 @@
             self.assertEqual(rank < len(strong), own in strong, own)
 
 
+class ResponsibilityTests(unittest.TestCase):
+    """Guard against work for all names and instances on each change of the live set.
+
+    With 195 instances and 480 targets, each change cost 94,000 hashes an instance.
+    """
+
+    def test_incremental_choice_equals_the_whole_one(self):
+        rng = random.Random(3)
+        membership = make_membership(0, 60)
+        names = [f"s/t{number}" for number in range(200)]
+        for _ in range(120):
+            peer = f"n{rng.randrange(1, 60):02}"
+            if membership.is_live(peer):
+                membership._declare_dead(peer, "test")
+            else:
+                membership._record_heartbeat(beat_of(peer))
+            for name in rng.sample(names, 50):
+                expected = rendezvous_order(name, membership.live)[0]
+                self.assertEqual(membership.responsible_instance(name), expected)
+
+    def test_death_touches_only_the_names_of_the_dead(self):
+        membership = make_membership(0, 60)
+        for number in range(1, 60):
+            membership._record_heartbeat(beat_of(f"n{number:02}"))
+        names = [f"s/t{number}" for number in range(200)]
+        before = {name: membership.responsible_instance(name) for name in names}
+        membership._declare_dead("n07", "test")
+        known = membership._responsible_by_name
+        kept = [name for name in names if before[name] != "n07"]
+        self.assertEqual(known, {name: before[name] for name in kept})
+
+    def test_queue_of_a_whole_service_is_kept_by_a_strong_instance(self):
+        """One with 0.43 of a core and many requests answered late."""
+
+        def capacity(number: int) -> float:
+            return 2.0 if number in (4, 9) else 0.43
+
+        chosen = set()
+        for own in range(12):
+            membership = make_membership(own, 12, capacity)
+            for peer in range(12):
+                if peer != own:
+                    membership._record_heartbeat(beat_of(f"n{peer:02}"))
+            chosen.add(membership.strongest_instance("dispatch/"))
+        self.assertEqual(len(chosen), 1)
+        self.assertLessEqual(chosen, {"n04", "n09"})
+
+
+def beat_of(instance: str) -> Beat:
+    """Return a heartbeat of an instance without replicas."""
+    return Beat(instance, "i", [], False, 0.0, [], 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -23,6 +23,9 @@
     def responsible_instance(self, name: str) -> str:
         return "b"
 
+    def strongest_instance(self, name: str) -> str:
+        return "b"
+
     async def request(self, peer, message, timeout):
         self.request_count += 1
         return SlotRefusal("no room before the deadline", 0.5)
