Assign the keys of a starting service once its targets have registered

Each change goes to every instance.

Cause: the claim gives all keys to the targets known by then, and targets that register a moment later get halves.

Change: a service without any owner waits until no target has registered for 0.5 s, for 3 s from the claim at most.

Tests: FirstAssignmentTests; the first fails before.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -90,6 +90,9 @@
 RELEASE_TIMEOUT = 4.0  # seconds; a target answers once its running work has ended
 RELEASE_RETRY_INTERVAL = 0.5  # seconds, if the target does not answer
 PLAN_INTERVAL = 0.5  # seconds
+# All targets of a service that starts register within some tenths of a second.
+APPEARING_PAUSE = 0.5  # seconds without a further target
+MAX_APPEARING_PERIOD = 3.0  # seconds from the claim
 # The short-term load varies by a third by chance. It therefore only decides about
 # targets that are nearly full; all others are balanced by their long-term load.
 HIGH_LOAD_THRESHOLD = 0.75  # fraction of a target's capacity
@@ -152,6 +155,8 @@
         self._failing_since: float | None = None  # when the first such call was sent
         self._next_plan = 0.0
         self._next_rebalancing = 0.0
+        self._usable_count = 0  # of the targets in the last plan
+        self._usable_since = 0.0
         self._started_at = self._clock()
         self._is_first_start = is_first_start
         self._tasks: set[trio.CancelScope] = set()
@@ -699,6 +704,8 @@
         usable = self._assignable()
         if not usable or len(self._moving) >= MAX_CONCURRENT_MOVES:
             return
+        if self._are_targets_appearing(usable, now):
+            return
         record = self.record
         vacated = self._without_lost_owners(record, usable)
         view = self.load.view(usable, recent=False)
@@ -719,6 +726,20 @@
                 moves = rebalancing_moves(planned, view, MAX_REBALANCE_MOVES)
         self._start_moves(record, moves)
 
+    def _are_targets_appearing(
+        self, usable: dict[str, TargetRecord], now: float
+    ) -> bool:
+        """Tell whether a service that starts has got its latest targets just now.
+
+        The first few would get all keys, and give most of them to the others.
+        """
+        if len(usable) != self._usable_count:
+            self._usable_count, self._usable_since = len(usable), now
+        if any(item.target for item in self.record.ranges):
+            return False
+        is_settled = now - self._usable_since >= APPEARING_PAUSE
+        return not is_settled and now - self._claimed_at < MAX_APPEARING_PERIOD
+
     def _assignable(self) -> dict[str, TargetRecord]:
         return {
             target.id: target
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -314,6 +314,41 @@
         run_scenario(scenario)
 
 
+class FirstAssignmentTests(unittest.TestCase):
+    """Guard against keys that move among targets which start one after the other."""
+
+    def test_targets_that_register_within_a_second_get_keys_once(self):
+        """The first two of 47 targets got all keys and then halved them four times."""
+
+        async def scenario(cluster, nursery):
+            coordinator = cluster.new_coordinator()
+            for target in cluster.targets[2:]:
+                cluster.remove_target_record(coordinator, target.id)
+            nursery.start_soon(coordinator.run)
+            for target in cluster.targets[2:]:
+                await trio.sleep(0.1)
+                cluster.add_target_record(coordinator, target.id)
+            await trio.sleep(4)
+            self.assertEqual(len(cluster.record().ranges_by_target), 12)
+            self.assertEqual(cluster.record().next_fence, 13)
+
+        run_scenario(scenario, targets=12)
+
+    def test_targets_that_never_settle_are_not_waited_for(self):
+        async def scenario(cluster, nursery):
+            coordinator = cluster.new_coordinator()
+            nursery.start_soon(coordinator.run)
+            for number in range(12):
+                await trio.sleep(0.4)
+                name = f"t{number % 3}"
+                cluster.remove_target_record(coordinator, name)
+                await trio.sleep(0.05)
+                cluster.add_target_record(coordinator, name)
+            self.assertNotEqual(cluster.record().ranges_by_target, {})
+
+        run_scenario(scenario)
+
+
 class FailingStoreTests(unittest.TestCase):
     """Guard against keys without an owner while the store fails for a coordinator."""
 
