Update the queues for the targets that changed only

Change: listeners for targets get the ids of those that changed. A change of the configuration or of the departures still goes through all.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -1,6 +1,7 @@
 """Assemble one router instance, with all shared state in the object store."""
 
 import uuid
+from collections.abc import Collection
 from random import Random
 
 import attrs
@@ -52,7 +53,6 @@
 from .ports import (
     CONFIGURATION,
     INSTANCES,
-    TARGETS,
     DispatchSettings,
     ReadTable,
     ReadTarget,
@@ -157,7 +157,7 @@
         )
         self.entry = self._new_entry_server()
         self.health = self._new_health_server()
-        self.state.listeners.append(self._on_targets_change)
+        self.state.target_listeners.append(self._on_targets_change)
         self._started_at_by_target: dict[str, int] = {}
         self._scope = trio.CancelScope()
 
@@ -292,15 +292,18 @@
             ],
         }
 
-    def _on_targets_change(self, kind: str) -> None:
+    def _on_targets_change(self, names: Collection[str] | None) -> None:
         """Report targets whose process has ended to the crash detector."""
-        if kind != TARGETS:
-            return
-        current = {t.id: t.started_at for t in self.state.targets_by_id.values()}
-        for target, started_at in self._started_at_by_target.items():
-            if current.get(target) != started_at:
-                self.crash_detector.record_exit(target)
-        self._started_at_by_target = current
+        if names is None:
+            names = self._started_at_by_target.keys() | self.state.targets_by_id.keys()
+        for name in names:
+            target = self.state.targets_by_id.get(name)
+            started_at = target.started_at if target else None
+            known = self._started_at_by_target.pop(name, started_at)
+            if known is not None and known != started_at:
+                self.crash_detector.record_exit(name)
+            if started_at is not None:
+                self._started_at_by_target[name] = started_at
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until stopped."""
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -1,6 +1,6 @@
 """Acquire target slots from the instances whose admission queues count them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 
 import attrs
@@ -28,7 +28,7 @@
 from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import sleep_until_next
 from .membership import Membership
-from .ports import CONFIGURATION, DEPARTURES, TARGETS
+from .ports import CONFIGURATION, DEPARTURES
 from .state import RoutingState
 
 __all__ = ["Slot", "SlotClient", "SlotService"]
@@ -97,6 +97,7 @@
         network.set_direct_handler(SlotWithdrawal, self._handle_withdrawal)
         network.on_link_end = self._on_link_end
         state.listeners.append(self._on_state_change)
+        state.target_listeners.append(self._on_targets_change)
 
     def _queue(self, service: str) -> AdmissionQueue:
         queue = self.queues_by_service.get(service)
@@ -107,29 +108,36 @@
         return queue
 
     def _on_state_change(self, kind: str) -> None:
-        """Update the queues as targets become usable or unusable."""
-        if self._state.table is None or kind not in (
-            CONFIGURATION,
-            DEPARTURES,
-            TARGETS,
-        ):
+        """Update the queues for a change that may concern all targets."""
+        if self._state.table is None or kind not in (CONFIGURATION, DEPARTURES):
             return
-        now = trio.current_time()
         if kind == CONFIGURATION:
             for queue in self.queues_by_service.values():
                 queue.route_durations.keep(self._state.table.routes_by_name.keys())
-        usable_by_service: dict[str, set[str]] = {}
-        for target in self._state.targets_by_id.values():
-            if not self._state.usable_target(target.id):
-                continue
-            usable_by_service.setdefault(target.service, set()).add(target.id)
+        self._on_targets_change(None)
+
+    def _on_targets_change(self, names: Collection[str] | None) -> None:
+        """Update the queues as targets become usable or unusable."""
+        if self._state.table is None:
+            return
+        if names is None:
+            names = set(self._state.targets_by_id)
+            for queue in self.queues_by_service.values():
+                names |= queue.targets_by_id.keys()
+        now = trio.current_time()
+        for name in names:
+            self._update_target(name, now)
+
+    def _update_target(self, name: str, now: float) -> None:
+        target = self._state.usable_target(name)
+        for service, queue in self.queues_by_service.items():
+            is_gone = target is None or target.service != service
+            if is_gone and name in queue.targets_by_id:
+                self._deliver(queue.remove_target(name))
+        if target is not None:
             policy = self._state.table.services_by_name.get(target.service)
             rate = policy.warmup_rate if policy else 0.0
             self._queue(target.service).set_target(target, rate, now)
-        for service, queue in self.queues_by_service.items():
-            usable = usable_by_service.get(service, set())
-            for target_id in set(queue.targets_by_id) - usable:
-                self._deliver(queue.remove_target(target_id))
 
     async def run(self) -> None:
         """Refuse late requests and free expired slots at intervals, until cancelled."""
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -1,6 +1,6 @@
 """Hold the routes, targets and owners of keys that an instance knows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum
 
 import attrs
@@ -114,7 +114,9 @@
         self.instances_by_id: dict[str, InstanceRecord] = {}
         self.frozen: list[FrozenRange] = []
         self.changed = trio.Event()
-        self.listeners: list[Callable[[str], None]] = []
+        self.listeners: list[Callable[[str], None]] = []  # called with the kind
+        # Called with the ids of the targets that changed, None if any may have.
+        self.target_listeners: list[Callable[[Collection[str] | None], None]] = []
         self._content_order = ContentOrder(read_table, read_target)
         self._read_target = read_target
         self._clock = clock
@@ -163,7 +165,7 @@
         self.latest_records_by_target[target_id] = target
         if target_id in self.targets_by_id:
             self.targets_by_id[target_id] = target
-            self.notify(TARGETS)
+            self.notify(TARGETS, [target_id])
 
     def has_stated_leaving(self, target: TargetRecord) -> bool:
         """Tell whether the process of a record stated that it leaves."""
@@ -433,7 +435,7 @@
             else:
                 self._unreadable.discard((kind, change.name))
         if changes:
-            self.notify(kind)
+            self.notify(kind, [change.name for change in changes])
         return changes
 
     def _report_unreadable(self, kind: str, name: str, error: Exception) -> None:
@@ -442,12 +444,18 @@
             self._unreadable.add((kind, name))
             emit(ENTRY_UNREADABLE, error, kind=kind, name=name)
 
-    def notify(self, kind: str) -> None:
-        """Wake the tasks that wait for a change and call the listeners."""
+    def notify(self, kind: str, names: Collection[str] | None = None) -> None:
+        """Wake the tasks that wait for a change and call the listeners.
+
+        ``names`` are those of the changed objects, None if any may have changed.
+        """
         changed, self.changed = self.changed, trio.Event()
         changed.set()
         for listener in self.listeners:
             listener(kind)
+        if kind == TARGETS:
+            for target_listener in self.target_listeners:
+                target_listener(names)
 
     def _decode_configuration(self, change: ObjectChange) -> None:
         if change.value is None:
