Recognise the copy of an answer that names no request

Cause: the request id in a response decides whose it is, and a response without one was taken for the awaited one.

Change: once a response on a connection has named its request, one that does not is irregular, unless it is a refusal (whose connection is not used again anyway). Where targets name their requests, the connection of a response without a name is not used again.

--- a/packages/router/src/fireflystand_router/dispatch/tests/test_faulty_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_faulty_targets.py
@@ -227,6 +227,44 @@
                 self.play(scenario, options, max_attempts=2, first=first, write=repeat)
 
 
+class RepeatedAnswerTests(FaultyTargetTestCase):
+    """Guard against an answer that is written again and reaches the next caller."""
+
+    def check(self, first_named: bool, copy_named: bool, cut: int | None) -> None:
+        def head_of(request_id: bytes, named: bool) -> bytes:
+            field = b"Fireflystand-Request-Id: %s\r\n" % request_id if named else b""
+            return b"HTTP/1.1 200 OK\r\n" + field + b"Content-Length: 10\r\n\r\n"
+
+        async def first(target, stream, request_id):
+            is_first = request_id == b"id-/k/first"
+            named = first_named if is_first else True
+            body = b"first body" if is_first else b"other body"
+            await stream.send_all(head_of(request_id, named) + body)
+
+        async def repeat(target, stream, request_id):
+            copy = head_of(b"id-/k/first", copy_named) + b"first body"
+            await stream.send_all(copy[:cut])
+            await stream.send_all(head_of(request_id, True) + b"other body")
+
+        async def scenario(node, target):
+            received = await ask(node, "/k/first")
+            self.assertTrue(received.endswith(b"first body"))
+            received = await ask(node, "/k/second")
+            self.assertNotIn(b"first", received.partition(b"\r\n\r\n")[2])
+            if status_of(received) == 200:
+                self.assertTrue(received.endswith(b"other body"))
+
+        self.play(scenario, LENIENT, first=first, write=repeat)
+
+    def test_copy_before_the_next_answer(self):
+        """A copy without an id was taken for the answer to the next request."""
+        for first_named in (True, False):
+            for copy_named in (True, False):
+                for cut in (None, 40, -4):
+                    with self.subTest(first=first_named, copy=copy_named, cut=cut):
+                        self.check(first_named, copy_named, cut)
+
+
 class CutHeadTests(FaultyTargetTestCase):
     """Guard against a response that was cut in its head and looks complete."""
 
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -154,11 +154,24 @@
             if isinstance(event, h11.Response):
                 self.names_request = response_id is not None
                 self._store_response_head(event, found)
+                self._check_name()
                 if buffer:
                     self._http.receive_data(bytes(buffer))
                 return
         raise MalformedMessageError("too many informational responses")
 
+    def _check_name(self) -> None:
+        """Raise MalformedMessageError if the response may be an earlier one's copy.
+
+        A target that names the requests of its responses on a connection may write one
+        of them again, and without a name it could not be told from this response.
+        """
+        connection = self._connection
+        if connection.names_requests and not self.names_request:
+            if not self.states_not_run:
+                raise MalformedMessageError("response does not name its request")
+        connection.names_requests = connection.names_requests or self.names_request
+
     async def _receive_head(self, buffer: bytearray) -> bytes:
         while (end := buffer.find(b"\r\n\r\n")) < 0:
             if len(buffer) > RESPONSE_HEADER_LIMIT:
@@ -271,7 +284,10 @@
         }
         if self.states_not_run:
             self._connection.refused_ids.add(self.request.request_id)
-        if complete and len(self._connection.refused_ids) < MAX_REFUSALS:
+        # The copy of a response that names no request could not be recognised.
+        names_are_needed = self._options.skips_mismatched_responses
+        is_safe = self.names_request or not names_are_needed
+        if complete and is_safe and len(self._connection.refused_ids) < MAX_REFUSALS:
             self._http.start_next_cycle()
             self._pool.release(self._connection)
         else:
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -23,6 +23,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since = trio.current_time()
         self.refused_ids: set[str] = set()
+        self.names_requests = False  # whether a response here carried its request's id
 
     def is_idle(self) -> bool:
         """Tell whether neither bytes nor the end of the stream have arrived."""
