--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -140,6 +140,7 @@
         """Add a target or apply its newer record."""
         known = self.targets_by_id.get(record.id)
         if known is not None and known.record.started_at == record.started_at:
+            self._open_targets_by_id[record.id] = known
             return known.update(record, warmup_rate, now)
         slots = TargetSlots(record, warmup_rate, now, self.mean.seconds)
         self.targets_by_id[record.id] = self._open_targets_by_id[record.id] = slots
@@ -333,6 +334,11 @@
         self._used_at_by_connection.pop((instance, target), None)
         self._used_at_by_connection[instance, target] = now
 
+    def _drop_ended_pauses(self, now: float) -> None:
+        for slots in self.targets_by_id.values():
+            slots.drop_ended_pauses(now)
+        self._has_pauses = any(t.has_pauses for t in self.targets_by_id.values())
+
     def _drop_unused_connections(self, now: float) -> None:
         oldest = now - CONNECTION_REUSE_PERIOD
         while self._used_at_by_connection:
@@ -465,11 +471,9 @@
             for number, target in self._targets_by_slot.items()
             if target.held_by_number[number].expires_at <= now
         ]
-        self._open_targets_by_id = dict(self.targets_by_id)
         self._drop_unused_connections(now)
-        for slots in self.targets_by_id.values():
-            slots.drop_ended_pauses(now)
-        self._has_pauses = any(t.has_pauses for t in self.targets_by_id.values())
+        if self._has_pauses:
+            self._drop_ended_pauses(now)
         decisions = self._free_slots(expired, now)
         for target, queue in list(self._queues_by_target.items()):
             if not queue:
