Resign only after leases have ended while a write may still be carried out

What callers could see: two owners of a key (OWNER), and a write that the store refused kept its keys without an owner for some read attempts.

The next coordinator would then find a new owner in the record and grant its keys at once, while the one that resigned had renewed the old owner's lease.

After any other failure of a write the resigning coordinator stops renewing and waits until its leases have ended; it gives no keys back. A refused write is not read back.

--- a/packages/core/src/fireflystand_core/exceptions.py
+++ b/packages/core/src/fireflystand_core/exceptions.py
@@ -36,7 +36,16 @@
 
 
 class StoreUnavailableError(FireflystandError):
-    """Report a store call whose effect is unknown or that was refused."""
+    """Report a store call whose effect is unknown or that was refused.
+
+    ``refused`` is true if the store said that it has done nothing.
+    """
+
+    def __init__(
+        self, message: str, *, step: str = "", peer: str = "", refused: bool = False
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.refused = refused
 
 
 class StoreConflictError(FireflystandError):
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -510,7 +510,14 @@
             return False
         replicas = self._state.replicas_by_kind.values()
         answered_at = max(replica.confirmed_at for replica in replicas)
-        return answered_at > self._failing_since + OUTAGE_MARGIN
+        if answered_at <= self._failing_since + OUTAGE_MARGIN:
+            return False
+        if not self.writer.has_unresolved_write:
+            return True
+        # The next coordinator may find owners in the record that this one has not
+        # granted yet, so the leases that it renewed have to end first.
+        self._authority_until = min(self._authority_until, now)
+        return now >= self._authority_until + self._max_validity()
 
     def resign(self, reason: str) -> None:
         """End the claim and let another instance claim the service at once."""
@@ -945,7 +952,7 @@
         The store did not take the new owner, and requests wait for the range.
         """
         owner = self._state.usable_target(part.target)
-        if owner is None:
+        if owner is None or self.writer.has_unresolved_write:
             return
         status = self._target_status(owner.id)
         async with status.lock:
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -57,6 +57,8 @@
         # Whether a write that was given up has replaced the record in the store.
         self.is_replaced = False
         self.is_failing = False  # whether the last call to the store failed
+        # Whether a write may still be carried out whose response did not come.
+        self.has_unresolved_write = False
         self._service = service
         self._store = store
         self._state = state
@@ -211,7 +213,12 @@
             return None
         except (StoreUnavailableError, ProtocolError) as error:
             emit(RECORD_WRITE_FAILED, error, service=self._service, what=step)
+            if isinstance(error, StoreUnavailableError) and error.refused:
+                return None
+            self.has_unresolved_write = True
             return await self._resolve_write(value)
+        # The condition of an earlier write cannot hold any longer.
+        self.has_unresolved_write = False
         self._publish(value, new_version)
         return new_version
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -112,7 +112,7 @@
     async def _respond(self):
         await trio.sleep(0.004 + self.delay)
         if self.down:
-            raise StoreUnavailableError("store is down", step="call")
+            raise StoreUnavailableError("store is down", step="call", refused=True)
 
 
 @attrs.define(eq=False)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -371,6 +371,39 @@
 
         run_scenario(scenario)
 
+    def test_resignation_waits_for_leases_while_a_write_may_be_carried_out(self):
+        """The next coordinator could grant keys whose leases this one had renewed."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            coordinator.membership.live.append("b")
+            coordinator._store_age = lambda: 9.0
+            cluster.store.held_writes = 1
+            release = cluster.control.release
+
+            async def release_and_fail(address, item, timeout):
+                handover = await release(address, item, timeout)
+                nursery.start_soon(fail_soon)
+                return handover
+
+            async def fail_soon():
+                await trio.sleep(0.01)
+                cluster.store.down = True
+
+            cluster.control.release = release_and_fail
+            coordinator.load.add_report(busy_report())
+            replicas = coordinator.state.replicas_by_kind
+            for _ in range(120):
+                await trio.sleep(0.1)
+                replicas[CONFIGURATION].confirmed_at = trio.current_time() - 1.5
+                if not coordinator.is_coordinator:
+                    break
+            self.assertFalse(coordinator.is_coordinator)
+            for key in (0, 300, 22000, 44000, 65535):
+                self.assertEqual(cluster.owners(key), [])
+
+        run_scenario(scenario)
+
     def test_coordinator_stays_in_an_outage_of_all(self):
         async def scenario(cluster, nursery):
             coordinator = await start_coordinator(cluster, nursery)
