Keep released keys free while their assignment may be carried out

Cause, by reading: a range is released, the write of its new owner gets no response, and the owner before gets its keys back with its next renewal. If the coordinator ends then, and the write is carried out late, the next one finds the new owner in the record and grants its keys beside the old lease.

Change: such a range stays without a lease until the coordinator has written the record once more, after which the earlier write has no effect.

Tests: test_released_keys_stay_free_while_their_assignment_may_be_carried_out fails before. test_late_write_of_a_former_coordinator_removes_a_claim froze the former coordinator 0.6 s after a write that is held; it now writes again before that, so the test freezes it as soon as the write is held.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -949,10 +949,17 @@
     async def _give_back(self, part: KeyRange) -> None:
         """Grant a range that was released to its owner again.
 
-        The store did not take the new owner, and requests wait for the range.
+        The store did not take the new owner, and requests wait for the range. A write
+        without a response may still be carried out, and the next coordinator would then
+        grant the range to the new owner at once.
         """
+        while self.writer.has_unresolved_write:
+            if not self.has_valid_authority():
+                return
+            await self.writer.supersede()
+            await trio.sleep(RECLAIM_INTERVAL)
         owner = self._state.usable_target(part.target)
-        if owner is None or self.writer.has_unresolved_write:
+        if owner is None:
             return
         status = self._target_status(owner.id)
         async with status.lock:
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -155,6 +155,12 @@
                 await self._write_pending()
         return await pending.result.wait()
 
+    async def supersede(self) -> None:
+        """Write the record anew, so that an earlier write cannot be carried out."""
+        await self.change(
+            lambda record: attrs.evolve(record, next_fence=record.next_fence + 1)
+        )
+
     async def _write_pending(self) -> None:
         """Write all pending changes at once and set their results."""
         batch, self._pending = self._pending, []
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -404,6 +404,43 @@
 
         run_scenario(scenario)
 
+    def test_released_keys_stay_free_while_their_assignment_may_be_carried_out(self):
+        """Their owner got them back, and the next coordinator found a new owner."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            cluster.store.held_writes = 1
+            released = []
+            release = cluster.control.release
+
+            async def release_and_fail(address, item, timeout):
+                handover = await release(address, item, timeout)
+                released.append(item)
+                nursery.start_soon(fail_soon)
+                return handover
+
+            async def fail_soon():
+                await trio.sleep(0.01)
+                cluster.store.down = True
+
+            cluster.control.release = release_and_fail
+            coordinator.load.add_report(busy_report())
+            for _ in range(25):
+                await trio.sleep(0.1)
+            self.assertNotEqual(released, [])
+            for item in released:
+                self.assertEqual(cluster.owners(item.first), [])
+            cluster.control.release = release
+            cluster.store.down = False
+            await trio.sleep(1.5)
+            cluster.store.carry_out_held_writes()
+            await trio.sleep(1.5)
+            for item in released:
+                self.assertEqual(len(cluster.owners(item.first)), 1)
+            self.assertEqual(cluster.control.violations, [])
+
+        run_scenario(scenario)
+
     def test_coordinator_stays_in_an_outage_of_all(self):
         async def scenario(cluster, nursery):
             coordinator = await start_coordinator(cluster, nursery)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
@@ -367,7 +367,9 @@
             former = cluster.coordinator().id
             cluster.store.held_writes = 1
             cluster.set_usable("t0", False)
-            await trio.sleep(0.6)
+            # Before it writes again, after which the held write would have no effect.
+            while cluster.store.held_writes:
+                await trio.sleep(0.001)
             cluster.freeze(former)
             await trio.sleep(1)
             # The claim gets the number of the last write, which the copy lacks.
