--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -1,12 +1,13 @@
 """Test the coordinator of key ranges against fake targets and a fake store."""
 
 import unittest
+from collections.abc import Callable
 
 import trio
 import trio.testing
 
 from fireflystand_core.messages import WorkReport
-from fireflystand_core.ranges import RangeRecord
+from fireflystand_core.ranges import KeyRange, RangeRecord
 
 from ..ports import CONFIGURATION, RANGES
 from ..ranges import RangeCoordinator
@@ -378,19 +379,7 @@
             coordinator = await start_coordinator(cluster, nursery)
             coordinator.membership.live.append("b")
             coordinator._store_age = lambda: 9.0
-            cluster.store.held_writes = 1
-            release = cluster.control.release
-
-            async def release_and_fail(address, item, timeout):
-                handover = await release(address, item, timeout)
-                nursery.start_soon(fail_soon)
-                return handover
-
-            async def fail_soon():
-                await trio.sleep(0.01)
-                cluster.store.down = True
-
-            cluster.control.release = release_and_fail
+            fail_after_release(cluster, nursery)
             coordinator.load.add_report(busy_report())
             replicas = coordinator.state.replicas_by_kind
             for _ in range(120):
@@ -409,28 +398,13 @@
 
         async def scenario(cluster, nursery):
             coordinator = await start_coordinator(cluster, nursery)
-            cluster.store.held_writes = 1
-            released = []
-            release = cluster.control.release
-
-            async def release_and_fail(address, item, timeout):
-                handover = await release(address, item, timeout)
-                released.append(item)
-                nursery.start_soon(fail_soon)
-                return handover
-
-            async def fail_soon():
-                await trio.sleep(0.01)
-                cluster.store.down = True
-
-            cluster.control.release = release_and_fail
+            released = fail_after_release(cluster, nursery)
             coordinator.load.add_report(busy_report())
             for _ in range(25):
                 await trio.sleep(0.1)
             self.assertNotEqual(released, [])
             for item in released:
                 self.assertEqual(cluster.owners(item.first), [])
-            cluster.control.release = release
             cluster.store.down = False
             await trio.sleep(1.5)
             cluster.store.carry_out_held_writes()
@@ -462,14 +436,7 @@
             coordinator = await start_coordinator(cluster, nursery)
             cluster.store.down = True
             await trio.sleep(2.5)  # a confirmation fails
-            released = []
-            release = cluster.control.release
-
-            async def record_release(address, item, timeout):
-                released.append(item)
-                return await release(address, item, timeout)
-
-            cluster.control.release = record_release
+            released = record_releases(cluster)
             for _ in range(10):
                 coordinator.load.add_report(busy_report())
                 await trio.sleep(0.25)
@@ -487,14 +454,11 @@
 
         async def scenario(cluster, nursery):
             coordinator = await start_coordinator(cluster, nursery)
-            release = cluster.control.release
 
-            async def release_and_fail(address, item, timeout):
-                handover = await release(address, item, timeout)
+            def fail() -> None:
                 cluster.store.down = True
-                return handover
 
-            cluster.control.release = release_and_fail
+            record_releases(cluster, fail)
             for _ in range(8):
                 coordinator.load.add_report(busy_report())
                 await trio.sleep(0.25)
@@ -509,6 +473,41 @@
         run_scenario(scenario)
 
 
+def record_releases(
+    cluster: FakeCluster, then: Callable[[], None] = lambda: None
+) -> list[KeyRange]:
+    """Return a list to which released ranges are added; call ``then`` after each."""
+    released: list[KeyRange] = []
+    release = cluster.control.release
+
+    async def record_release(address: str, item: KeyRange, timeout: float) -> str:
+        handover = await release(address, item, timeout)
+        released.append(item)
+        then()
+        return handover
+
+    cluster.control.release = record_release
+    return released
+
+
+def fail_after_release(cluster: FakeCluster, nursery: trio.Nursery) -> list[KeyRange]:
+    """Hold up the write after the first release, and let the store be away then.
+
+    Return a list to which released ranges are added.
+    """
+    cluster.store.held_writes = 1
+
+    async def lose_store() -> None:
+        await trio.sleep(0.01)
+        cluster.store.down = True
+
+    def fail() -> None:
+        if cluster.store.held_writes:
+            nursery.start_soon(lose_store)
+
+    return record_releases(cluster, fail)
+
+
 def busy_report() -> WorkReport:
     """Return a report of neighbouring keys that one target cannot serve."""
     return WorkReport(SERVICE, 0.5, [[key, 9] for key in range(0, 600, 20)], [])
