--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -191,7 +191,10 @@
 @message("ranges-frozen")
 @attrs.frozen
 class RangesFrozen:
-    """Announce keys about to move; requests for them wait ``seconds`` at most."""
+    """Announce keys about to move; requests for them wait ``seconds`` at most.
+
+    0 seconds announce that the keys stay with their owner.
+    """
 
     service: str
     ranges: list  # of first and last key
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -168,4 +168,6 @@
     target_options: TargetOptions = attrs.field(factory=TargetOptions)
     target_fields: TargetFields = attrs.field(factory=TargetFields)
     ready_path: str = "/fireflystand/v1/ready"
-    is_first_start: bool = False  # whether the whole system starts for the first time
+    # Whether the whole system starts for the first time, so that no lease of a target
+    # can hold that the store does not tell of.
+    is_first_start: bool = False
