Choose among equal targets in the order of their records

Cause: since the queues are updated for changed targets only, an update for all targets went through a set, so the order in which targets entered a queue, and with it the choice among equal ones, was that of the process's hash seed.

Evidence: with the code before, the test fails with PYTHONHASHSEED=4 and not with 1 to 3; it passes with all four now (test_leaving_targets, 8 each).

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -121,9 +121,10 @@
         if self._state.table is None:
             return
         if names is None:
-            names = set(self._state.targets_by_id)
+            # In the order of the records, by which equal targets are chosen.
+            names = list(self._state.targets_by_id)
             for queue in self.queues_by_service.values():
-                names |= queue.targets_by_id.keys()
+                names += queue.targets_by_id.keys() - self._state.targets_by_id.keys()
         now = trio.current_time()
         for name in names:
             self._update_target(name, now)
