--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,7 @@
 UPSTREAMS = 4
 CUT = 4.0  # seconds; the pages: up to 10
 CRASH_AT, START_AT = 0.3, 0.8  # seconds after the begin of the cut
-PER_S = 90.0  # requests
+PER_S = 120.0  # requests
 WARMUP = 3.0  # seconds
 WARMUP_PER_S = 3.8
 OVERAGE, SLACK = 1.5, 5  # warmupOverage, warmupSlack
