Let a restarted target release what it was granted since

Cause: a later start in the store's record was taken as proof that nothing is held under the id. Renewals go to whichever process answers with it, and the later one had taken them before its record arrived. Change: such a range is released like any other. A grant whose connection was refused does not count as sent, so that the keys of a target that has just restarted do not wait for a lease's validity. A released range is not given back to a later process under an earlier token. Why it works: a release is never refused, it ends what the process that answers holds, and grants without an answer are still waited for. Tests: test_ranges.RestartedTargetTests, of which the first and the third failed before.

--- a/packages/core/src/fireflystand_core/ranges/leases.py
+++ b/packages/core/src/fireflystand_core/ranges/leases.py
@@ -33,9 +33,15 @@
     _sent_at_by_target: dict[str, float] = attrs.field(factory=dict)
     _unacknowledged_at_by_target: dict[str, float] = attrs.field(factory=dict)
 
-    def record_sent(self, target: str, now: float) -> None:
-        """Record a grant that is about to be sent."""
+    def record_sent(self, target: str, now: float) -> float:
+        """Record a grant that is about to be sent; return when the last one was."""
+        earlier = self._sent_at_by_target.get(target, float("-inf"))
         self._sent_at_by_target[target] = now
+        return earlier
+
+    def record_unsent(self, target: str, earlier: float) -> None:
+        """Take back a grant of which nothing was sent; the last one stays recorded."""
+        self._sent_at_by_target[target] = earlier
 
     def record_unacknowledged(self, target: str, sent_at: float) -> None:
         """Record an unacknowledged grant, which the target may still apply later."""
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -633,7 +633,7 @@
     ) -> bool:
         """Send one grant and tell whether the target accepted it."""
         sent_at = self._clock()
-        self._ledger.record_sent(target.id, sent_at)
+        earlier = self._ledger.record_sent(target.id, sent_at)
         try:
             with trio.fail_after(GRANT_TIMEOUT):
                 await self._control.grant(
@@ -650,8 +650,11 @@
             )
             self._next_confirm = 0.0
             return False
-        except (ConnectionFailedError, trio.TooSlowError):
-            self._ledger.record_unacknowledged(target.id, sent_at)
+        except (ConnectionFailedError, trio.TooSlowError) as error:
+            if getattr(error, "refused", False):
+                self._ledger.record_unsent(target.id, earlier)
+            else:
+                self._ledger.record_unacknowledged(target.id, sent_at)
             self._note_failed_grant(target, status, sent_at)
             return False
         status.failing_since = None
@@ -843,27 +846,27 @@
     async def _revoke(self, part: KeyRange) -> str | None:
         """End a target's lease on a range and return the target's handover.
 
-        Return an empty handover if the target's process has ended or its lease has
-        expired, and None if this process lost its authority first.
+        A later process under the target's id may have taken renewals until its record
+        arrived, so it releases the range too. Return an empty handover if no process
+        can hold a lease any more, and None if this process lost its authority first.
         """
-        target = self._state.targets_by_id.get(part.target)
-        if self._has_owner_ended(part, target):
+        if self._is_address_reused(part):
             self._ledger.forget(part.target)
             return ""
         status = self._target_status(part.target)
-        known = target or self._state.latest_records_by_target.get(part.target)
-        address = known.address if known is not None else ""
         self._freeze(part)
         # Grants of an earlier coordinator may take effect late.
         fenced = self._clock() >= self._ledger.grantable_after_timeout(
             "", self._previous_authority_until
         )
         async with status.lock:
+            known = self._state.latest_records_by_target.get(part.target)
             if not fenced and known is not None:
                 part, fenced = await self._fence_off(part, known, status)
         while self.has_valid_authority():
-            if address:
-                handover = await self._release(part, address)
+            known = self._state.latest_records_by_target.get(part.target)
+            if known is not None:
+                handover = await self._release(part, known.address)
                 if handover is not None and not fenced:
                     # An earlier coordinator may still renew this lease.
                     async with status.lock:
@@ -877,9 +880,7 @@
             free_at = self._ledger.grantable_after_timeout(
                 part.target, self._previous_authority_until
             )
-            if free_at <= self._clock():
-                return ""
-            if self._has_owner_ended(part, self._state.targets_by_id.get(part.target)):
+            if free_at <= self._clock() or self._is_address_reused(part):
                 return ""
             await trio.sleep(
                 min(RELEASE_RETRY_INTERVAL, max(0.01, free_at - self._clock()))
@@ -906,17 +907,15 @@
             return part, False
         return granted, await self._grant(target, granted, status)
 
-    def _has_owner_ended(self, part: KeyRange, target: TargetRecord | None) -> bool:
-        """Tell whether the process that holds a range is known to have ended."""
-        if target is not None:
-            # The lease ended with the earlier process. A restored store may hold the
-            # record of a process before the one that has the lease.
-            return target.started_at > part.started_at
-        known = self._state.latest_records_by_target.get(part.target)
-        if known is None:
+    def _is_address_reused(self, part: KeyRange) -> bool:
+        """Tell whether another target runs where the owner of a range ran.
+
+        An address is reused only after the target that had it before has ended.
+        """
+        if part.target in self._state.targets_by_id:
             return False
-        # An address is reused only after the target that had it before has ended.
-        return any(
+        known = self._state.latest_records_by_target.get(part.target)
+        return known is not None and any(
             other.address == known.address and other.started_at > part.started_at
             for other in self._state.targets_by_id.values()
         )
@@ -959,7 +958,7 @@
             await self.writer.supersede()
             await trio.sleep(RECLAIM_INTERVAL)
         owner = self._state.usable_target(part.target)
-        if owner is None:
+        if owner is None or owner.started_at != part.started_at:
             return
         status = self._target_status(owner.id)
         async with status.lock:
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -122,11 +122,17 @@
     id: str
     reachable: bool = True
     responding: bool = True
+    listening: bool = True  # whether it accepts connections
     work: float = 0.0  # seconds until running work ends on a release
     grant_delay: float = 0.0  # seconds until a grant without response is applied
     leases: list[tuple[int, int, int, float]] = attrs.field(factory=list)
     granted_fences: list[tuple[int, int, int]] = attrs.field(factory=list)
 
+    def restart(self) -> None:
+        """Run a later process, which holds and knows nothing."""
+        self.leases.clear()
+        self.granted_fences.clear()
+
     def owns(self, key: int) -> bool:
         now = trio.current_time()
         return any(f <= key <= t and until > now for f, t, _, until in self.leases)
@@ -217,6 +223,10 @@
         return f"{address}-{item.fence}"
 
     def _check_reachable(self, target: FakeTarget, step: str) -> None:
+        if not target.listening:
+            raise ConnectionFailedError(
+                "refused", step="connect", peer="", refused=True
+            )
         if not target.reachable:
             raise self._no_response(target, step)
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -37,14 +37,18 @@
     return coordinator
 
 
-class SoleOwnerTests(unittest.TestCase):
-    """Guard against keys with two owners, or without an owner for too long."""
+class OwnershipTestCase(unittest.TestCase):
+    """Check that keys have one owner each."""
 
     def assert_sole_owners(self, cluster: FakeCluster) -> None:
         for key in (0, 22000, 44000, 65535):
             self.assertEqual(len(cluster.owners(key)), 1, key)
         self.assertEqual(cluster.control.violations, [])
 
+
+class SoleOwnerTests(OwnershipTestCase):
+    """Guard against keys with two owners, or without an owner for too long."""
+
     def test_every_key_gets_one_owner(self):
         async def scenario(cluster, nursery):
             nursery.start_soon(cluster.new_coordinator().run)
@@ -315,6 +319,61 @@
         run_scenario(scenario)
 
 
+class RestartedTargetTests(OwnershipTestCase):
+    """Guard against leases of a target's later process that are taken for ended."""
+
+    def test_restarted_target_releases_what_it_was_granted_since(self):
+        """Its new process took renewals before the store held its new record.
+
+        Its keys were then given to other targets at once, and had two owners.
+        """
+
+        async def scenario(cluster, nursery):
+            coordinator = cluster.new_coordinator()
+            cluster.remove_target_record(coordinator, "t3")
+            nursery.start_soon(coordinator.run)
+            await trio.sleep(3)
+            cluster.targets[0].restart()
+            await trio.sleep(1.5)
+            self.assertNotEqual(cluster.targets[0].leases, [])
+            # The keys of the restarted target are divided between it and a new one.
+            cluster.add_target_record(coordinator, "t3")
+            cluster.add_target_record(coordinator, "t0", started_at=9)
+            await trio.sleep(4)
+            self.assert_sole_owners(cluster)
+            self.assertIn("t3", cluster.record().ranges_by_target)
+
+        run_scenario(scenario, targets=4)
+
+    def test_grant_that_was_refused_a_connection_delays_no_move(self):
+        """A target that had restarted kept its keys frozen for a lease's validity."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            cluster.targets[0].listening = False
+            await trio.sleep(1.1)
+            cluster.targets[0].listening = True
+            cluster.targets[0].restart()
+            cluster.add_target_record(coordinator, "t0", started_at=9)
+            await trio.sleep(0.8)
+            self.assert_sole_owners(cluster)
+
+        run_scenario(scenario)
+
+    def test_released_keys_are_not_given_back_to_a_later_process(self):
+        """A later process would own them under the token of the earlier one."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            part = cluster.record().owned_by("t0")[0]
+            cluster.targets[0].restart()
+            cluster.add_target_record(coordinator, "t0", started_at=9)
+            await coordinator._give_back(part)
+            self.assertEqual(cluster.targets[0].leases, [])
+
+        run_scenario(scenario)
+
+
 class FirstAssignmentTests(unittest.TestCase):
     """Guard against keys that move among targets which start one after the other."""
 
