Answer 502 for an order that a target ran and failed with a promise

Callers got 503 for orders that had run; 408, 421, 429 and 503 promise that an order has not run, so they would have sent it again (REFUSED). Cause: only a target can state that a request did not run, in a field of its own. A response without that statement was delivered with its status, whatever the status promises. Change: such a response to a request that must not be repeated is discarded, and the caller gets 502 of the router's own. Only the target's statement resets what is known about a run. Repeatable requests are not concerned. Why it works: 502 promises nothing, and without the target's stamp it is no failure of the target under another status. Tests: test_faulty_targets.FailedRunTests; that of the order failed before (408 in place of 502).

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -15,6 +15,7 @@
     TargetPauses,
 )
 from fireflystand_core.messages import SlotRefusal, SlotReturn
+from fireflystand_core.outcomes import NotRun
 from fireflystand_core.traffic import ClientAccount, Route, TargetRecord, WeightedChoice
 
 from ..entry import RequestRefusedError, ResponseWriter
@@ -663,11 +664,23 @@
         self, context: _RequestContext, forward: ForwardRequest
     ) -> Exchange | Failure:
         try:
-            return await self._forwarder.open(forward)
+            opened = await self._forwarder.open(forward)
+            if isinstance(opened, Exchange) and self._misleads_caller(context, opened):
+                return await self._forwarder.decline(opened)
+            return opened
         finally:
             # After a cancelled wait the target may still run the request.
             context.may_have_run = context.may_have_run or forward.may_have_been_sent
 
+    def _misleads_caller(self, context: _RequestContext, exchange: Exchange) -> bool:
+        """Tell whether a response's status would deny a run that nothing rules out.
+
+        The target has not stated that the request did not run, and the caller would
+        send it again.
+        """
+        statuses = self._settings.caller_options.not_run_statuses
+        return not context.route.kind.repeatable and exchange.status in statuses
+
     def _note_response(
         self, target: TargetRecord, response: Exchange | Failure
     ) -> None:
@@ -692,7 +705,7 @@
         failure: Failure,
         may_have_run_before: bool,
     ) -> None:
-        if not failure.broken:
+        if isinstance(failure.outcome, NotRun):
             context.may_have_run = may_have_run_before
         if failure.broken:
             self._crash_detector.record_broken_connection(
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_faulty_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_faulty_targets.py
@@ -13,6 +13,7 @@
 
 from fireflystand_core.traffic import RequestKind
 
+from ...entry import CallerOptions
 from ...events import configure_log
 from ...forward import TargetOptions
 from ..flow import MAX_LATE_WAIT, MAX_UNFRAMED_OVERRUN, REPORTED_LATENESS
@@ -145,13 +146,15 @@
         scenario,
         options: TargetOptions = STRICT,
         max_attempts: int = 1,
+        kind: RequestKind = RequestKind.UNSAFE,
         **target,
     ) -> None:
         async def with_node(fleet):
             fleet.target_options = options
+            fleet.caller_options = CallerOptions(not_run_statuses=frozenset(PROMISES))
             fleet.configure(
                 2,
-                kind=RequestKind.UNSAFE,
+                kind=kind,
                 timeout=TIME_LIMIT,
                 max_attempts=max_attempts,
             )
@@ -227,6 +230,40 @@
                 self.play(scenario, options, max_attempts=2, first=first, write=repeat)
 
 
+class FailedRunTests(FaultyTargetTestCase):
+    """Guard against a status that denies a run which the target has not ruled out."""
+
+    def check(self, kind: RequestKind, expected: dict[int, int], stamps: int) -> None:
+        async def fail(target, stream, request_id):
+            target.runs_by_id[request_id] += 1
+            status = int(request_id.rpartition(b"/")[2])
+            head = b"HTTP/1.1 %d Failed\r\nX-Stamp: s\r\n" % status
+            head += b"Fireflystand-Request-Id: %s\r\n" % request_id
+            await stream.send_all(head + b"Content-Length: 6\r\n\r\nfailed")
+
+        async def scenario(node, target):
+            for status, delivered in expected.items():
+                received = await ask(node, f"/k/{status}")
+                self.assertEqual(status_of(received), delivered)
+                self.assertEqual(received.count(b"x-stamp"), stamps)
+                self.assertEqual(target.runs_by_id[b"id-/k/%d" % status], 1)
+            self.assertEqual(target.connections, 1)
+
+        self.play(scenario, kind=kind, first=fail, write=fail)
+
+    def test_order_that_ran_and_failed_with_a_promising_status(self):
+        """A caller got 503, which promised that its order had not run."""
+        expected = dict.fromkeys(PROMISES, 502)
+        self.check(RequestKind.UNSAFE, expected, stamps=0)
+
+    def test_other_failures_are_passed_on(self):
+        expected = {500: 500, 504: 504, 400: 400}
+        self.check(RequestKind.UNSAFE, expected, stamps=1)
+
+    def test_failures_of_repeatable_requests_are_passed_on(self):
+        self.check(RequestKind.SAFE, {503: 503, 429: 429}, stamps=1)
+
+
 class RepeatedAnswerTests(FaultyTargetTestCase):
     """Guard against an answer that is written again and reaches the next caller."""
 
--- a/packages/router/src/fireflystand_router/entry/caller_options.py
+++ b/packages/router/src/fireflystand_router/entry/caller_options.py
@@ -13,7 +13,8 @@
 
     ``adds_router_fields`` adds the router's ``Fireflystand-`` fields to responses.
     ``pipeline_limit`` is the number of requests of one connection that are served
-    concurrently.
+    concurrently. ``not_run_statuses`` are those by which callers know that a request
+    that must not be repeated did not run, without any other field that says so.
     """
 
     header_limit: int = 16 * 1024  # bytes
@@ -22,6 +23,7 @@
     adds_router_fields: bool = True
     pipeline_limit: int = 1
     fractional_retry_after: bool = False
+    not_run_statuses: frozenset[int] = frozenset()
 
     def retry_after(self, seconds: float) -> str:
         """Return the ``Retry-After`` value; RFC 9110 allows whole seconds only."""
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -18,8 +18,8 @@
 CONNECTIONS_PER_TARGET = 16
 CANCEL_TIMEOUT = 1.0  # seconds
 MAX_CONCURRENT_CANCELS = 64
-NOT_RUN_BODY_LIMIT = 64 * 1024  # bytes
-NOT_RUN_BODY_TIMEOUT = 0.2  # seconds
+DISCARDED_BODY_LIMIT = 64 * 1024  # bytes
+DISCARDED_BODY_TIMEOUT = 0.2  # seconds
 
 
 @attrs.frozen
@@ -107,16 +107,7 @@
 
     async def _not_run_failure(self, exchange: Exchange) -> Failure:
         status = exchange.status
-        try:
-            # A refusal without the request's id could be mistaken for one of the next
-            # request if the target wrote it again, so its connection is not reused.
-            if exchange.names_request and exchange.upload_done:
-                with trio.move_on_after(NOT_RUN_BODY_TIMEOUT):
-                    await self._drain_refusal(exchange)
-        except BrokenExchangeError:
-            pass  # The response head already determined the outcome.
-        finally:
-            exchange.abort()
+        await self._discard(exchange)
         reason = "target sheds load" if status == 503 else "target is not the owner"
         return Failure(
             NotRun(reason),
@@ -126,12 +117,34 @@
             fields=exchange.fields,
         )
 
-    async def _drain_refusal(self, exchange: Exchange) -> None:
-        """Receive the body of a refusal if it is short, to reuse the connection."""
+    async def decline(self, exchange: Exchange) -> Failure:
+        """Discard a response that cannot be delivered; its request may have run."""
+        await self._discard(exchange)
+        return Failure(
+            Unknown(f"target failed the request with status {exchange.status}"),
+            status=exchange.status,
+            fields=exchange.fields,
+        )
+
+    async def _discard(self, exchange: Exchange) -> None:
+        """End an exchange whose response head has already determined the outcome."""
+        try:
+            # A response without the request's id could be mistaken for one of the next
+            # request if the target wrote it again, so its connection is not reused.
+            if exchange.names_request and exchange.upload_done:
+                with trio.move_on_after(DISCARDED_BODY_TIMEOUT):
+                    await self._drain(exchange)
+        except BrokenExchangeError:
+            pass
+        finally:
+            exchange.abort()
+
+    async def _drain(self, exchange: Exchange) -> None:
+        """Receive the body of a response if it is short, to reuse the connection."""
         size = 0
         while part := await exchange.receive():
             size += len(part)
-            if size > NOT_RUN_BODY_LIMIT:
+            if size > DISCARDED_BODY_LIMIT:
                 return
 
     def cancel(self, exchange: Exchange) -> None:
