Ask the store before a change can be late without its watchers

Requests reached leaving targets for up to 3.1 s after the store's word (DRAIN, 2 s), from instances to which nothing had happened, while the two watchers of the targets' records were cut off from the store. Cause: a watch waits for 8 s and may stay unanswered for 1.5 s more, and the other instances accept confirmations of 10 s. The limits of the settings (drain, configApply, evacuate) bounded none of that; those of the configuration and of departures had the same gap. Change: the wait of a watch and the age at which an instance asks the store itself are shares of the kind's limit. An unanswered watch is given up at that age. An instance that the store does not answer asks for the configuration only. Why it works: whatever happens to the watchers, each instance that reaches the store asks it before the limit, with a sixth of it left for the call. Tests: test_replication.WatcherLossTests (6, 12, 82 and 195 instances), StoreLoadTests with the limits of the fleets, one kind in an outage. Its APPLY_LIMIT of 2.5 s was longer than the target of 2.0 s and is that now.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -120,6 +120,7 @@
             self.membership,
             others,
             is_seed=len(others) < len(settings.seeds),
+            bounds=settings.bounds,
         )
         self.slot_service = SlotService(self.state, self.membership, random)
         self.pauses = TargetPauses(random.random)
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -146,9 +146,22 @@
     retry_share: float = 0.1  # retries, as a fraction of all requests
     retry_burst: float = 20.0  # retries beyond the share at once, over all instances
     stop_grace: float = 6.0  # from the signal to stop to the end of the process
+    # From the store's acknowledgement of a change until all instances act on it.
+    configuration_apply: float = 2.0
+    target_departure: float = 2.0
+    data_centre_departure: float = 5.0
     lease_timing: LeaseTiming = attrs.field(factory=LeaseTiming)
     max_lease: float = 10.0
 
+    @property
+    def change_limits_by_kind(self) -> dict[str, float]:
+        """Return within how many seconds a change of a kind has to take effect."""
+        return {
+            CONFIGURATION: self.configuration_apply,
+            TARGETS: self.target_departure,
+            DEPARTURES: self.data_centre_departure,
+        }
+
 
 @attrs.frozen
 class DispatchSettings:
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -1,6 +1,7 @@
 """Keep the replicas of the store current, from the store or from peers."""
 
 import json
+import math
 import zlib
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -32,6 +33,7 @@
     INSTANCES,
     KINDS,
     RANGES,
+    DispatchBounds,
     KindSnapshot,
     StorePort,
 )
@@ -42,15 +44,17 @@
 # Instances that watch a kind and push its changes to the others. The next one in the
 # order takes the place of an instance whose calls to the store fail.
 WATCHER_COUNT = 2
-# The timeout of a watch's long poll bounds the age of the replica's confirmation. The
-# configuration holds the API keys, which need the freshest confirmation.
-CONFIGURATION_WAIT = 1.0  # seconds
-WATCH_WAIT = 8.0  # seconds
-# An instance watches the store itself once the confirmations from its peers are this
-# old. The limit allows for one long poll and the heartbeats that pass its result on,
-# and bounds how long a change waits on an instance that no peer tells of it.
-CONFIGURATION_AGE_LIMIT = 2.2  # seconds
-AGE_LIMIT = 10.0  # seconds
+# Parts of the time within which a change of a kind has to take effect. A watch waits
+# for the first; an instance asks the store itself once the confirmations from its peers
+# are older than the second, so that no change is missed with its watchers. In between,
+# heartbeats pass the result of a watch on; the rest is for the instance's own call.
+WAIT_SHARE = 0.36
+AGE_LIMIT_SHARE = 0.84
+MAX_WAIT = 8.0  # seconds
+MAX_AGE_LIMIT = 10.0  # seconds
+# The configuration holds the API keys, and its confirmations show outages of the store.
+CONFIGURATION_WAIT = 1.0  # seconds, at most
+CONFIGURATION_AGE_LIMIT = 2.2  # seconds, at most
 RANGES_INTERVAL = 4.0  # seconds between two checks while the coordinators are live
 AGE_CHECK_INTERVAL = 0.2  # seconds between two checks of the replica's age
 MIN_AGE_CHECK_INTERVAL = 0.01  # seconds
@@ -86,8 +90,10 @@
         seeds: Iterable[str] = (),
         *,
         is_seed: bool = True,
+        bounds: DispatchBounds | None = None,
         clock: Callable[[], float] = lease_clock,
     ) -> None:
+        self._change_limits_by_kind = (bounds or DispatchBounds()).change_limits_by_kind
         self._store = store
         self._clock = clock
         self._state = state
@@ -99,6 +105,7 @@
         self._incomplete_since_by_kind: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self._failing_kinds: set[str] = set()
+        self._is_store_silent = False  # as the calls for the configuration show
         self._listed_kinds: set[str] = set()  # for which the last watch had no history
         self._watches_by_kind: dict[str, trio.CancelScope] = {}
         self._next_newer_pull = float("-inf")
@@ -168,6 +175,8 @@
             try:
                 listed_again = await self._fetch(kind)
             except (StoreUnavailableError, ProtocolError) as error:
+                if kind == CONFIGURATION:
+                    self._is_store_silent = isinstance(error, StoreUnavailableError)
                 self._handle_failure(kind, error)
                 await trio.sleep(backoff)
                 backoff = min(MAX_BACKOFF, 2 * backoff)
@@ -200,6 +209,9 @@
         replica = self._state.replicas_by_kind[kind]
         if replica.revision == 0:
             return True
+        if kind != CONFIGURATION and self._is_store_silent:
+            # The calls for one kind show when the store answers again.
+            return False
         if self._is_confirmation_due(kind):
             return True
         if kind in self._failing_kinds:
@@ -209,8 +221,17 @@
             return self._is_seed
         return self._membership.store_watcher_rank(f"watch/{kind}") < WATCHER_COUNT
 
+    def _wait_limit(self, kind: str) -> float:
+        """Return the seconds for which a watch of a kind waits for a change."""
+        longest = CONFIGURATION_WAIT if kind == CONFIGURATION else MAX_WAIT
+        limit = self._change_limits_by_kind.get(kind, math.inf)
+        return min(longest, WAIT_SHARE * limit)
+
     def _age_limit(self, kind: str) -> float:
-        return CONFIGURATION_AGE_LIMIT if kind == CONFIGURATION else AGE_LIMIT
+        """Return the age of a confirmation at which the store itself is asked."""
+        longest = CONFIGURATION_AGE_LIMIT if kind == CONFIGURATION else MAX_AGE_LIMIT
+        limit = self._change_limits_by_kind.get(kind, math.inf)
+        return min(longest, AGE_LIMIT_SHARE * limit)
 
     def _is_confirmation_due(self, kind: str) -> bool:
         return self._state.confirmation_age(kind) >= self._age_limit(kind)
@@ -228,12 +249,17 @@
         since = replica.revision
         snapshot = None
         if since:
-            wait = CONFIGURATION_WAIT if kind == CONFIGURATION else WATCH_WAIT
+            wait = self._wait_limit(kind)
             if kind == RANGES and self._are_coordinators_live():
                 wait = 0.0
             if kind in self._failing_kinds or self._is_confirmation_due(kind):
                 wait = 0.0
-            snapshot = await self._watch(kind, since, wait)
+            with trio.move_on_after(self._age_limit(kind)) as scope:
+                snapshot = await self._watch(kind, since, wait)
+            if scope.cancelled_caught:
+                # The connection may be silent, or the instance cut off.
+                requested_at, wait = self._clock(), 0.0
+                snapshot = await self._watch(kind, since, wait)
         listed_again = snapshot is None and kind in self._listed_kinds
         if snapshot is not None:
             self._listed_kinds.discard(kind)
@@ -325,6 +351,8 @@
     def _handle_success(self, kind: str, sent_at: float) -> None:
         # A long poll that began before an outage for this instance may end well.
         self.store_answered_at = max(self.store_answered_at, sent_at)
+        if kind == CONFIGURATION:
+            self._is_store_silent = False
         if kind in self._failing_kinds:
             self._failing_kinds.discard(kind)
             self._membership.store_unreachable = bool(self._failing_kinds)
--- a/packages/router/src/fireflystand_router/dispatch/tests/replication_model.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/replication_model.py
@@ -21,7 +21,13 @@
 
 from ...peers import PeerLink, PeerUnavailableError
 from ..membership import Membership
-from ..ports import CONFIGURATION, INSTANCES, KINDS, KindSnapshot
+from ..ports import (
+    CONFIGURATION,
+    INSTANCES,
+    KINDS,
+    DispatchBounds,
+    KindSnapshot,
+)
 from ..replicas import ReplicaSync
 from ..state import RoutingState
 from .node_support import SharedStore
@@ -197,9 +203,10 @@
 
     async def watch(self, kind: str, since: int, wait: float) -> KindSnapshot | None:
         self.watched_kinds.add(kind)
+        times_out_at = trio.current_time() + wait + WATCH_TIMEOUT
         await self._wait_out(self._fabric.store_delay, wait + WATCH_TIMEOUT)
         snapshot = await self._store.watch(kind, since, wait)
-        await self._wait_out(0.0, WATCH_TIMEOUT)
+        await self._wait_out(0.0, times_out_at - trio.current_time())
         return snapshot
 
     async def _wait_out(self, delay: float, timeout: float) -> None:
@@ -213,7 +220,8 @@
 
     def __init__(self, model: "ReplicationModel", number: int) -> None:
         self.id = f"n{number:03}"
-        self.capacity = 2.0 if number % 10 == 0 else 0.4  # processor cores
+        is_strong = number % 10 == 0 and not model.is_uniform
+        self.capacity = 2.0 if is_strong else 0.4  # processor cores
         self.store = CutStore(model.store, model.fabric, self.id)
         self.state = RoutingState(_read_table, lambda change: None, trio.current_time)
         hello = Hello(self.id, f"{self.id}-1", "x", f"{self.id}:1")
@@ -227,7 +235,11 @@
             clock=trio.current_time,
         )
         self.sync = ReplicaSync(
-            self.store, self.state, self.membership, clock=trio.current_time
+            self.store,
+            self.state,
+            self.membership,
+            bounds=model.bounds,
+            clock=trio.current_time,
         )
         self.membership.set_callbacks(self.sync.handle_confirmations, lambda peer: None)
 
@@ -245,8 +257,12 @@
 class ReplicationModel:
     """Own a store, a network and the instances on it."""
 
-    def __init__(self, count: int, *, seed: int) -> None:
+    def __init__(
+        self, count: int, *, seed: int, bounds: DispatchBounds, is_uniform: bool
+    ) -> None:
         self.seed = seed
+        self.is_uniform = is_uniform
+        self.bounds = bounds
         self.random = Random(seed)
         self.store = SharedStore()
         self.fabric = Fabric(Random(f"{seed}/fabric"))
@@ -322,12 +338,26 @@
 
 
 def play_model(
-    count: int, scenario: Callable[[ReplicationModel], Any], *, seed: int
+    count: int,
+    scenario: Callable[[ReplicationModel], Any],
+    *,
+    seed: int,
+    bounds: DispatchBounds | None = None,
+    is_uniform: bool = False,
 ) -> None:
-    """Run a scenario once all instances have contacted each other."""
+    """Run a scenario once all instances have contacted each other.
+
+    If ``is_uniform``, each kind has watchers of its own; otherwise the strongest
+    instances watch all kinds.
+    """
 
     async def main() -> None:
-        model = ReplicationModel(count, seed=seed)
+        model = ReplicationModel(
+            count,
+            seed=seed,
+            bounds=bounds or DispatchBounds(),
+            is_uniform=is_uniform,
+        )
         model.configure(1)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(model.run)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_replication.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_replication.py
@@ -12,7 +12,8 @@
 from ..state import OUTAGE_AGE
 from .replication_model import ReplicationModel, play_model
 
-APPLY_LIMIT = 2.5  # seconds from the acknowledgement until a change is in force
+# Seconds from the acknowledgement until a change is in force.
+APPLY_LIMIT = DispatchBounds().configuration_apply
 CONFIRMATION_LIMIT = DispatchBounds().api_key_withdrawal - CONFIRMATION_MARGIN
 SLOW_STORE_DELAY = 0.1  # seconds of a call
 LAPSE_SECONDS = 2.6  # seconds after its last report at which a target's record lapses
@@ -84,6 +85,56 @@
         play_model(30, scenario, seed=1)
 
 
+class WatcherLossTests(unittest.TestCase):
+    """Guard against changes that all watchers miss and no other instance asks for.
+
+    Targets that were leaving got requests for 3.1 s after the store had said so: both
+    watchers of their records were cut off from the store.
+    """
+
+    def check(self, count: int, bounds: DispatchBounds, seed: int) -> None:
+        async def scenario(model):
+            for kind, limit in bounds.change_limits_by_kind.items():
+                await trio.sleep(model.random.uniform(6.0, 14.0))
+                cut = self.cut_watchers(model, kind)
+                await trio.sleep(model.random.uniform(0.0, 0.1))
+                written = model.store.write(kind, "main", {"version": written_version})
+                acknowledged_at = trio.current_time()
+                others = [i for i in model.instances if i not in cut]
+                while not all(self.has(i, kind, written) for i in others):
+                    await trio.sleep(STEP)
+                    elapsed = trio.current_time() - acknowledged_at
+                    self.assertLess(elapsed, limit, kind)
+                for instance in cut:
+                    instance.store.without_store = False
+
+        written_version = 2
+        play_model(count, scenario, seed=seed, bounds=bounds, is_uniform=True)
+
+    def cut_watchers(self, model, kind: str) -> list:
+        """Cut the instances that watch a kind off from the store."""
+        watchers = [i for i in model.instances if i.sync._should_watch(kind)]
+        self.assertEqual(len(watchers), WATCHER_COUNT)
+        for instance in watchers:
+            instance.store.without_store = True
+        return watchers
+
+    def has(self, instance, kind: str, version: int) -> bool:
+        return instance.state.replicas_by_kind[kind].revision >= version
+
+    def test_changes_that_both_watchers_miss_are_known_in_time(self):
+        bounds_by_count = {
+            6: DispatchBounds(),
+            12: DispatchBounds(),
+            82: DispatchBounds(configuration_apply=2.5, target_departure=2.5),
+            195: DispatchBounds(configuration_apply=3.0, target_departure=3.0),
+        }
+        for count, bounds in bounds_by_count.items():
+            for seed in range(3 if count < 50 else 1):
+                with self.subTest(count=count, seed=seed):
+                    self.check(count, bounds, seed)
+
+
 class StoreLoadTests(unittest.TestCase):
     """Guard against reads of the store that grow with the number of instances."""
 
@@ -100,9 +151,12 @@
                 ]
                 self.assertLessEqual(len(watching), WATCHER_COUNT, kind)
 
-        for count in (12, 82):
+        for count, seconds in ((12, 2.0), (82, 2.5)):
             with self.subTest(count=count):
-                play_model(count, scenario, seed=1)
+                bounds = DispatchBounds(
+                    configuration_apply=seconds, target_departure=seconds
+                )
+                play_model(count, scenario, seed=1, bounds=bounds)
 
 
 class OutageTests(unittest.TestCase):
@@ -123,6 +177,26 @@
             with self.subTest(seed=seed):
                 play_model(30, scenario, seed=seed)
 
+    def test_store_without_answers_is_asked_for_one_kind_only(self):
+        """Each instance called for each kind whose confirmation was due."""
+
+        async def scenario(model):
+            for instance in model.instances:
+                instance.store.without_store = True
+            await trio.sleep(4.0)
+            for instance in model.instances:
+                instance.store.watched_kinds.clear()
+            await trio.sleep(4.0)
+            for instance in model.instances:
+                self.assertLessEqual(instance.store.watched_kinds, {CONFIGURATION})
+                instance.store.without_store = False
+            await trio.sleep(3.0)
+            limit = DispatchBounds().target_departure
+            for instance in model.instances:
+                self.assertLess(instance.state.confirmation_age(TARGETS), limit)
+
+        play_model(12, scenario, seed=1)
+
     def test_instances_without_peers_see_no_outage(self):
         async def scenario(model):
             model.fabric.store_delay = SLOW_STORE_DELAY
