Slow a target down that may have restarted until it tells its health

Cause: whether a target is cold was learned from its record in the store only. That its process may have ended was seen on its connections and led to a pause of 0.5 s. Change: a target in doubt gets its warm-up rate until it has told its health, which the instance that counts its slots asks for. Doubt arises from refused connections, from a broken exchange or kept connections that ended early while no open one is left, and from 3 s without a request. A record that is applied again does not make its target cold again. Why it works: a process cannot end without ending its connections; a target to which nobody need have one is asked before it gets its load.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -21,6 +21,7 @@
 __all__ = [
     "TARGET_GONE",
     "TARGET_PAUSES",
+    "UNUSED_PERIOD",
     "AdmissionQueue",
     "QueuedRequest",
     "SlotGranted",
@@ -44,6 +45,9 @@
 REMOTE_COST_FACTOR = 3.0
 # An instance can use a connection that was idle for less than this for any request.
 CONNECTION_REUSE_PERIOD = 3.0  # seconds
+# Without a request for this long, no instance need have a connection to a target that
+# would show its restart.
+UNUSED_PERIOD = CONNECTION_REUSE_PERIOD  # seconds
 # A new connection takes a round trip and the target's handshake, which holds a slot.
 CONNECT_SECONDS = 0.01
 
@@ -90,6 +94,7 @@
 
     ``seconds`` is how long it ran, or a lower bound of that if not ``complete``.
     ``pause`` is for how many seconds the target wants nothing from the instance.
+    ``lost`` tells that nothing shows the target's process to be still running.
     """
 
     number: int
@@ -99,6 +104,7 @@
     unreachable: bool = False
     load: TargetLoad | None = None
     pause: float = 0.0
+    lost: bool = False
 
 
 Decision = SlotGranted | SlotRefused
@@ -116,6 +122,8 @@
         # Those that may have a free slot: a busy service has few of them, and each
         # request for any target would look at all.
         self._open_targets_by_id: dict[str, TargetSlots] = {}
+        # Targets that may have restarted, until their health is asked for.
+        self.unchecked_targets: set[str] = set()
         self._has_pauses = False  # whether some target may pause for an instance
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
@@ -136,13 +144,23 @@
         """Return the number of held slots."""
         return len(self._targets_by_slot)
 
-    def set_target(self, record: TargetRecord, warmup_rate: float, now: float) -> None:
-        """Add a target or apply its newer record."""
+    def set_target(
+        self,
+        record: TargetRecord,
+        warmup_rate: float,
+        now: float,
+        warmup: float = 0.0,
+    ) -> None:
+        """Add a target or apply its newer record.
+
+        A cold target gets ``warmup_rate`` requests a second. A target that starts stays
+        cold for ``warmup`` seconds.
+        """
         known = self.targets_by_id.get(record.id)
         if known is not None and known.record.started_at == record.started_at:
             self._open_targets_by_id[record.id] = known
-            return known.update(record, warmup_rate, now)
-        slots = TargetSlots(record, warmup_rate, now, self.mean.seconds)
+            return known.update(record, warmup_rate, now, warmup)
+        slots = TargetSlots(record, warmup_rate, now, self.mean.seconds, warmup)
         self.targets_by_id[record.id] = self._open_targets_by_id[record.id] = slots
 
     def remove_target(self, target: str) -> list[Decision]:
@@ -350,6 +368,9 @@
     def _grant(
         self, request: QueuedRequest, target: TargetSlots, now: float
     ) -> SlotGranted:
+        if now - target.used_at > UNUSED_PERIOD and not target.is_cold(now):
+            self._doubt(target, now)
+        target.used_at = now
         slot = HeldSlot(
             number=next(self._slot_numbers),
             request_id=request.id,
@@ -372,6 +393,7 @@
             return []
         slot = self._free(target, result.number)
         if result.complete and result.seconds is not None:
+            target.used_at = now
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
             self._record_duration(target, slot.route, result)
@@ -379,6 +401,8 @@
             target.record_load(result.load, now)
         if result.shed:
             target.pause_after_shed(now)
+        if result.unreachable or result.lost:
+            self._doubt(target, now)
         decisions: list[Decision] = []
         if result.pause > 0:
             target.pause_for(slot.instance, now + result.pause)
@@ -389,6 +413,30 @@
             return decisions + self._refuse_queue(target, now)
         return decisions + self._dispatch_freed(target, now)
 
+    def _doubt(self, target: TargetSlots, now: float) -> None:
+        """Slow a target down that may have restarted, until its health is known."""
+        if self.targets_by_id.get(target.record.id) is not target:
+            return
+        target.doubt(now)
+        if target.is_doubted(now):
+            self.unchecked_targets.add(target.record.id)
+
+    def is_doubted(self, target: str, now: float) -> bool:
+        """Tell whether a target is slowed down until its health is known."""
+        slots = self.targets_by_id.get(target)
+        return slots is not None and slots.is_doubted(now)
+
+    def verify(self, target: str, asked_at: float, now: float) -> list[Decision]:
+        """End the doubt about a target that has told its health.
+
+        It was asked at ``asked_at``. How cold it is comes with its record.
+        """
+        slots = self.targets_by_id.get(target)
+        if slots is None:
+            return []
+        slots.verify(asked_at)
+        return self._dispatch_freed(slots, now)
+
     def _free(self, target: TargetSlots, number: int) -> HeldSlot:
         """Take back a slot of a target."""
         if self.targets_by_id.get(target.record.id) is target:
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -55,7 +55,12 @@
     """Own the slots of one target."""
 
     def __init__(
-        self, record: TargetRecord, warmup_rate: float, now: float, mean: float
+        self,
+        record: TargetRecord,
+        warmup_rate: float,
+        now: float,
+        mean: float,
+        warmup: float = 0.0,
     ) -> None:
         self.record = record
         self.held_by_number: dict[int, HeldSlot] = {}
@@ -67,14 +72,20 @@
         self._slowdown = 1.0
         self._slowdown_at = float("-inf")
         self._cold_until = now + record.cold_for
+        self._warmup = warmup
+        self._doubted_at = float("-inf")
+        self.used_at = now  # when a request was last sent or answered, as far as known
         self._bucket = TokenBucket(warmup_rate, COLD_BURST, now, COLD_BURST)
 
-    def update(self, record: TargetRecord, warmup_rate: float, now: float) -> None:
-        """Apply a newer target record of the same process."""
-        if record.cold_for > 0:
+    def update(
+        self, record: TargetRecord, warmup_rate: float, now: float, warmup: float = 0.0
+    ) -> None:
+        """Apply a newer target record of the same process, or newer settings."""
+        if record.cold_for > 0 and record is not self.record:
             self._cold_until = now + record.cold_for
         if warmup_rate != self._bucket.rate:
             self._bucket.change(warmup_rate, COLD_BURST, now)
+        self._warmup = warmup
         self.record = record
 
     @property
@@ -84,7 +95,28 @@
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the target takes requests only at its warm-up rate."""
-        return self._bucket.rate > 0 and now < self._cold_until
+        if self._bucket.rate <= 0:
+            return False
+        return now < self._cold_until or self.is_doubted(now)
+
+    def doubt(self, now: float) -> None:
+        """Treat the target as cold for its warm-up time, as it may have restarted.
+
+        Requests that hold a slot may be running on the later process.
+        """
+        self._doubted_at = now
+        self._bucket.refill(now)
+        unused = COLD_BURST - len(self.held_by_number)
+        self._bucket.level = min(self._bucket.level, unused)
+
+    def is_doubted(self, now: float) -> bool:
+        """Tell whether the target may have restarted unnoticed and be cold."""
+        return self._bucket.rate > 0 and now < self._doubted_at + self._warmup
+
+    def verify(self, asked_at: float) -> None:
+        """End the doubt unless it arose after the target was asked for its health."""
+        if self._doubted_at < asked_at:
+            self._doubted_at = float("-inf")
 
     def free_slots(self, now: float) -> int:
         """Return how many requests the target can take now."""
@@ -97,7 +129,7 @@
         )
         if free and self.is_cold(now):
             self._bucket.refill(now)
-            free = min(free, int(self._bucket.level))
+            free = min(free, max(0, int(self._bucket.level)))
         return free
 
     @property
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -35,14 +35,94 @@
     return QueuedRequest(id=name, **(values | fields))
 
 
-def queue_of(*records: TargetRecord, warmup_rate: float = 0.0) -> AdmissionQueue:
+def queue_of(
+    *records: TargetRecord, warmup_rate: float = 0.0, warmup: float = 0.0
+) -> AdmissionQueue:
     """Return an admission queue with a mean duration of 0.1 s and these targets."""
     queue = AdmissionQueue()
     for record in records or (target(),):
-        queue.set_target(record, warmup_rate, 0.0)
+        queue.set_target(record, warmup_rate, 0.0, warmup)
     return queue
 
 
+class DoubtTests(unittest.TestCase):
+    """Guard against the full load for a target that may have restarted unnoticed."""
+
+    RATE = 4.0  # requests a second to a cold target
+    WARMUP = 3.0  # seconds
+
+    def doubted_queue(self, **result) -> AdmissionQueue:
+        """Return a queue after a result at time 1 that shows no running process."""
+        queue = queue_of(target(slots=9), warmup_rate=self.RATE, warmup=self.WARMUP)
+        (granted,) = queue.submit(slot_request("lost"), 0.9)
+        queue.release(SlotResult(granted.number, complete=False, **result), 1.0)
+        return queue
+
+    def grants(self, queue: AdmissionQueue, since: float, until: float) -> int:
+        """Return the grants to requests that come every 10 ms and end at once."""
+        count = 0
+        for step in range(round((until - since) * 100)):
+            now = since + step / 100
+            request = slot_request(f"r{now}", soft_deadline_at=now, deadline_at=now + 1)
+            count += self.end_all(queue, queue.submit(request, now), now)
+            count += self.end_all(queue, queue.tick(now), now)
+        return count
+
+    def end_all(self, queue: AdmissionQueue, decisions: list, now: float) -> int:
+        """End granted requests and those granted then; return their number."""
+        count = 0
+        while decisions:
+            decision = decisions.pop()
+            if isinstance(decision, SlotGranted):
+                count += 1
+                decisions += queue.release(SlotResult(decision.number, 0.01), now)
+        return count
+
+    def test_lost_target_gets_its_warm_up_rate_until_its_health_is_known(self):
+        queue = self.doubted_queue(lost=True)
+        self.assertEqual(queue.unchecked_targets, {"t1"})
+        self.assertLessEqual(self.grants(queue, 1.0, 2.0), 2 + self.RATE)
+        self.end_all(queue, queue.verify("t1", 1.9, 2.0), 2.0)
+        self.assertFalse(queue.is_doubted("t1", 2.0))
+        self.assertGreaterEqual(self.grants(queue, 2.0, 2.5), 50)
+
+    def test_unreachable_target_is_doubted(self):
+        queue = self.doubted_queue(unreachable=True)
+        self.assertTrue(queue.is_doubted("t1", 1.0))
+
+    def test_unused_target_is_doubted(self):
+        """No instance need have a connection whose end would show its restart."""
+        queue = queue_of(target(slots=9), warmup_rate=self.RATE, warmup=self.WARMUP)
+        self.grants(queue, 0.0, 2.0)
+        self.assertEqual(queue.unchecked_targets, set())
+        self.assertLessEqual(self.grants(queue, 6.0, 7.0), 3 + self.RATE)
+        self.assertEqual(queue.unchecked_targets, {"t1"})
+
+    def test_health_asked_for_before_the_loss_ends_no_doubt(self):
+        queue = self.doubted_queue(lost=True)
+        queue.verify("t1", 0.95, 1.05)
+        self.assertTrue(queue.is_doubted("t1", 1.05))
+
+    def test_doubt_ends_with_the_warm_up_time(self):
+        queue = self.doubted_queue(lost=True)
+        self.assertTrue(queue.is_doubted("t1", 3.9))
+        self.assertFalse(queue.is_doubted("t1", 4.1))
+
+    def test_service_without_a_warm_up_rate_has_no_doubts(self):
+        queue = queue_of(target(slots=9))
+        (granted,) = queue.submit(slot_request("lost"), 0.9)
+        queue.release(SlotResult(granted.number, lost=True), 1.0)
+        self.assertEqual(queue.unchecked_targets, set())
+
+    def test_record_that_is_applied_again_makes_no_target_cold(self):
+        """Each new configuration made targets cold again that had once been so."""
+        record = target(slots=9, cold_for=self.WARMUP)
+        queue = queue_of(record, warmup_rate=self.RATE, warmup=self.WARMUP)
+        self.grants(queue, 0.0, 3.5)
+        queue.set_target(record, self.RATE, 3.5, self.WARMUP)
+        self.assertEqual(self.grants(queue, 3.5, 4.0), 50)
+
+
 class OverloadTests(unittest.TestCase):
     """Guard against futile waits, and refusals although there is free capacity."""
 
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -147,7 +147,10 @@
     ``seconds`` is how long the request ran, or a lower bound if not ``complete``.
     ``leaving`` is the target and the start of its process if that process has stated
     that it leaves. ``pause`` is for how many seconds the target wants no request from
-    the sender of this message.
+    the sender of this message. ``lost`` tells that nothing shows the target's process
+    to be still running. ``cold`` is the target, the start of its process as known, and
+    for how many seconds it stays cold by its own account. A message without a slot
+    has the number 0.
     """
 
     service: str
@@ -159,6 +162,8 @@
     load: list[float] | None = None
     leaving: list[Any] | None = None
     pause: float = 0.0
+    lost: bool = False
+    cold: list[Any] | None = None
 
 
 @message("slot-withdrawal")
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -618,7 +618,10 @@
                 if isinstance(opened, Failure):
                     unreachable = not (forward.may_have_been_sent or opened.withdrawn)
                     result = attrs.evolve(
-                        result, shed=opened.shed, unreachable=unreachable
+                        result,
+                        shed=opened.shed,
+                        unreachable=unreachable,
+                        lost=opened.lost,
                     )
                 if forward.may_have_been_sent and not result.shed:
                     elapsed = trio.current_time() - began_at
@@ -656,7 +659,8 @@
         except (RequestRefusedError, MalformedMessageError) as error:
             refusal = failed_body_refusal(error)
         finally:
-            self._slots.release(response.slot, result)
+            is_lost = response.exchange.is_target_lost
+            self._slots.release(response.slot, attrs.evolve(result, lost=is_lost))
         if not delivered:
             await writer.refuse(refusal)
 
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -122,9 +122,9 @@
             is_seed=len(others) < len(settings.seeds),
             bounds=settings.bounds,
         )
-        self.slot_service = SlotService(self.state, self.membership, random)
+        self.slot_service = SlotService(self.state, self.membership, random, control)
         self.pauses = TargetPauses(random.random)
-        slots = SlotClient(
+        self.slots = SlotClient(
             self.slot_service,
             self.membership,
             self.state,
@@ -147,7 +147,7 @@
             settings=settings,
             state=self.state,
             rate_limiter=self.rate_limiter,
-            slots=slots,
+            slots=self.slots,
             crash_detector=self.crash_detector,
             forwarder=self.forwarder,
             work_reporter=self.work_reporter,
@@ -276,6 +276,15 @@
         if target is not None:
             self.state.mark_leaving(target_id, target.started_at)
 
+    def note_cold(self, target_id: str, seconds: float) -> None:
+        """Send a target requests at its warm-up rate, as its health response asks."""
+        target = self.state.targets_by_id.get(target_id)
+        table = self.state.table
+        if target is not None and table is not None:
+            policy = table.services_by_name.get(target.service)
+            is_keyed = policy is not None and policy.keyed
+            self.slots.report_cold(target, seconds, keyed=is_keyed)
+
     def summary(self) -> dict:
         """Return this instance's view of the fleet, for operators."""
         table = self.state.table
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -98,7 +98,10 @@
         """Grant a lease of a range for ``lease`` seconds from the call's arrival."""
 
     async def reach(self, address: str, target: str) -> None:
-        """Check that the target with the id responds at the address."""
+        """Check that the target with the id responds at the address.
+
+        A target that says that it is cold is reported before the call returns.
+        """
 
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
         """Revoke a target's lease; return its handover once its work has ended."""
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -22,17 +22,23 @@
     SlotReturn,
     SlotWithdrawal,
 )
+from fireflystand_core.traffic import TargetRecord
 
 from ..events import PEER_CALL_FAILED, emit
 from ..future import Future
+from ..http_client import ConnectionFailedError
 from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import sleep_until_next
 from .membership import Membership
-from .ports import CONFIGURATION, DEPARTURES
+from .ports import CONFIGURATION, DEPARTURES, TargetControlPort
 from .state import RoutingState
 
 __all__ = ["Slot", "SlotClient", "SlotService"]
 
+# Times to ask a target for its health that may have restarted.
+HEALTH_TIMEOUT = 0.5  # seconds
+HEALTH_RETRY_INTERVAL = 0.1  # seconds, doubled for each further one
+MAX_HEALTH_RETRY_INTERVAL = 0.8  # seconds
 EXPIRY_CHECK_INTERVAL = 0.1  # seconds between two checks of requests and slots
 # In a retry storm most slot requests for a full target are refused for the same reason.
 # A refusal is reused for this long, without a request to the responsible instance.
@@ -84,8 +90,15 @@
     """Own this instance's admission queues, one for each service."""
 
     def __init__(
-        self, state: RoutingState, membership: Membership, random: Random
+        self,
+        state: RoutingState,
+        membership: Membership,
+        random: Random,
+        control: TargetControlPort,
     ) -> None:
+        self._control = control
+        self._nursery: trio.Nursery | None = None
+        self._checked_targets: set[str] = set()
         self.queues_by_service: dict[str, AdmissionQueue] = {}
         self._state = state
         self._membership = membership
@@ -134,19 +147,21 @@
         for service, queue in self.queues_by_service.items():
             is_gone = target is None or target.service != service
             if is_gone and name in queue.targets_by_id:
-                self._deliver(queue.remove_target(name))
+                self._deliver(queue, queue.remove_target(name))
         if target is not None:
             policy = self._state.table.services_by_name.get(target.service)
             rate = policy.warmup_rate if policy else 0.0
-            self._queue(target.service).set_target(target, rate, now)
+            warmup = policy.warmup if policy else 0.0
+            self._queue(target.service).set_target(target, rate, now, warmup)
 
     async def run(self) -> None:
         """Refuse late requests and free expired slots at intervals, until cancelled."""
-        while True:
-            await sleep_until_next(EXPIRY_CHECK_INTERVAL)
-            now = trio.current_time()
-            for queue in self.queues_by_service.values():
-                self._deliver(queue.tick(now))
+        async with trio.open_nursery() as self._nursery:
+            while True:
+                await sleep_until_next(EXPIRY_CHECK_INTERVAL)
+                now = trio.current_time()
+                for queue in self.queues_by_service.values():
+                    self._deliver(queue, queue.tick(now))
 
     async def acquire(self, service: str, queued: QueuedRequest) -> Decision:
         """Wait for a decision; cancellation withdraws the slot request."""
@@ -161,13 +176,19 @@
     def _enqueue(self, queued: QueuedRequest, requester: _Requester) -> None:
         self._requesters_by_id[queued.id] = requester
         queue = self._queue(requester.service)
-        self._deliver(queue.submit(queued, trio.current_time()))
+        self._deliver(queue, queue.submit(queued, trio.current_time()))
 
-    def _deliver(self, decisions: list[Decision]) -> None:
+    def _deliver(self, queue: AdmissionQueue, decisions: list[Decision]) -> None:
+        """Deliver a queue's decisions; check the targets that it has come to doubt."""
         for decision in decisions:
             requester = self._requesters_by_id.pop(decision.request.id, None)
             if requester is not None:
                 requester.deliver(decision)
+        while queue.unchecked_targets and self._nursery is not None:
+            target = queue.unchecked_targets.pop()
+            if target not in self._checked_targets:
+                self._checked_targets.add(target)
+                self._nursery.start_soon(self._check_health, queue, target)
 
     def _on_link_end(self, link: PeerLink) -> None:
         """Withdraw the queued slot requests of a peer that no reply can reach."""
@@ -179,17 +200,43 @@
         """Remove a queued slot request, or free the slot that it was granted."""
         self._requesters_by_id.pop(request_id, None)
         now = trio.current_time()
-        self._deliver(self._queue(service).withdraw(request_id, now))
+        queue = self._queue(service)
+        self._deliver(queue, queue.withdraw(request_id, now))
 
     def release(self, service: str, result: SlotResult) -> None:
         """Free a slot that this instance counts."""
-        self._deliver(self._queue(service).release(result, trio.current_time()))
+        queue = self._queue(service)
+        self._deliver(queue, queue.release(result, trio.current_time()))
+
+    async def _check_health(self, queue: AdmissionQueue, name: str) -> None:
+        """Ask a target for its health until it answers or is not in doubt any more.
+
+        The control port reports how cold the target is.
+        """
+        interval = HEALTH_RETRY_INTERVAL
+        try:
+            while queue.is_doubted(name, trio.current_time()):
+                target = self._state.usable_target(name)
+                if target is None:
+                    return
+                asked_at = trio.current_time()
+                try:
+                    with trio.fail_after(HEALTH_TIMEOUT):
+                        await self._control.reach(target.address, target.id)
+                except (ConnectionFailedError, trio.TooSlowError):
+                    await trio.sleep(interval)
+                    interval = min(MAX_HEALTH_RETRY_INTERVAL, 2 * interval)
+                else:
+                    now = trio.current_time()
+                    self._deliver(queue, queue.verify(name, asked_at, now))
+        finally:
+            self._checked_targets.discard(name)
 
     def release_instance(self, instance: str) -> None:
         """Drop the slot requests of an instance declared dead and free its slots."""
         now = trio.current_time()
         for queue in self.queues_by_service.values():
-            self._deliver(queue.release_instance(instance, now))
+            self._deliver(queue, queue.release_instance(instance, now))
 
     def _handle_request(
         self, request: SlotRequest, link: PeerLink, reply: Reply
@@ -217,6 +264,8 @@
     def _handle_return(self, message: SlotReturn, link: PeerLink, reply: Reply) -> None:
         if message.leaving:
             self._state.mark_leaving(*message.leaving)
+        if message.cold:
+            self._state.mark_cold(*message.cold)
         self.release(message.service, _slot_result(message))
 
     def _handle_withdrawal(
@@ -235,6 +284,7 @@
         unreachable=message.unreachable,
         load=_target_load(message.load),
         pause=message.pause,
+        lost=message.lost,
     )
 
 
@@ -326,11 +376,7 @@
     async def _acquire(
         self, queue_name: str, service: str, queued: QueuedRequest
     ) -> Slot | SlotRefusal:
-        if queued.target:
-            responsible = self._membership.responsible_instance(queue_name)
-        else:
-            # One queue takes the requests of all instances for the service.
-            responsible = self._membership.strongest_instance(queue_name)
+        responsible = self._responsible_for(queue_name, queued.target)
         if responsible != self._membership.own_id:
             now = trio.current_time()
             request = SlotRequest(
@@ -361,6 +407,22 @@
             )
         return SlotRefusal(decision.reason, decision.retry_after)
 
+    def _responsible_for(self, queue_name: str, target: str) -> str:
+        if target:
+            return self._membership.responsible_instance(queue_name)
+        # One queue takes the requests of all instances for the service.
+        return self._membership.strongest_instance(queue_name)
+
+    def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
+        """Tell the instance that counts a target's slots how long it stays cold."""
+        name = target.id if keyed else ""
+        responsible = self._responsible_for(f"{target.service}/{name}", name)
+        cold = [target.id, target.started_at, seconds]
+        if responsible == self._membership.own_id:
+            self._state.mark_cold(*cold)
+        else:
+            self._send(responsible, SlotReturn(target.service, 0, cold=cold))
+
     async def _request_from_peer(self, responsible: str, request: SlotRequest):
         try:
             # No timeout: the caller of acquire cancels at the request's deadline.
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -24,6 +24,7 @@
     STORE_RESTORED,
     TARGET_RECORD_CHANGED,
     TARGET_RECORD_REMOVED,
+    TARGET_STATED_COLD,
     TARGET_STATED_LEAVING,
     emit,
 )
@@ -167,6 +168,20 @@
             self.targets_by_id[target_id] = target
             self.notify(TARGETS, [target_id])
 
+    def mark_cold(self, target_id: str, started_at: int, seconds: float) -> None:
+        """Apply that a target says of itself that it stays cold for some seconds."""
+        target = self.targets_by_id.get(target_id)
+        if target is None or target.started_at != started_at:
+            return
+        emit(
+            TARGET_STATED_COLD,
+            target=target_id,
+            service=target.service,
+            seconds=round(seconds, 2),
+        )
+        self.targets_by_id[target_id] = attrs.evolve(target, cold_for=seconds)
+        self.notify(TARGETS, [target_id])
+
     def has_stated_leaving(self, target: TargetRecord) -> bool:
         """Tell whether the process of a record stated that it leaves."""
         return self._leaving_starts_by_target.get(target.id) == target.started_at
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -29,6 +29,7 @@
 
 from ...entry import CallerOptions
 from ...forward import TargetOptions
+from ...http_client import ConnectionFailedError
 from ..node import DispatchNode
 from ..ports import (
     CONFIGURATION,
@@ -155,13 +156,30 @@
 
 
 class SharedControl:
-    """Accept grants and releases without checks."""
+    """Accept grants and releases without checks.
+
+    Targets at the addresses of ``cold_for_by_address`` say that they are cold.
+    """
+
+    def __init__(self) -> None:
+        self.on_cold: Callable[[str, float], None] = lambda target, seconds: None
+        self.cold_for_by_address: dict[str, float] = {}
+        self.health_checks: list[str] = []  # addresses
 
     async def grant(self, address: str, item: KeyRange, lease: float) -> None:
         await trio.sleep(0.001)
 
     async def reach(self, address: str, target: str) -> None:
-        await trio.sleep(0.001)
+        self.health_checks.append(address)
+        host, port = address.rsplit(":", 1)
+        try:
+            await (await trio.open_tcp_stream(host, int(port))).aclose()
+        except OSError as error:
+            raise ConnectionFailedError(
+                "refused", step="reach", peer=address, refused=True
+            ) from error
+        if address in self.cold_for_by_address:
+            self.on_cold(target, self.cold_for_by_address[address])
 
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
         await trio.sleep(0.001)
@@ -275,15 +293,20 @@
             target_fields=self.target_fields,
             is_first_start=True,
         )
-        node = DispatchNode(
-            settings, self.store, SharedControl(), self.read_table, read_record
-        )
+        control = SharedControl()
+        node = DispatchNode(settings, self.store, control, self.read_table, read_record)
+        control.on_cold = node.note_cold
         await self.nursery.start(node.run)
         self.nodes.append(node)
         return node
 
-    def configure(self, version: int = 1, *, accounts=(), **route) -> None:
-        """Write a configuration with one keyed and one unkeyed route."""
+    def configure(
+        self, version: int = 1, *, accounts=(), warmup=0.0, warmup_rate=0.0, **route
+    ) -> None:
+        """Write a configuration with one keyed and one unkeyed route.
+
+        Targets that start are cold for ``warmup`` seconds.
+        """
         values = {
             "host": HOST,
             "kind": RequestKind.SAFE,
@@ -295,7 +318,11 @@
             Route("keyed", prefix="/k/", services=_only("keyed"), **values),
             Route("pooled", prefix="/p/", services=_only("pooled"), **values),
         ]
-        services = [ServicePolicy("keyed", keyed=True), ServicePolicy("pooled")]
+        cold = {"warmup": warmup, "warmup_rate": warmup_rate}
+        services = [
+            ServicePolicy("keyed", keyed=True, **cold),
+            ServicePolicy("pooled", **cold),
+        ]
         table = RoutingTable(version, routes, services, accounts, EntryLimits())
         self.tables_by_version[version] = table
         self.store.write(CONFIGURATION, "main", {"version": version})
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -453,6 +453,14 @@
 TARGET_STATED_LEAVING = define_event(
     6043, "INFO", "target stated in a response that it leaves", "target", "service"
 )
+TARGET_STATED_COLD = define_event(
+    6045,
+    "INFO",
+    "target stated in its health that it is cold",
+    "target",
+    "service",
+    "seconds",
+)
 TARGET_PAUSED = define_event(
     6044, "INFO", "target asked for a pause", "target", "service", "seconds"
 )
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -27,6 +27,7 @@
     """Describe a failed attempt; the flags are copied into ``PermitReturn``.
 
     ``status`` and ``fields`` are those of the target's refusal, if there is one.
+    ``lost`` tells that nothing shows the target's process to be still running.
     """
 
     outcome: NotRun | Unknown
@@ -35,6 +36,7 @@
     shed: bool = False
     stale: bool = False
     withdrawn: bool = False  # before it was sent
+    lost: bool = False
     status: int = 0
     fields: Fields = attrs.field(factory=list)
 
@@ -94,7 +96,8 @@
             await exchange.start(self._nursery)
         except BrokenExchangeError as error:
             exchange.abort()
-            return Failure(Unknown(error.message), broken=True)
+            is_lost = exchange.is_target_lost
+            return Failure(Unknown(error.message), broken=True, lost=is_lost)
         except trio.Cancelled:
             self.cancel(exchange)
             raise
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -77,6 +77,8 @@
         self._http = connection.http
         self._received = 0
         self._ended = False
+        self._is_broken = False
+        self._replaces_lost = connection.replaces_lost
         self._not_run_value: bytes | None = None
         self.names_request = False  # whether the response carries the request's id
 
@@ -98,7 +100,15 @@
         except (h11.ProtocolError, MalformedMessageError) as error:
             raise self._broken_error(f"irregular response: {error}", "head") from error
 
+    @property
+    def is_target_lost(self) -> bool:
+        """Tell whether no open connection shows the target's process to be running."""
+        if self._is_broken:
+            return not self._pool.has_open_idle()
+        return self._replaces_lost
+
     def _broken_error(self, reason: str, step: str) -> Exception:
+        self._is_broken = True
         if self.upload_error is not None:
             return self.upload_error
         return BrokenExchangeError(reason, step=step, peer=self.request.address)
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -12,6 +12,9 @@
 # A target may close an idle connection while a request is being written. A request
 # that must not be repeated would then end with an unknown outcome.
 UNREPEATABLE_IDLE_LIMIT = 1.0  # seconds
+# Targets keep an idle connection for a second at least, so one that was closed sooner
+# may have ended with its target's process.
+MIN_IDLE_TIMEOUT = 1.0  # seconds
 MAX_REFUSALS = 16  # by a target on one connection, which is then closed
 
 
@@ -23,6 +26,8 @@
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since = trio.current_time()
         self.refused_ids: set[str] = set()
+        # Whether every earlier connection to the target had ended before its time.
+        self.replaces_lost = False
         self.names_requests = False  # whether a response here carried its request's id
 
     def is_idle(self) -> bool:
@@ -64,21 +69,39 @@
         await self._connection_semaphore.acquire()
         self.in_use += 1
         try:
-            return self._reuse(idle_limit, request_id) or await self._connect()
+            connection, is_lost = self._reuse(idle_limit, request_id)
+            if connection is None:
+                connection = await self._connect()
+            connection.replaces_lost = is_lost
+            return connection
         except BaseException:
             self._end_use()
             raise
 
-    def _reuse(self, idle_limit: float, request_id: str) -> PooledConnection | None:
+    def _reuse(
+        self, idle_limit: float, request_id: str
+    ) -> tuple[PooledConnection | None, bool]:
+        """Return an idle connection, if there is one.
+
+        Also tell whether all connections that could have been used had ended early.
+        """
         now = trio.current_time()
+        is_lost = False
         while self._idle and now - self._idle[-1].idle_since <= idle_limit:
             connection = self._idle.pop()
+            is_open = connection.is_idle()
             # If the target wrote its refusal again, the refusal could not be told from
             # the answer to the same request, so another connection has to carry it.
-            if connection.is_idle() and request_id not in connection.refused_ids:
-                return connection
+            if is_open and request_id not in connection.refused_ids:
+                return connection, False
+            ended_early = now - connection.idle_since < MIN_IDLE_TIMEOUT
+            is_lost = not is_open and (is_lost or ended_early)
             connection.close()
-        return None
+        return None, is_lost and not self.has_open_idle()
+
+    def has_open_idle(self) -> bool:
+        """Tell whether an idle connection to the target is still open."""
+        return any(connection.is_idle() for connection in self._idle)
 
     async def _connect(self) -> PooledConnection:
         while self._idle and len(self._idle) + self.in_use > self._limit:
