Bound what bytes without end from a target can take

Operators of a similar system report a faulty target that sent bytes which were no response, without end; their instance kept them all and ran out of memory, and the requests of others ended with it (LOST). Cause, here: the body of a control call or a store call ended at 2 MiB, but each part was kept as an object of its own, and informational responses were read until the time limit. On kept connections nothing looked at what arrived until the next request to the same address, which for a target that has ended never comes: its sockets and its pool stayed for good. Responses to requests were bounded; a test of their memory is added. Why it works: each place that reads or keeps bytes of a target has a bound in bytes, and each kept connection one in time.

--- a/packages/router/src/fireflystand_router/dispatch/tests/test_faulty_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_faulty_targets.py
@@ -2,10 +2,12 @@
 
 import io
 import json
+import tracemalloc
 import unittest
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from functools import partial
 
 import attrs
 import h11
@@ -27,6 +29,7 @@
 OPTIONS_BY_NAME = {"strict": STRICT, "lenient": LENIENT}
 REFUSAL = b"HTTP/1.1 503 Busy\r\nFireflystand-Outcome: not-run\r\nContent-Length: 0\r\n"
 TIME_LIMIT = 10.0  # seconds; no answer takes so long
+MEMORY_LIMIT = 8 * 1024 * 1024  # bytes, for four responses and the test itself
 ANSWER_LIMIT = 0.5  # seconds past its time limit within which a request is answered
 PROMISES = (408, 421, 429, 503)  # statuses that promise a request has not run
 CHUNK = b"400\r\n" + 1024 * b"x" + b"\r\n"
@@ -83,6 +86,16 @@
     await stream.send_all(whole_answer(request_id))
 
 
+def flood_after(begin: Write, flood: Write) -> Write:
+    """Return a function that answers the first request well and floods the others."""
+
+    async def write(target: FaultyTarget, stream, request_id: bytes) -> None:
+        is_first = request_id.endswith(b"first")
+        await (begin if is_first else flood)(target, stream, request_id)
+
+    return write
+
+
 async def refuse(target: FaultyTarget, stream, request_id: bytes) -> None:
     await stream.send_all(REFUSAL + b"\r\n")
 
@@ -379,6 +392,31 @@
     def test_body_that_exceeds_its_length_without_end(self):
         self.check(b"Content-Length: 1500\r\n\r\n", 1000 * b"x", 0.01)
 
+    def test_bodies_without_end_take_little_memory(self):
+        """Their callers read nothing, so all that is received has to be kept."""
+
+        async def flood(target, stream, request_id):
+            field = b"Fireflystand-Request-Id: %s\r\n" % request_id
+            begin = b"HTTP/1.1 200 OK\r\n" + field
+            await stream.send_all(begin + b"Transfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await stream.send_all(1000 * b"2\r\nxx\r\n")
+
+        async def scenario(node, target):
+            await ask(node, "/k/first")
+            tracemalloc.start()
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    path = f"/k/endless-{number}"
+                    nursery.start_soon(
+                        partial(ask, node, path, deadline=1.0, read_after=1.5)
+                    )
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertLess(peak, MEMORY_LIMIT)
+
+        self.play(scenario, write=flood, first=flood_after(answer, flood))
+
     def test_body_that_its_caller_reads_late_is_delivered(self):
         """The time that a caller takes is not the target's."""
         size = 16 * 2**20
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -17,6 +17,7 @@
 
 CONNECTIONS_PER_TARGET = 16
 CANCEL_TIMEOUT = 1.0  # seconds
+CLOSE_INTERVAL = 2.0  # seconds
 MAX_CONCURRENT_CANCELS = 64
 DISCARDED_BODY_LIMIT = 64 * 1024  # bytes
 DISCARDED_BODY_TIMEOUT = 0.2  # seconds
@@ -58,6 +59,15 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Run uploads and cancellations in ``nursery``."""
         self._nursery = nursery
+        nursery.start_soon(self._close_ended)
+
+    async def _close_ended(self) -> None:
+        """Close idle connections that are unusable, at intervals, until cancelled."""
+        while True:
+            await trio.sleep(CLOSE_INTERVAL)
+            for address, pool in list(self.pools_by_address.items()):
+                if pool.close_ended():
+                    del self.pools_by_address[address]
 
     async def close(self) -> None:
         """Close every idle connection."""
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -15,6 +15,7 @@
 # Targets keep an idle connection for a second at least, so one that was closed sooner
 # may have ended with its target's process.
 MIN_IDLE_TIMEOUT = 1.0  # seconds
+LOSS_PERIOD = 10.0  # seconds for which such an end is kept in mind
 MAX_REFUSALS = 16  # by a target on one connection, which is then closed
 
 
@@ -52,6 +53,8 @@
         self._idle: list[PooledConnection] = []
         self._connection_semaphore = trio.Semaphore(limit)
         self.in_use = 0
+        self._waiting = 0  # tasks that have yet to get a connection
+        self._lost_at = float("-inf")  # when one that had ended early was closed here
 
     @property
     def idle(self) -> int:
@@ -66,7 +69,11 @@
         Raise OSError or trio.TooSlowError if no connection can be made; no byte of
         the request has been sent then.
         """
-        await self._connection_semaphore.acquire()
+        self._waiting += 1
+        try:
+            await self._connection_semaphore.acquire()
+        finally:
+            self._waiting -= 1
         self.in_use += 1
         try:
             connection, is_lost = self._reuse(idle_limit, request_id)
@@ -86,7 +93,7 @@
         Also tell whether all connections that could have been used had ended early.
         """
         now = trio.current_time()
-        is_lost = False
+        is_lost, self._lost_at = self._has_lost(now), float("-inf")
         while self._idle and now - self._idle[-1].idle_since <= idle_limit:
             connection = self._idle.pop()
             is_open = connection.is_idle()
@@ -94,8 +101,7 @@
             # the answer to the same request, so another connection has to carry it.
             if is_open and request_id not in connection.refused_ids:
                 return connection, False
-            ended_early = now - connection.idle_since < MIN_IDLE_TIMEOUT
-            is_lost = not is_open and (is_lost or ended_early)
+            is_lost = not is_open and (is_lost or self._has_ended_early(connection))
             connection.close()
         return None, is_lost and not self.has_open_idle()
 
@@ -122,6 +128,32 @@
         while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
             self._idle.pop(0).close()
 
+    def close_ended(self) -> bool:
+        """Close idle connections that are unusable; tell whether none is left at all.
+
+        A target that has ended, or that sends bytes without a request, would otherwise
+        keep them open until the next request to its address.
+        """
+        now = trio.current_time()
+        kept = []
+        for connection in self._idle:
+            is_open = connection.is_idle()
+            if is_open and now - connection.idle_since <= IDLE_LIMIT:
+                kept.append(connection)
+                continue
+            if not is_open and self._has_ended_early(connection):
+                self._lost_at = now
+            connection.close()
+        self._idle = kept
+        return not (kept or self.in_use or self._waiting or self._has_lost(now))
+
+    def _has_lost(self, now: float) -> bool:
+        return now - self._lost_at < LOSS_PERIOD
+
+    def _has_ended_early(self, connection: PooledConnection) -> bool:
+        idle = trio.current_time() - connection.idle_since
+        return idle < MIN_IDLE_TIMEOUT
+
     def discard(self, connection: PooledConnection) -> None:
         """Close a connection that must not be used again."""
         self._end_use()
--- a/packages/router/src/fireflystand_router/http_client.py
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -20,6 +20,7 @@
 
 READ_SIZE = 65536
 MAX_BODY_BYTES = 2 * 1024 * 1024
+MAX_INFORMATIONAL = 8  # responses before the final one
 
 
 class ConnectionFailedError(FireflystandError):
@@ -50,12 +51,18 @@
     """Own one connection to a server and send one request at a time.
 
     With ``transit`` (seconds), a request that a network partition delays for longer
-    is never delivered, even if this process ends in the meantime.
+    is never delivered, even if this process ends in the meantime. A response body of
+    more than ``max_body`` bytes ends the exchange.
     """
 
     def __init__(
-        self, address: str, timeout: float = 1.0, transit: float | None = None
+        self,
+        address: str,
+        timeout: float = 1.0,
+        transit: float | None = None,
+        max_body: int = MAX_BODY_BYTES,
     ) -> None:
+        self._max_body = max_body
         self.address = address
         self.timeout = timeout  # seconds
         self._transit = transit
@@ -132,24 +139,24 @@
         data += connection.send(h11.EndOfMessage())
         await self._stream.send_all(data)
         response = await self._next_event()
-        chunks: list[bytes] = []
-        size = 0
+        # Not a list of parts: they may be of a byte each.
+        content = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > MAX_BODY_BYTES:
-                    raise OSError("response body is larger than 2 MiB")
-                chunks.append(bytes(event.data))
+                content += event.data
+                if len(content) > self._max_body:
+                    raise OSError(f"response body exceeds {self._max_body} bytes")
         self._start_next_cycle()
         decoded = {
             k.decode("latin-1"): v.decode("latin-1") for k, v in response.headers
         }
-        return Response(response.status_code, decoded, b"".join(chunks))
+        return Response(response.status_code, decoded, bytes(content))
 
     async def _next_event(self) -> Any:
+        informational = 0
         while True:
             event = self._connection.next_event()
             if event is h11.NEED_DATA:
@@ -158,7 +165,9 @@
                     raise OSError("server closed the connection")
                 self._connection.receive_data(received)
             elif isinstance(event, h11.InformationalResponse):
-                continue
+                informational += 1
+                if informational > MAX_INFORMATIONAL:
+                    raise OSError("too many informational responses")
             elif isinstance(event, h11.ConnectionClosed):
                 raise OSError("server closed the connection")
             else:
