--- a/packages/router/src/fireflystand_router/http_client.py
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -174,6 +174,10 @@
                 return event
 
     def _start_next_cycle(self) -> None:
+        if self._connection.trailing_data[0]:
+            # They would be taken for the response to the next request.
+            self.abort()
+            return
         try:
             self._connection.start_next_cycle()
         except h11.LocalProtocolError:
