Take no record as proof that a target at its address has ended

Cause: an address is reused only after its target has ended, but a record alone does not show that the address is in use again. Change: the target of the record has to answer at the address by its id; until then, the keys wait for the end of the lease. Why it works: two processes cannot listen at one address. Tests: test_ranges.ReusedAddressTests.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable
+from contextlib import suppress
 
 import attrs
 import trio
@@ -850,7 +851,7 @@
         arrived, so it releases the range too. Return an empty handover if no process
         can hold a lease any more, and None if this process lost its authority first.
         """
-        if self._is_address_reused(part):
+        if await self._has_successor(part):
             self._ledger.forget(part.target)
             return ""
         status = self._target_status(part.target)
@@ -880,7 +881,7 @@
             free_at = self._ledger.grantable_after_timeout(
                 part.target, self._previous_authority_until
             )
-            if free_at <= self._clock() or self._is_address_reused(part):
+            if free_at <= self._clock() or await self._has_successor(part):
                 return ""
             await trio.sleep(
                 min(RELEASE_RETRY_INTERVAL, max(0.01, free_at - self._clock()))
@@ -907,18 +908,25 @@
             return part, False
         return granted, await self._grant(target, granted, status)
 
-    def _is_address_reused(self, part: KeyRange) -> bool:
-        """Tell whether another target runs where the owner of a range ran.
+    async def _has_successor(self, part: KeyRange) -> bool:
+        """Tell whether another target answers where the owner of a range ran.
 
-        An address is reused only after the target that had it before has ended.
+        An address is reused only after the target that had it before has ended. A
+        record alone proves nothing, as another writer may have made it up.
         """
-        if part.target in self._state.targets_by_id:
-            return False
         known = self._state.latest_records_by_target.get(part.target)
-        return known is not None and any(
-            other.address == known.address and other.started_at > part.started_at
+        if known is None or part.target in self._state.targets_by_id:
+            return False
+        successors = [
+            other
             for other in self._state.targets_by_id.values()
-        )
+            if other.address == known.address and other.started_at > part.started_at
+        ]
+        for other in successors:
+            with suppress(ConnectionFailedError), trio.move_on_after(GRANT_TIMEOUT):
+                await self._control.reach(other.address, other.id)
+                return True
+        return False
 
     async def _release(self, part: KeyRange, address: str) -> str | None:
         try:
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -207,7 +207,7 @@
         await trio.sleep(0.001)
         responder = self.targets_by_id[address]
         self._check_reachable(responder, "reach")
-        if not responder.responding:
+        if not responder.responding or responder.id != target:
             raise self._no_response(responder, "reach")
 
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
@@ -318,14 +318,9 @@
         self, coordinator, target: str, *, started_at: int = 1, **fields
     ):
         """Add a target record to a coordinator's replica."""
+        values = {"service": SERVICE, "address": target} | fields
         record = TargetRecord(
-            id=target,
-            service=SERVICE,
-            address=target,
-            data_centre="x",
-            slots=3,
-            started_at=started_at,
-            **fields,
+            id=target, data_centre="x", slots=3, started_at=started_at, **values
         )
         revision = coordinator.state.replicas_by_kind[TARGETS].revision + 1
         change = ObjectChange(target, revision, record)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -11,7 +11,7 @@
 
 from ..ports import CONFIGURATION, RANGES
 from ..ranges import RangeCoordinator
-from .support import SERVICE, FakeCluster
+from .support import SERVICE, FakeCluster, FakeTarget
 
 
 def run_scenario(scenario, targets: int = 3) -> FakeCluster:
@@ -374,6 +374,40 @@
         run_scenario(scenario)
 
 
+class ReusedAddressTests(OwnershipTestCase):
+    """Guard against a record that is taken as proof that a target has ended."""
+
+    async def lose(self, cluster, nursery) -> None:
+        """Cut a target off, whose record lapses, and write another one's record."""
+        coordinator = await start_coordinator(cluster, nursery)
+        cluster.targets[0].reachable = False
+        cluster.remove_target_record(coordinator, "t0")
+        cluster.add_target_record(
+            coordinator, "other", service="unknown", address="t0", started_at=9
+        )
+
+    def test_record_that_another_writer_made_up_proves_nothing(self):
+        async def scenario(cluster, nursery):
+            await self.lose(cluster, nursery)
+            await trio.sleep(6)
+            self.assert_sole_owners(cluster)
+
+        run_scenario(scenario)
+
+    def test_target_that_answers_at_the_address_proves_it(self):
+        """Keys of the ended target need not wait for the end of its leases."""
+
+        async def scenario(cluster, nursery):
+            cluster.control.targets_by_id["other"] = FakeTarget("other")
+            await self.lose(cluster, nursery)
+            cluster.targets[0].leases.clear()
+            cluster.control.targets_by_id["t0"] = FakeTarget("other")
+            await trio.sleep(1.0)
+            self.assert_sole_owners(cluster)
+
+        run_scenario(scenario)
+
+
 class FirstAssignmentTests(unittest.TestCase):
     """Guard against keys that move among targets which start one after the other."""
 
