Forget with a process that it did not answer grants

Callers were refused for want of an owner: a target that started again under its id got no keys for up to 16 s after that, if its earlier process had not answered grants. Cause: what a coordinator knows of its calls is kept by the target's id, also the growing interval of its probes. Change: the status of the calls belongs to a process; calls in progress keep their lock. Why it works: the record of a later start proves that the process that did not answer has ended. Tests: test_ranges (test_restarted_target_is_not_taken_for_unresponsive).

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -107,8 +107,9 @@
 
 @attrs.define
 class _TargetStatus:
-    """Track the coordinator's calls to one target."""
+    """Track the coordinator's calls to one process of a target."""
 
+    started_at: int = 0
     lock: trio.Lock = attrs.field(factory=trio.Lock)
     next_renewal: float = 0.0
     next_probe: float = 0.0
@@ -574,7 +575,14 @@
         )
 
     def _target_status(self, target: str) -> _TargetStatus:
-        return self._status_by_target.setdefault(target, _TargetStatus())
+        status = self._status_by_target.setdefault(target, _TargetStatus())
+        known = self._state.targets_by_id.get(target)
+        if known is not None and known.started_at != status.started_at:
+            # What an earlier process did not answer says nothing of this one. Calls in
+            # progress keep the lock.
+            status = _TargetStatus(lock=status.lock, started_at=known.started_at)
+            self._status_by_target[target] = status
+        return status
 
     def _renew(self, now: float) -> None:
         """Start the renewals that are due."""
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -360,6 +360,28 @@
 
         run_scenario(scenario)
 
+    def test_restarted_target_is_not_taken_for_unresponsive(self):
+        """It got no keys until the next probe, up to 16 s later."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await start_coordinator(cluster, nursery)
+            for _ in range(3):
+                cluster.targets[0].reachable = False
+                await trio.sleep(6.0)
+                cluster.targets[0].reachable = True
+                await trio.sleep(4.0)
+            cluster.targets[0].reachable = False
+            await trio.sleep(6.0)
+            self.assertNotIn("t0", cluster.record().ranges_by_target)
+            cluster.targets[0].reachable = True
+            cluster.targets[0].restart()
+            cluster.add_target_record(coordinator, "t0", started_at=9)
+            await trio.sleep(1.5)
+            self.assertIn("t0", cluster.record().ranges_by_target)
+            self.assert_sole_owners(cluster)
+
+        run_scenario(scenario)
+
     def test_released_keys_are_not_given_back_to_a_later_process(self):
         """A later process would own them under the token of the earlier one."""
 
