--- a/packages/router/src/fireflystand_router/dispatch/tests/test_idle_connections.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_idle_connections.py
@@ -11,6 +11,7 @@
 from .node_support import Caller, Fleet, HttpTarget, eventually, play_fleet
 
 JUNK = 65536 * b"x"
+IDLE = 0.3  # seconds after a response
 
 
 @attrs.define(eq=False)
@@ -23,6 +24,7 @@
     async def _answer(self, connection, stream, fields) -> bool:
         await super()._answer(connection, stream, fields)
         with suppress(trio.BrokenResourceError):
+            await trio.sleep(0.0 if self.ends else IDLE)
             while not self.ends:
                 await stream.send_all(JUNK)
         self.closed += 1
