--- a/packages/testing/src/fireflystand_testing/http_server.py
+++ b/packages/testing/src/fireflystand_testing/http_server.py
@@ -32,12 +32,16 @@
 
 @attrs.define
 class Reply:
-    """Hold an answer; ``drop`` closes the connection without sending it."""
+    """Hold an answer; ``drop`` closes the connection without sending it.
+
+    One that is ``repeated`` is written twice.
+    """
 
     status: int = 200
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
     drop: bool = False
+    repeated: bool = False
 
 
 Handler = Callable[[Request], Awaitable[Reply]]
@@ -150,4 +154,4 @@
     if reply.body and request.method != "HEAD":
         data += connection.send(h11.Data(data=reply.body))
     data += connection.send(h11.EndOfMessage())
-    await stream.send_all(data)
+    await stream.send_all(data + data if reply.repeated else data)
