--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -45,8 +45,8 @@
 REMOTE_COST_FACTOR = 3.0
 # An instance can use a connection that was idle for less than this for any request.
 CONNECTION_REUSE_PERIOD = 3.0  # seconds
-# Without a request for this long, no instance need have a connection to a target that
-# would show its restart.
+# A target without requests for this long may have restarted unnoticed: no instance
+# need have a connection that would have ended with its process.
 UNUSED_PERIOD = CONNECTION_REUSE_PERIOD  # seconds
 # A new connection takes a round trip and the target's handshake, which holds a slot.
 CONNECT_SECONDS = 0.01
@@ -94,7 +94,7 @@
 
     ``seconds`` is how long it ran, or a lower bound of that if not ``complete``.
     ``pause`` is for how many seconds the target wants nothing from the instance.
-    ``lost`` tells that nothing shows the target's process to be still running.
+    ``may_have_restarted`` tells that no open connection to the target was left.
     """
 
     number: int
@@ -104,7 +104,7 @@
     unreachable: bool = False
     load: TargetLoad | None = None
     pause: float = 0.0
-    lost: bool = False
+    may_have_restarted: bool = False
 
 
 Decision = SlotGranted | SlotRefused
@@ -122,8 +122,8 @@
         # Those that may have a free slot: a busy service has few of them, and each
         # request for any target would look at all.
         self._open_targets_by_id: dict[str, TargetSlots] = {}
-        # Targets that may have restarted, until their health is asked for.
-        self.unchecked_targets: set[str] = set()
+        # Targets that may have restarted and whose health has to be checked.
+        self.suspects: set[str] = set()
         self._has_pauses = False  # whether some target may pause for an instance
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
@@ -369,7 +369,7 @@
         self, request: QueuedRequest, target: TargetSlots, now: float
     ) -> SlotGranted:
         if now - target.used_at > UNUSED_PERIOD and not target.is_cold(now):
-            self._doubt(target, now)
+            self._suspect_restart(target, now)
         target.used_at = now
         slot = HeldSlot(
             number=next(self._slot_numbers),
@@ -401,8 +401,8 @@
             target.record_load(result.load, now)
         if result.shed:
             target.pause_after_shed(now)
-        if result.unreachable or result.lost:
-            self._doubt(target, now)
+        if result.unreachable or result.may_have_restarted:
+            self._suspect_restart(target, now)
         decisions: list[Decision] = []
         if result.pause > 0:
             target.pause_for(slot.instance, now + result.pause)
@@ -413,28 +413,30 @@
             return decisions + self._refuse_queue(target, now)
         return decisions + self._dispatch_freed(target, now)
 
-    def _doubt(self, target: TargetSlots, now: float) -> None:
-        """Slow a target down that may have restarted, until its health is known."""
+    def _suspect_restart(self, target: TargetSlots, now: float) -> None:
+        """Limit a target that may have restarted to its warm-up rate."""
         if self.targets_by_id.get(target.record.id) is not target:
             return
-        target.doubt(now)
-        if target.is_doubted(now):
-            self.unchecked_targets.add(target.record.id)
+        target.suspect_restart(now)
+        if target.is_suspect(now):
+            self.suspects.add(target.record.id)
 
-    def is_doubted(self, target: str, now: float) -> bool:
-        """Tell whether a target is slowed down until its health is known."""
+    def is_suspect(self, target: str, now: float) -> bool:
+        """Tell whether a target is limited until its health has been checked."""
         slots = self.targets_by_id.get(target)
-        return slots is not None and slots.is_doubted(now)
+        return slots is not None and slots.is_suspect(now)
 
-    def verify(self, target: str, asked_at: float, now: float) -> list[Decision]:
-        """End the doubt about a target that has told its health.
+    def clear_suspicion(
+        self, target: str, checked_at: float, now: float
+    ) -> list[Decision]:
+        """Apply that a target passed the health check that began at ``checked_at``.
 
-        It was asked at ``asked_at``. How cold it is comes with its record.
+        For how long it stays cold is part of its record.
         """
         slots = self.targets_by_id.get(target)
         if slots is None:
             return []
-        slots.verify(asked_at)
+        slots.clear_suspicion(checked_at)
         return self._dispatch_freed(slots, now)
 
     def _free(self, target: TargetSlots, number: int) -> HeldSlot:
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -73,7 +73,7 @@
         self._slowdown_at = float("-inf")
         self._cold_until = now + record.cold_for
         self._warmup = warmup
-        self._doubted_at = float("-inf")
+        self._suspected_at = float("-inf")
         self.used_at = now  # when a request was last sent or answered, as far as known
         self._bucket = TokenBucket(warmup_rate, COLD_BURST, now, COLD_BURST)
 
@@ -97,26 +97,26 @@
         """Tell whether the target takes requests only at its warm-up rate."""
         if self._bucket.rate <= 0:
             return False
-        return now < self._cold_until or self.is_doubted(now)
+        return now < self._cold_until or self.is_suspect(now)
 
-    def doubt(self, now: float) -> None:
+    def suspect_restart(self, now: float) -> None:
         """Treat the target as cold for its warm-up time, as it may have restarted.
 
-        Requests that hold a slot may be running on the later process.
+        Requests that hold a slot may be running on the new process.
         """
-        self._doubted_at = now
+        self._suspected_at = now
         self._bucket.refill(now)
         unused = COLD_BURST - len(self.held_by_number)
         self._bucket.level = min(self._bucket.level, unused)
 
-    def is_doubted(self, now: float) -> bool:
-        """Tell whether the target may have restarted unnoticed and be cold."""
-        return self._bucket.rate > 0 and now < self._doubted_at + self._warmup
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether the target is suspected to have restarted, and so to be cold."""
+        return self._bucket.rate > 0 and now < self._suspected_at + self._warmup
 
-    def verify(self, asked_at: float) -> None:
-        """End the doubt unless it arose after the target was asked for its health."""
-        if self._doubted_at < asked_at:
-            self._doubted_at = float("-inf")
+    def clear_suspicion(self, checked_at: float) -> None:
+        """End the suspicion unless it arose after the health check began."""
+        if self._suspected_at < checked_at:
+            self._suspected_at = float("-inf")
 
     def free_slots(self, now: float) -> int:
         """Return how many requests the target can take now."""
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -45,14 +45,14 @@
     return queue
 
 
-class DoubtTests(unittest.TestCase):
+class RestartSuspicionTests(unittest.TestCase):
     """Guard against the full load for a target that may have restarted unnoticed."""
 
     RATE = 4.0  # requests a second to a cold target
     WARMUP = 3.0  # seconds
 
-    def doubted_queue(self, **result) -> AdmissionQueue:
-        """Return a queue after a result at time 1 that shows no running process."""
+    def queue_with_suspect(self, **result) -> AdmissionQueue:
+        """Return a queue whose target may have restarted, by a result at time 1."""
         queue = queue_of(target(slots=9), warmup_rate=self.RATE, warmup=self.WARMUP)
         (granted,) = queue.submit(slot_request("lost"), 0.9)
         queue.release(SlotResult(granted.number, complete=False, **result), 1.0)
@@ -78,41 +78,41 @@
                 decisions += queue.release(SlotResult(decision.number, 0.01), now)
         return count
 
-    def test_lost_target_gets_its_warm_up_rate_until_its_health_is_known(self):
-        queue = self.doubted_queue(lost=True)
-        self.assertEqual(queue.unchecked_targets, {"t1"})
+    def test_suspect_gets_its_warm_up_rate_until_its_health_is_checked(self):
+        queue = self.queue_with_suspect(may_have_restarted=True)
+        self.assertEqual(queue.suspects, {"t1"})
         self.assertLessEqual(self.grants(queue, 1.0, 2.0), 2 + self.RATE)
-        self.end_all(queue, queue.verify("t1", 1.9, 2.0), 2.0)
-        self.assertFalse(queue.is_doubted("t1", 2.0))
+        self.end_all(queue, queue.clear_suspicion("t1", 1.9, 2.0), 2.0)
+        self.assertFalse(queue.is_suspect("t1", 2.0))
         self.assertGreaterEqual(self.grants(queue, 2.0, 2.5), 50)
 
-    def test_unreachable_target_is_doubted(self):
-        queue = self.doubted_queue(unreachable=True)
-        self.assertTrue(queue.is_doubted("t1", 1.0))
+    def test_unreachable_target_is_suspect(self):
+        queue = self.queue_with_suspect(unreachable=True)
+        self.assertTrue(queue.is_suspect("t1", 1.0))
 
-    def test_unused_target_is_doubted(self):
+    def test_unused_target_is_suspect(self):
         """No instance need have a connection whose end would show its restart."""
         queue = queue_of(target(slots=9), warmup_rate=self.RATE, warmup=self.WARMUP)
         self.grants(queue, 0.0, 2.0)
-        self.assertEqual(queue.unchecked_targets, set())
+        self.assertEqual(queue.suspects, set())
         self.assertLessEqual(self.grants(queue, 6.0, 7.0), 3 + self.RATE)
-        self.assertEqual(queue.unchecked_targets, {"t1"})
+        self.assertEqual(queue.suspects, {"t1"})
 
-    def test_health_asked_for_before_the_loss_ends_no_doubt(self):
-        queue = self.doubted_queue(lost=True)
-        queue.verify("t1", 0.95, 1.05)
-        self.assertTrue(queue.is_doubted("t1", 1.05))
+    def test_health_check_from_before_the_loss_clears_nothing(self):
+        queue = self.queue_with_suspect(may_have_restarted=True)
+        queue.clear_suspicion("t1", 0.95, 1.05)
+        self.assertTrue(queue.is_suspect("t1", 1.05))
 
-    def test_doubt_ends_with_the_warm_up_time(self):
-        queue = self.doubted_queue(lost=True)
-        self.assertTrue(queue.is_doubted("t1", 3.9))
-        self.assertFalse(queue.is_doubted("t1", 4.1))
+    def test_suspicion_ends_with_the_warm_up_time(self):
+        queue = self.queue_with_suspect(may_have_restarted=True)
+        self.assertTrue(queue.is_suspect("t1", 3.9))
+        self.assertFalse(queue.is_suspect("t1", 4.1))
 
-    def test_service_without_a_warm_up_rate_has_no_doubts(self):
+    def test_service_without_a_warm_up_rate_has_no_suspects(self):
         queue = queue_of(target(slots=9))
         (granted,) = queue.submit(slot_request("lost"), 0.9)
-        queue.release(SlotResult(granted.number, lost=True), 1.0)
-        self.assertEqual(queue.unchecked_targets, set())
+        queue.release(SlotResult(granted.number, may_have_restarted=True), 1.0)
+        self.assertEqual(queue.suspects, set())
 
     def test_record_that_is_applied_again_makes_no_target_cold(self):
         """Each new configuration made targets cold again that had once been so."""
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -147,10 +147,10 @@
     ``seconds`` is how long the request ran, or a lower bound if not ``complete``.
     ``leaving`` is the target and the start of its process if that process has stated
     that it leaves. ``pause`` is for how many seconds the target wants no request from
-    the sender of this message. ``lost`` tells that nothing shows the target's process
-    to be still running. ``cold`` is the target, the start of its process as known, and
-    for how many seconds it stays cold by its own account. A message without a slot
-    has the number 0.
+    the sender of this message. ``may_have_restarted`` tells that no open
+    connection to the target was left. ``cold`` is the target, the start of its process
+    and the remaining seconds of its warm-up, from a health check. It is sent without a
+    slot, with the number 0, since earlier builds know no other message for it.
     """
 
     service: str
@@ -162,7 +162,7 @@
     load: list[float] | None = None
     leaving: list[Any] | None = None
     pause: float = 0.0
-    lost: bool = False
+    may_have_restarted: bool = False
     cold: list[Any] | None = None
 
 
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -621,7 +621,7 @@
                         result,
                         shed=opened.shed,
                         unreachable=unreachable,
-                        lost=opened.lost,
+                        may_have_restarted=opened.may_have_restarted,
                     )
                 if forward.may_have_been_sent and not result.shed:
                     elapsed = trio.current_time() - began_at
@@ -659,8 +659,9 @@
         except (RequestRefusedError, MalformedMessageError) as error:
             refusal = failed_body_refusal(error)
         finally:
-            is_lost = response.exchange.is_target_lost
-            self._slots.release(response.slot, attrs.evolve(result, lost=is_lost))
+            suspected = response.exchange.may_have_restarted
+            result = attrs.evolve(result, may_have_restarted=suspected)
+            self._slots.release(response.slot, result)
         if not delivered:
             await writer.refuse(refusal)
 
@@ -669,18 +670,17 @@
     ) -> Exchange | Failure:
         try:
             opened = await self._forwarder.open(forward)
-            if isinstance(opened, Exchange) and self._misleads_caller(context, opened):
-                return await self._forwarder.decline(opened)
+            if isinstance(opened, Exchange) and self._claims_not_run(context, opened):
+                return await self._forwarder.reject(opened)
             return opened
         finally:
             # After a cancelled wait the target may still run the request.
             context.may_have_run = context.may_have_run or forward.may_have_been_sent
 
-    def _misleads_caller(self, context: _RequestContext, exchange: Exchange) -> bool:
-        """Tell whether a response's status would deny a run that nothing rules out.
+    def _claims_not_run(self, context: _RequestContext, exchange: Exchange) -> bool:
+        """Tell whether callers take a response's status to mean that it did not run.
 
-        The target has not stated that the request did not run, and the caller would
-        send it again.
+        The target has not stated that, and callers would send the request again.
         """
         statuses = self._settings.caller_options.not_run_statuses
         return not context.route.kind.repeatable and exchange.status in statuses
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -578,8 +578,7 @@
         status = self._status_by_target.setdefault(target, _TargetStatus())
         known = self._state.targets_by_id.get(target)
         if known is not None and known.started_at != status.started_at:
-            # What an earlier process did not answer says nothing of this one. Calls in
-            # progress keep the lock.
+            # Failures of an earlier process do not count. Its calls keep the lock.
             status = _TargetStatus(lock=status.lock, started_at=known.started_at)
             self._status_by_target[target] = status
         return status
@@ -660,7 +659,7 @@
             self._next_confirm = 0.0
             return False
         except (ConnectionFailedError, trio.TooSlowError) as error:
-            if getattr(error, "refused", False):
+            if isinstance(error, ConnectionFailedError) and error.refused:
                 self._ledger.record_unsent(target.id, earlier)
             else:
                 self._ledger.record_unacknowledged(target.id, sent_at)
@@ -855,9 +854,9 @@
     async def _revoke(self, part: KeyRange) -> str | None:
         """End a target's lease on a range and return the target's handover.
 
-        A later process under the target's id may have taken renewals until its record
-        arrived, so it releases the range too. Return an empty handover if no process
-        can hold a lease any more, and None if this process lost its authority first.
+        A target that has restarted may hold renewals from before its record arrived, so
+        it releases the range too. Return an empty handover if no process can hold a
+        lease any more, and None if this process lost its authority first.
         """
         if await self._has_successor(part):
             self._ledger.forget(part.target)
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -105,7 +105,7 @@
         self._incomplete_since_by_kind: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
         self._failing_kinds: set[str] = set()
-        self._is_store_silent = False  # as the calls for the configuration show
+        self._is_store_unavailable = False  # by the calls for the configuration
         self._listed_kinds: set[str] = set()  # for which the last watch had no history
         self._watches_by_kind: dict[str, trio.CancelScope] = {}
         self._next_newer_pull = float("-inf")
@@ -176,7 +176,9 @@
                 listed_again = await self._fetch(kind)
             except (StoreUnavailableError, ProtocolError) as error:
                 if kind == CONFIGURATION:
-                    self._is_store_silent = isinstance(error, StoreUnavailableError)
+                    self._is_store_unavailable = isinstance(
+                        error, StoreUnavailableError
+                    )
                 self._handle_failure(kind, error)
                 await trio.sleep(backoff)
                 backoff = min(MAX_BACKOFF, 2 * backoff)
@@ -209,8 +211,8 @@
         replica = self._state.replicas_by_kind[kind]
         if replica.revision == 0:
             return True
-        if kind != CONFIGURATION and self._is_store_silent:
-            # The calls for one kind show when the store answers again.
+        if kind != CONFIGURATION and self._is_store_unavailable:
+            # The calls for the configuration show when the store is back.
             return False
         if self._is_confirmation_due(kind):
             return True
@@ -224,14 +226,16 @@
     def _wait_limit(self, kind: str) -> float:
         """Return the seconds for which a watch of a kind waits for a change."""
         longest = CONFIGURATION_WAIT if kind == CONFIGURATION else MAX_WAIT
-        limit = self._change_limits_by_kind.get(kind, math.inf)
-        return min(longest, WAIT_SHARE * limit)
+        return self._share_of_limit(kind, WAIT_SHARE, longest)
 
     def _age_limit(self, kind: str) -> float:
         """Return the age of a confirmation at which the store itself is asked."""
         longest = CONFIGURATION_AGE_LIMIT if kind == CONFIGURATION else MAX_AGE_LIMIT
+        return self._share_of_limit(kind, AGE_LIMIT_SHARE, longest)
+
+    def _share_of_limit(self, kind: str, share: float, longest: float) -> float:
         limit = self._change_limits_by_kind.get(kind, math.inf)
-        return min(longest, AGE_LIMIT_SHARE * limit)
+        return min(longest, share * limit)
 
     def _is_confirmation_due(self, kind: str) -> bool:
         return self._state.confirmation_age(kind) >= self._age_limit(kind)
@@ -257,7 +261,7 @@
             with trio.move_on_after(self._age_limit(kind)) as scope:
                 snapshot = await self._watch(kind, since, wait)
             if scope.cancelled_caught:
-                # The connection may be silent, or the instance cut off.
+                # The connection may be silent, or the store out of reach.
                 requested_at, wait = self._clock(), 0.0
                 snapshot = await self._watch(kind, since, wait)
         listed_again = snapshot is None and kind in self._listed_kinds
@@ -352,7 +356,7 @@
         # A long poll that began before an outage for this instance may end well.
         self.store_answered_at = max(self.store_answered_at, sent_at)
         if kind == CONFIGURATION:
-            self._is_store_silent = False
+            self._is_store_unavailable = False
         if kind in self._failing_kinds:
             self._failing_kinds.discard(kind)
             self._membership.store_unreachable = bool(self._failing_kinds)
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -35,7 +35,7 @@
 
 __all__ = ["Slot", "SlotClient", "SlotService"]
 
-# Times to ask a target for its health that may have restarted.
+# Health checks of a target that may have restarted.
 HEALTH_TIMEOUT = 0.5  # seconds
 HEALTH_RETRY_INTERVAL = 0.1  # seconds, doubled for each further one
 MAX_HEALTH_RETRY_INTERVAL = 0.8  # seconds
@@ -98,7 +98,7 @@
     ) -> None:
         self._control = control
         self._nursery: trio.Nursery | None = None
-        self._checked_targets: set[str] = set()
+        self._targets_in_check: set[str] = set()
         self.queues_by_service: dict[str, AdmissionQueue] = {}
         self._state = state
         self._membership = membership
@@ -179,15 +179,15 @@
         self._deliver(queue, queue.submit(queued, trio.current_time()))
 
     def _deliver(self, queue: AdmissionQueue, decisions: list[Decision]) -> None:
-        """Deliver a queue's decisions; check the targets that it has come to doubt."""
+        """Deliver a queue's decisions and start the health checks that it needs."""
         for decision in decisions:
             requester = self._requesters_by_id.pop(decision.request.id, None)
             if requester is not None:
                 requester.deliver(decision)
-        while queue.unchecked_targets and self._nursery is not None:
-            target = queue.unchecked_targets.pop()
-            if target not in self._checked_targets:
-                self._checked_targets.add(target)
+        while queue.suspects and self._nursery is not None:
+            target = queue.suspects.pop()
+            if target not in self._targets_in_check:
+                self._targets_in_check.add(target)
                 self._nursery.start_soon(self._check_health, queue, target)
 
     def _on_link_end(self, link: PeerLink) -> None:
@@ -209,17 +209,17 @@
         self._deliver(queue, queue.release(result, trio.current_time()))
 
     async def _check_health(self, queue: AdmissionQueue, name: str) -> None:
-        """Ask a target for its health until it answers or is not in doubt any more.
+        """Check a target's health until it passes or is no longer suspect.
 
-        The control port reports how cold the target is.
+        The control port reports the remaining seconds of its warm-up.
         """
         interval = HEALTH_RETRY_INTERVAL
         try:
-            while queue.is_doubted(name, trio.current_time()):
+            while queue.is_suspect(name, trio.current_time()):
                 target = self._state.usable_target(name)
                 if target is None:
                     return
-                asked_at = trio.current_time()
+                checked_at = trio.current_time()
                 try:
                     with trio.fail_after(HEALTH_TIMEOUT):
                         await self._control.reach(target.address, target.id)
@@ -228,9 +228,9 @@
                     interval = min(MAX_HEALTH_RETRY_INTERVAL, 2 * interval)
                 else:
                     now = trio.current_time()
-                    self._deliver(queue, queue.verify(name, asked_at, now))
+                    self._deliver(queue, queue.clear_suspicion(name, checked_at, now))
         finally:
-            self._checked_targets.discard(name)
+            self._targets_in_check.discard(name)
 
     def release_instance(self, instance: str) -> None:
         """Drop the slot requests of an instance declared dead and free its slots."""
@@ -284,7 +284,7 @@
         unreachable=message.unreachable,
         load=_target_load(message.load),
         pause=message.pause,
-        lost=message.lost,
+        may_have_restarted=message.may_have_restarted,
     )
 
 
@@ -414,7 +414,7 @@
         return self._membership.strongest_instance(queue_name)
 
     def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
-        """Tell the instance that counts a target's slots how long it stays cold."""
+        """Report a cold target to the instance that counts its slots."""
         name = target.id if keyed else ""
         responsible = self._responsible_for(f"{target.service}/{name}", name)
         cold = [target.id, target.started_at, seconds]
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_idle_connections.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_idle_connections.py
@@ -52,7 +52,7 @@
             self.assertEqual(status, 200)
             await caller.close()
 
-        with mock.patch("fireflystand_router.forward.pool.LOSS_PERIOD", 0.5):
+        with mock.patch("fireflystand_router.forward.pool.EARLY_END_RETENTION", 0.5):
             play_fleet(scenario)
 
     def test_target_that_sends_without_end_on_an_idle_connection(self):
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -28,7 +28,7 @@
     """Describe a failed attempt; the flags are copied into ``PermitReturn``.
 
     ``status`` and ``fields`` are those of the target's refusal, if there is one.
-    ``lost`` tells that nothing shows the target's process to be still running.
+    ``may_have_restarted`` tells that no open connection to the target was left.
     """
 
     outcome: NotRun | Unknown
@@ -37,7 +37,7 @@
     shed: bool = False
     stale: bool = False
     withdrawn: bool = False  # before it was sent
-    lost: bool = False
+    may_have_restarted: bool = False
     status: int = 0
     fields: Fields = attrs.field(factory=list)
 
@@ -106,8 +106,11 @@
             await exchange.start(self._nursery)
         except BrokenExchangeError as error:
             exchange.abort()
-            is_lost = exchange.is_target_lost
-            return Failure(Unknown(error.message), broken=True, lost=is_lost)
+            return Failure(
+                Unknown(error.message),
+                broken=True,
+                may_have_restarted=exchange.may_have_restarted,
+            )
         except trio.Cancelled:
             self.cancel(exchange)
             raise
@@ -130,8 +133,8 @@
             fields=exchange.fields,
         )
 
-    async def decline(self, exchange: Exchange) -> Failure:
-        """Discard a response that cannot be delivered; its request may have run."""
+    async def reject(self, exchange: Exchange) -> Failure:
+        """Discard a response that must not be delivered; its request may have run."""
         await self._discard(exchange)
         return Failure(
             Unknown(f"target failed the request with status {exchange.status}"),
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -78,7 +78,7 @@
         self._received = 0
         self._ended = False
         self._is_broken = False
-        self._replaces_lost = connection.replaces_lost
+        self._follows_early_end = connection.follows_early_end
         self._not_run_value: bytes | None = None
         self.names_request = False  # whether the response carries the request's id
 
@@ -101,11 +101,11 @@
             raise self._broken_error(f"irregular response: {error}", "head") from error
 
     @property
-    def is_target_lost(self) -> bool:
-        """Tell whether no open connection shows the target's process to be running."""
+    def may_have_restarted(self) -> bool:
+        """Tell whether no open connection shows that the target has not restarted."""
         if self._is_broken:
             return not self._pool.has_open_idle()
-        return self._replaces_lost
+        return self._follows_early_end
 
     def _broken_error(self, reason: str, step: str) -> Exception:
         self._is_broken = True
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -12,10 +12,10 @@
 # A target may close an idle connection while a request is being written. A request
 # that must not be repeated would then end with an unknown outcome.
 UNREPEATABLE_IDLE_LIMIT = 1.0  # seconds
-# Targets keep an idle connection for a second at least, so one that was closed sooner
-# may have ended with its target's process.
+# Targets keep idle connections for a second at least. One that ended sooner may have
+# ended with the target's process.
 MIN_IDLE_TIMEOUT = 1.0  # seconds
-LOSS_PERIOD = 10.0  # seconds for which such an end is kept in mind
+EARLY_END_RETENTION = 10.0  # seconds
 MAX_REFUSALS = 16  # by a target on one connection, which is then closed
 
 
@@ -27,8 +27,8 @@
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since = trio.current_time()
         self.refused_ids: set[str] = set()
-        # Whether every earlier connection to the target had ended before its time.
-        self.replaces_lost = False
+        # Whether all earlier connections to the target were ended before their timeout.
+        self.follows_early_end = False
         self.names_requests = False  # whether a response here carried its request's id
 
     def is_idle(self) -> bool:
@@ -54,7 +54,7 @@
         self._connection_semaphore = trio.Semaphore(limit)
         self.in_use = 0
         self._waiting = 0  # tasks that have yet to get a connection
-        self._lost_at = float("-inf")  # when one that had ended early was closed here
+        self._early_end_at = float("-inf")  # when such an end was last found
 
     @property
     def idle(self) -> int:
@@ -76,10 +76,10 @@
             self._waiting -= 1
         self.in_use += 1
         try:
-            connection, is_lost = self._reuse(idle_limit, request_id)
+            connection, ended_early = self._reuse(idle_limit, request_id)
             if connection is None:
                 connection = await self._connect()
-            connection.replaces_lost = is_lost
+            connection.follows_early_end = ended_early
             return connection
         except BaseException:
             self._end_use()
@@ -93,7 +93,7 @@
         Also tell whether all connections that could have been used had ended early.
         """
         now = trio.current_time()
-        is_lost, self._lost_at = self._has_lost(now), float("-inf")
+        ended_early, self._early_end_at = self._had_early_end(now), float("-inf")
         while self._idle and now - self._idle[-1].idle_since <= idle_limit:
             connection = self._idle.pop()
             is_open = connection.is_idle()
@@ -101,9 +101,9 @@
             # the answer to the same request, so another connection has to carry it.
             if is_open and request_id not in connection.refused_ids:
                 return connection, False
-            is_lost = not is_open and (is_lost or self._has_ended_early(connection))
+            ended_early = not is_open and (ended_early or self._is_early(connection))
             connection.close()
-        return None, is_lost and not self.has_open_idle()
+        return None, ended_early and not self.has_open_idle()
 
     def has_open_idle(self) -> bool:
         """Tell whether an idle connection to the target is still open."""
@@ -141,16 +141,16 @@
             if is_open and now - connection.idle_since <= IDLE_LIMIT:
                 kept.append(connection)
                 continue
-            if not is_open and self._has_ended_early(connection):
-                self._lost_at = now
+            if not is_open and self._is_early(connection):
+                self._early_end_at = now
             connection.close()
         self._idle = kept
-        return not (kept or self.in_use or self._waiting or self._has_lost(now))
+        return not (kept or self.in_use or self._waiting or self._had_early_end(now))
 
-    def _has_lost(self, now: float) -> bool:
-        return now - self._lost_at < LOSS_PERIOD
+    def _had_early_end(self, now: float) -> bool:
+        return now - self._early_end_at < EARLY_END_RETENTION
 
-    def _has_ended_early(self, connection: PooledConnection) -> bool:
+    def _is_early(self, connection: PooledConnection) -> bool:
         idle = trio.current_time() - connection.idle_since
         return idle < MIN_IDLE_TIMEOUT
 
--- a/packages/router/src/fireflystand_router/http_client.py
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -1,6 +1,7 @@
 """Send small HTTP requests over one persistent connection (h11 on trio)."""
 
 import json
+import math
 from typing import Any
 
 import attrs
@@ -139,7 +140,7 @@
         data += connection.send(h11.EndOfMessage())
         await self._stream.send_all(data)
         response = await self._next_event()
-        # Not a list of parts: they may be of a byte each.
+        # Chunks may be as short as a byte, so they are not kept as separate objects.
         content = bytearray()
         while True:
             event = await self._next_event()
@@ -205,12 +206,27 @@
 
 
 class HttpClientPool:
-    """Own the connections to one server, one for each request in progress."""
+    """Own the connections to one server, one for each request in progress.
 
-    def __init__(self, address: str, timeout: float = 1.0) -> None:
+    A connection is used again if nothing arrives on it for up to ``max_idle`` seconds;
+    ``transit`` and ``max_body`` are those of HttpClient.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        timeout: float = 1.0,
+        *,
+        max_idle: float = math.inf,
+        transit: float | None = None,
+        max_body: int = MAX_BODY_BYTES,
+    ) -> None:
         self.address = address
         self.timeout = timeout  # seconds
-        self._idle: list[HttpClient] = []
+        self._max_idle = max_idle
+        self._transit = transit
+        self._max_body = max_body
+        self._idle: list[tuple[float, HttpClient]] = []  # since when
 
     async def request(
         self,
@@ -225,7 +241,7 @@
 
         Raise ConnectionFailedError as HttpClient.request does.
         """
-        client = self._take()
+        client = self.take()
         try:
             response = await client.request(
                 method, path, headers=headers, body=body, timeout=timeout
@@ -234,18 +250,43 @@
             # What broke this connection has probably broken the idle ones too.
             await self.close()
             raise
-        self._idle.append(client)
+        self.put(client)
         return response
 
-    def _take(self) -> HttpClient:
+    def take(self) -> HttpClient:
+        """Return an idle connection, or a new one."""
         while self._idle:
-            client = self._idle.pop()
-            if client.is_idle():
+            idle_since, client = self._idle.pop()
+            if self._is_usable(idle_since, client):
                 return client
             client.abort()
-        return HttpClient(self.address, self.timeout)
+        return self.new()
+
+    def new(self) -> HttpClient:
+        """Return a new connection, which is not of the pool until it is put there."""
+        return HttpClient(self.address, self.timeout, self._transit, self._max_body)
+
+    def put(self, client: HttpClient) -> None:
+        """Add a connection whose last exchange is complete to the idle ones."""
+        if client.connected:
+            self._idle.append((trio.current_time(), client))
+
+    def close_unusable(self) -> bool:
+        """Close idle connections that are unusable; tell whether none is left."""
+        kept = []
+        for idle_since, client in self._idle:
+            if self._is_usable(idle_since, client):
+                kept.append((idle_since, client))
+            else:
+                client.abort()
+        self._idle = kept
+        return not kept
+
+    def _is_usable(self, idle_since: float, client: HttpClient) -> bool:
+        return trio.current_time() - idle_since < self._max_idle and client.is_idle()
 
     async def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            await self._idle.pop().close()
+            _, client = self._idle.pop()
+            await client.close()
