Suspect no restart while other exchanges with the target go on

Under load each response that a target broke off, of which a faulty one gives many, limited the target to its warm-up rate until its health had been checked, since no idle connection was open beside it. Cause: only idle connections counted as a sign that the process still runs. Change: exchanges in progress count too. Why it works: if the process has ended, they end as well, and the last one raises the suspicion. Tests: test_restarted_targets.BrokenResponseTests; RestartTests hold.

--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restarted_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restarted_targets.py
@@ -36,6 +36,58 @@
         self.scope.cancel()
 
 
+@attrs.define(eq=False)
+class BreakingTarget(HttpTarget):
+    """Break the connections of some requests off, and work on the others for long."""
+
+    async def _answer(self, connection, stream, fields) -> bool:
+        if self.requests[-1][b":target"].endswith(b"break"):
+            return False
+        return await super()._answer(connection, stream, fields)
+
+
+class BrokenResponseTests(unittest.TestCase):
+    """Guard against suspecting targets that break single responses off.
+
+    Under load each of them then got its warm-up rate until it had told its health.
+    """
+
+    def check_health_after(self, others: int) -> int:
+        """Return the health checks after a broken response beside some others."""
+        checks = 0
+
+        async def scenario(fleet: Fleet) -> None:
+            nonlocal checks
+            fleet.configure(2, warmup=WARMUP, warmup_rate=WARMUP_RATE, max_attempts=1)
+            await fleet.add_target("keyed")
+            target = BreakingTarget(work=0.5)
+            await fleet.add_target("pooled", target=target)
+            node = await fleet.add_node()
+            await fleet.settle()
+            first = await Caller.connect(node)
+            await first.request("/p/first")  # none is open after it
+            node.forwarder.pools_by_address.clear()
+            node.control.health_checks.clear()
+            async with trio.open_nursery() as nursery:
+                for _ in range(others):
+                    caller = await Caller.connect(node)
+                    nursery.start_soon(caller.request, "/p/long")
+                await trio.sleep(0.2)
+                status, _ = await first.request("/p/break")
+                self.assertEqual(status, 502)
+            await trio.sleep(0.1)
+            checks = len(node.control.health_checks)
+
+        play_fleet(scenario)
+        return checks
+
+    def test_target_that_answers_others_is_not_suspect(self):
+        self.assertEqual(self.check_health_after(others=2), 0)
+
+    def test_target_without_another_connection_is_suspect(self):
+        self.assertEqual(self.check_health_after(others=0), 1)
+
+
 class RestartTests(unittest.TestCase):
     """Guard against the full load for a target that has restarted and is cold.
 
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -104,7 +104,8 @@
     def may_have_restarted(self) -> bool:
         """Tell whether no open connection shows that the target has not restarted."""
         if self._is_broken:
-            return not self._pool.has_open_idle()
+            # The exchanges in progress will show it: they end with the target.
+            return not (self._pool.in_use or self._pool.has_open_idle())
         return self._follows_early_end
 
     def _broken_error(self, reason: str, step: str) -> Exception:
