Log and count the slots granted at cold targets

Change: event 6046 for each slot granted at a cold or suspected target, with the process it was granted for, the asking instance, the grants of this queue in the last second and the instance that is responsible in the view of the granting one; event 6047 when a slot request is decided elsewhere; counters dispatch.cold_slots and dispatch.redirected_slot_requests. Lines are limited like those of requests. No decision changes.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -72,11 +72,16 @@
 
 @attrs.frozen
 class SlotGranted:
-    """Allow a request to be sent to a target."""
+    """Allow a request to be sent to a target.
+
+    ``cold_grants`` counts the slots that the queue granted at the cold target within
+    the last second, this one included; it is 0 for other targets.
+    """
 
     request: QueuedRequest
     number: int
     target: str
+    cold_grants: int = 0
 
 
 @attrs.frozen
@@ -384,7 +389,8 @@
         if target.is_full:
             self._open_targets_by_id.pop(slot.target, None)
         self._targets_by_slot[slot.number] = target
-        return SlotGranted(request, slot.number, slot.target)
+        cold_grants = target.count_cold_grants(now)
+        return SlotGranted(request, slot.number, slot.target, cold_grants)
 
     def release(self, result: SlotResult, now: float) -> list[Decision]:
         """Free a slot and update the estimates of its target from the result."""
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -1,5 +1,7 @@
 """Count the slots of one target and limit the rate of a cold one."""
 
+from collections import deque
+
 import attrs
 
 from ..accounts import TokenBucket
@@ -22,6 +24,7 @@
 MAX_QUEUED_SHARE = 0.5  # of a target's slots, for requests that wait at the target
 # Reported slowdowns are clamped to between 1 / MAX_SLOWDOWN and MAX_SLOWDOWN.
 MAX_SLOWDOWN = 10.0
+COLD_WINDOW = 1.0  # seconds over which the requests to a cold target are counted
 
 
 @attrs.frozen
@@ -75,6 +78,7 @@
         self._warmup = warmup
         self._suspected_at = float("-inf")
         self.used_at = now  # when a request was last sent or answered, as far as known
+        self._cold_grants: deque[float] = deque()  # times of the last second
         self._bucket = TokenBucket(warmup_rate, COLD_BURST, now, COLD_BURST)
 
     def update(
@@ -149,6 +153,13 @@
         if self.is_cold(now):
             self._bucket.refill(now)
             self._bucket.level -= 1
+            self._cold_grants.append(now)
+
+    def count_cold_grants(self, now: float) -> int:
+        """Return how many slots were granted within a second while it was cold."""
+        while self._cold_grants and self._cold_grants[0] <= now - COLD_WINDOW:
+            self._cold_grants.popleft()
+        return len(self._cold_grants)
 
     def release(self, number: int) -> HeldSlot | None:
         """Free a slot and return it, or None if it is not held."""
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -258,6 +258,18 @@
         self.assertLessEqual(granted, 6)
         self.assertGreaterEqual(granted, 4)
 
+    def test_grants_tell_how_many_there_were_within_a_second(self):
+        queue = queue_of(target(slots=50, cold_for=3.0), warmup_rate=4.0)
+        counts = []
+        for name, at in (("a", 0.0), ("b", 0.1), ("c", 0.6), ("d", 1.05)):
+            decisions = queue.submit(slot_request(name, deadline_at=at + 9), at)
+            counts += [d.cold_grants for d in decisions if isinstance(d, SlotGranted)]
+        self.assertEqual(counts, [1, 2, 3, 3])
+
+    def test_grants_of_warm_targets_are_not_counted(self):
+        queue = queue_of(target(slots=50), warmup_rate=4.0)
+        self.assertEqual(queue.submit(slot_request("a"), 0.0)[0].cold_grants, 0)
+
 
 class PooledServiceTests(unittest.TestCase):
     """Guard against choosing slow or distant targets while better ones are idle."""
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -122,7 +122,9 @@
             is_seed=len(others) < len(settings.seeds),
             bounds=settings.bounds,
         )
-        self.slot_service = SlotService(self.state, self.membership, random, control)
+        self.slot_service = SlotService(
+            self.state, self.membership, random, control, self.metrics
+        )
         self.pauses = TargetPauses(random.random)
         self.slots = SlotClient(
             self.slot_service,
@@ -130,6 +132,7 @@
             self.state,
             settings.data_centre,
             self.pauses,
+            self.metrics,
         )
         self.membership.set_callbacks(
             self.replica_sync.handle_confirmations, self.slot_service.release_instance
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -24,9 +24,16 @@
 )
 from fireflystand_core.traffic import TargetRecord
 
-from ..events import PEER_CALL_FAILED, emit
+from ..events import (
+    COLD_SLOT_GRANTED,
+    PEER_CALL_FAILED,
+    SLOT_REQUEST_REDIRECTED,
+    emit,
+    emit_limited,
+)
 from ..future import Future
 from ..http_client import ConnectionFailedError
+from ..metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS, Metrics
 from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import sleep_until_next
 from .membership import Membership
@@ -77,6 +84,18 @@
 Decision = SlotGranted | SlotRefused
 
 
+def responsible_for(membership: Membership, service: str, target: str) -> str:
+    """Return the instance whose queue grants the slots of a target.
+
+    An empty ``target`` stands for any target of the service.
+    """
+    queue_name = f"{service}/{target}"
+    if target:
+        return membership.responsible_instance(queue_name)
+    # One queue takes the requests of all instances for the service.
+    return membership.strongest_instance(queue_name)
+
+
 @attrs.frozen
 class _Requester:
     """Hold who gets the decision on a slot request; ``link`` is set for a peer's."""
@@ -95,8 +114,10 @@
         membership: Membership,
         random: Random,
         control: TargetControlPort,
+        metrics: Metrics,
     ) -> None:
         self._control = control
+        self._metrics = metrics
         self._nursery: trio.Nursery | None = None
         self._targets_in_check: set[str] = set()
         self.queues_by_service: dict[str, AdmissionQueue] = {}
@@ -182,14 +203,35 @@
         """Deliver a queue's decisions and start the health checks that it needs."""
         for decision in decisions:
             requester = self._requesters_by_id.pop(decision.request.id, None)
-            if requester is not None:
-                requester.deliver(decision)
+            if requester is None:
+                continue
+            if isinstance(decision, SlotGranted) and decision.cold_grants:
+                self._record_cold_grant(requester.service, decision)
+            requester.deliver(decision)
         while queue.suspects and self._nursery is not None:
             target = queue.suspects.pop()
             if target not in self._targets_in_check:
                 self._targets_in_check.add(target)
                 self._nursery.start_soon(self._check_health, queue, target)
 
+    def _record_cold_grant(self, service: str, decision: SlotGranted) -> None:
+        """Log what tells which instances granted the slots of a flooded target."""
+        self._metrics.count(COLD_SLOTS)
+        target = self.queues_by_service[service].targets_by_id[decision.target]
+        emit_limited(
+            COLD_SLOT_GRANTED,
+            service=service,
+            target=decision.target,
+            started_at=target.record.started_at,
+            instance=decision.request.instance,
+            recent=decision.cold_grants,
+            suspected=target.is_suspect(trio.current_time()),
+            responsible=responsible_for(
+                self._membership, service, decision.request.target
+            ),
+            live=len(self._membership.live),
+        )
+
     def _on_link_end(self, link: PeerLink) -> None:
         """Withdraw the queued slot requests of a peer that no reply can reach."""
         for request_id, requester in list(self._requesters_by_id.items()):
@@ -307,7 +349,9 @@
         state: RoutingState,
         data_centre: str,
         pauses: TargetPauses | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or Metrics()
         self._pauses = pauses or TargetPauses()
         self._slot_service = slot_service
         self._membership = membership
@@ -351,7 +395,7 @@
             data_centre=self._data_centre,
             route=route,
         )
-        answer = await self._acquire(queue_name, service, queued)
+        answer = await self._acquire(service, queued)
         if isinstance(answer, SlotRefusal):
             expires_at = trio.current_time() + REFUSAL_CACHE_TTL
             refusal = _CachedRefusal(answer, expires_at, priority, deadline_at)
@@ -373,10 +417,8 @@
         """Return the number of cached refusals, some of them perhaps expired."""
         return len(self._refusals_by_queue_and_route)
 
-    async def _acquire(
-        self, queue_name: str, service: str, queued: QueuedRequest
-    ) -> Slot | SlotRefusal:
-        responsible = self._responsible_for(queue_name, queued.target)
+    async def _acquire(self, service: str, queued: QueuedRequest) -> Slot | SlotRefusal:
+        responsible = responsible_for(self._membership, service, queued.target)
         if responsible != self._membership.own_id:
             now = trio.current_time()
             request = SlotRequest(
@@ -396,6 +438,7 @@
                 # decides. For a moment two queues may overfill a target; otherwise the
                 # request would have to wait.
                 emit(PEER_CALL_FAILED, error, message="slot-request")
+                self._record_redirection(service, queued.target, responsible)
             else:
                 if isinstance(answer, SlotGrant):
                     return Slot(service, answer.number, answer.target, responsible)
@@ -407,16 +450,20 @@
             )
         return SlotRefusal(decision.reason, decision.retry_after)
 
-    def _responsible_for(self, queue_name: str, target: str) -> str:
-        if target:
-            return self._membership.responsible_instance(queue_name)
-        # One queue takes the requests of all instances for the service.
-        return self._membership.strongest_instance(queue_name)
+    def _record_redirection(self, service: str, target: str, responsible: str) -> None:
+        self._metrics.count(REDIRECTED_SLOT_REQUESTS)
+        emit_limited(
+            SLOT_REQUEST_REDIRECTED,
+            service=service,
+            target=target,
+            responsible=responsible,
+            asked=self._membership.own_id,
+        )
 
     def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
         """Report a cold target to the instance that counts its slots."""
         name = target.id if keyed else ""
-        responsible = self._responsible_for(f"{target.service}/{name}", name)
+        responsible = responsible_for(self._membership, target.service, name)
         cold = [target.id, target.started_at, seconds]
         if responsible == self._membership.own_id:
             self._state.mark_cold(*cold)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -0,0 +1,113 @@
+"""Test what a cold target gets from all instances together."""
+
+import unittest
+from contextlib import contextmanager
+
+import trio
+from loguru import logger
+
+from ...events import COLD_SLOT_GRANTED, SLOT_REQUEST_REDIRECTED
+from ...metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS
+from ..node import DispatchNode
+from ..ports import TARGETS
+from ..slots import responsible_for
+from .node_support import Caller, Fleet, HttpTarget, play_fleet
+
+WARMUP = 30.0  # seconds
+WARMUP_RATE = 4.0  # requests a second to a cold target
+NODES = 8
+
+
+@contextmanager
+def logged_events():
+    """Provide the numbers and fields of the events logged meanwhile."""
+    events: list[tuple[int, dict]] = []
+
+    def add(message) -> None:
+        extra = message.record["extra"]
+        events.append((extra["event"], extra["fields"]))
+
+    sink = logger.add(add)
+    try:
+        yield events
+    finally:
+        logger.remove(sink)
+
+
+async def start_fleet(fleet: Fleet, service: str) -> HttpTarget:
+    """Start the instances and the targets; return the cold one of a service."""
+    fleet.configure(2, warmup=WARMUP, warmup_rate=WARMUP_RATE, max_attempts=1)
+    await fleet.add_target("pooled" if service == "keyed" else "keyed")
+    target = await fleet.add_target(service, work=0.02)
+    record = fleet.store.objects[TARGETS]["t2"].value
+    fleet.store.write(TARGETS, "t2", record | {"slots": 6, "cold_for": WARMUP})
+    for _ in range(NODES):
+        await fleet.add_node()
+    await fleet.settle()
+    return target
+
+
+def responsible_node(fleet: Fleet, service: str) -> DispatchNode:
+    """Return the instance whose queue grants the slots of the cold target."""
+    target = "t2" if service == "keyed" else ""
+    name = responsible_for(fleet.nodes[0].membership, service, target)
+    return next(node for node in fleet.nodes if node.settings.instance == name)
+
+
+async def send_requests(node: DispatchNode, service: str, until: float) -> None:
+    """Send requests on two connections, one after the other on each."""
+
+    async def send() -> None:
+        caller = await Caller.connect(node)
+        while trio.current_time() < until:
+            await caller.request(f"/{service[0]}/x", deadline="1500")
+            await trio.sleep(0.05)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        nursery.start_soon(send)
+
+
+def end_process(node: DispatchNode) -> None:
+    """End an instance like a kill: its streams end and its ports refuse."""
+    node._scope.cancel()
+
+
+async def load_and_lose_responsible(fleet: Fleet, service: str) -> None:
+    """Send requests through all instances and end the one that grants their slots."""
+    lost = responsible_node(fleet, service)
+    until = trio.current_time() + 3.0
+    async with trio.open_nursery() as nursery:
+        for node in fleet.nodes:
+            if node is not lost:
+                nursery.start_soon(send_requests, node, service, until)
+        await trio.sleep(1.0)
+        end_process(lost)
+
+
+class ColdGrantLogTests(unittest.TestCase):
+    """Guard against floods whose logs do not tell who granted the slots."""
+
+    def test_grants_and_redirected_requests_are_logged_and_counted(self):
+        async def scenario(fleet: Fleet) -> None:
+            await start_fleet(fleet, "keyed")
+            lost = responsible_node(fleet, "keyed").settings.instance
+            with logged_events() as events:
+                await load_and_lose_responsible(fleet, "keyed")
+            grants = [f for n, f in events if n == COLD_SLOT_GRANTED.number]
+            redirected = [f for n, f in events if n == SLOT_REQUEST_REDIRECTED.number]
+            self.assertEqual({f["target"] for f in grants}, {"t2"})
+            self.assertIn(lost, {f["responsible"] for f in grants})
+            self.assertTrue({f["responsible"] for f in grants} - {lost})
+            self.assertEqual({f["responsible"] for f in redirected}, {lost})
+            counts = [node.metrics.counts_by_name for node in fleet.nodes]
+            self.assertEqual(sum(c[COLD_SLOTS.name] for c in counts), len(grants))
+            self.assertEqual(
+                sum(c[REDIRECTED_SLOT_REQUESTS.name] for c in counts), len(redirected)
+            )
+
+        play_fleet(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -461,6 +461,28 @@
     "service",
     "seconds",
 )
+COLD_SLOT_GRANTED = define_event(
+    6046,
+    "INFO",
+    "slot granted at a cold target",
+    "service",
+    "target",
+    "started_at",
+    "instance",
+    "recent",
+    "suspected",
+    "responsible",
+    "live",
+)
+SLOT_REQUEST_REDIRECTED = define_event(
+    6047,
+    "WARNING",
+    "slot requested elsewhere because the responsible instance cannot be asked",
+    "service",
+    "target",
+    "responsible",
+    "asked",
+)
 TARGET_PAUSED = define_event(
     6044, "INFO", "target asked for a pause", "target", "service", "seconds"
 )
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -237,6 +237,18 @@
     "slots",
     "slots granted by admission queues of this instance",
 )
+COLD_SLOTS = define_metric(
+    "dispatch.cold_slots",
+    "counter",
+    "slots",
+    "slots of cold targets granted by admission queues of this instance",
+)
+REDIRECTED_SLOT_REQUESTS = define_metric(
+    "dispatch.redirected_slot_requests",
+    "counter",
+    "requests",
+    "slot requests whose responsible instance could not be asked",
+)
 LIVE_PEERS = define_metric(
     "dispatch.live_peers", "gauge", "instances", "other instances that are reachable"
 )
