Reproduce the flood of a cold target whose responsible instance is lost

Eight instances, one cold target (4 requests a second, bound 11 in a second), requests through all of them. The instance whose queue grants the target's slots is killed, or cut off from its peers while it goes on.

--- a/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -1,6 +1,7 @@
 """Test what a cold target gets from all instances together."""
 
 import unittest
+from collections.abc import Callable
 from contextlib import contextmanager
 
 import trio
@@ -15,6 +16,7 @@
 
 WARMUP = 30.0  # seconds
 WARMUP_RATE = 4.0  # requests a second to a cold target
+BOUND = WARMUP_RATE * 1.5 + 5  # requests in a second (FAILBACK)
 NODES = 8
 
 
@@ -73,8 +75,22 @@
     node._scope.cancel()
 
 
-async def load_and_lose_responsible(fleet: Fleet, service: str) -> None:
-    """Send requests through all instances and end the one that grants their slots."""
+def refuse_peers(node: DispatchNode) -> None:
+    """Cut an instance off from its peers; it goes on with the requests it has."""
+    node.network._scope.cancel()
+    for outgoing in list(node.network._outgoing_by_id):
+        node.network.close_stream(outgoing)
+
+
+def most_in_a_second(arrivals: list[float]) -> int:
+    """Return the most requests that arrived within a second."""
+    return max(sum(since <= at < since + 1 for at in arrivals) for since in arrivals)
+
+
+async def load_and_lose_responsible(
+    fleet: Fleet, service: str, lose: Callable[[DispatchNode], None] = end_process
+) -> None:
+    """Send requests through all instances and lose the one that grants their slots."""
     lost = responsible_node(fleet, service)
     until = trio.current_time() + 3.0
     async with trio.open_nursery() as nursery:
@@ -82,7 +98,7 @@
             if node is not lost:
                 nursery.start_soon(send_requests, node, service, until)
         await trio.sleep(1.0)
-        end_process(lost)
+        lose(lost)
 
 
 class ColdGrantLogTests(unittest.TestCase):
@@ -109,5 +125,30 @@
         play_fleet(scenario)
 
 
+class LostResponsibleInstanceTests(unittest.TestCase):
+    """Guard against a flood of a cold target whose responsible instance is lost.
+
+    Each instance that could not ask it granted the whole warm-up rate itself.
+    """
+
+    def check(self, service: str, lose: Callable[[DispatchNode], None]) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, service)
+            await load_and_lose_responsible(fleet, service, lose)
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+
+        play_fleet(scenario)
+
+    def test_cold_target_of_a_killed_instance(self):
+        for service in ("keyed", "pooled"):
+            with self.subTest(service):
+                self.check(service, end_process)
+
+    def test_cold_target_of_an_instance_that_closes_its_streams(self):
+        for service in ("keyed", "pooled"):
+            with self.subTest(service):
+                self.check(service, refuse_peers)
+
+
 if __name__ == "__main__":
     unittest.main()
