Grant a cold target's slots on few instances and within one limit

Cause: the warm-up rate was counted by one instance's queue, but granted by any. An instance whose slot request failed decided by its own queue, with the whole rate and burst. When the responsible instance was killed or cut off, all others did so at once. Change: a slot request that fails goes to the next instance in rendezvous order, as for all others (three at most, then the own queue). What a queue may grant a cold or unverified target follows the position of its instance among the registered ones, reachable or not: the first grants the warm-up rate, one or two deputies half of it and no burst, as far as the limit from the settings warmupOverage and warmupSlack allows; all others nothing. They have the health of an unused target checked before they grant it anything, and refuse at once what cannot be sent while it is cold. Requests granted before a target is limited count while they may arrive, and not once they have failed. Why it works: instances that cannot reach each other still agree on the registered ones, so the sum of the shares keeps the limit in any partition. An instance whose position changes starts without tokens.

--- a/packages/core/src/fireflystand_core/dispatch/__init__.py
+++ b/packages/core/src/fireflystand_core/dispatch/__init__.py
@@ -1,11 +1,12 @@
 """Decide which requests wait, which target runs each, and which are refused."""
 
-from . import admission_queue, estimates, owner_waits, pauses, slots
+from . import admission_queue, estimates, owner_waits, pauses, slots, warmup
 from .admission_queue import *  # noqa: F403
 from .estimates import *  # noqa: F403
 from .owner_waits import *  # noqa: F403
 from .pauses import *  # noqa: F403
 from .slots import *  # noqa: F403
+from .warmup import *  # noqa: F403
 
 __all__ = [
     *admission_queue.__all__,
@@ -13,4 +14,5 @@
     *owner_waits.__all__,
     *pauses.__all__,
     *slots.__all__,
+    *warmup.__all__,
 ]
--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from itertools import count
 
 import attrs
@@ -17,11 +18,11 @@
 from ..traffic import TargetRecord
 from .estimates import MeanDuration, RouteDurations, start_delay
 from .slots import HeldSlot, TargetLoad, TargetSlots
+from .warmup import WarmupPolicy
 
 __all__ = [
     "TARGET_GONE",
     "TARGET_PAUSES",
-    "UNUSED_PERIOD",
     "AdmissionQueue",
     "QueuedRequest",
     "SlotGranted",
@@ -45,11 +46,9 @@
 REMOTE_COST_FACTOR = 3.0
 # An instance can use a connection that was idle for less than this for any request.
 CONNECTION_REUSE_PERIOD = 3.0  # seconds
-# A target without requests for this long may have restarted unnoticed: no instance
-# need have a connection that would have ended with its process.
-UNUSED_PERIOD = CONNECTION_REUSE_PERIOD  # seconds
 # A new connection takes a round trip and the target's handshake, which holds a slot.
 CONNECT_SECONDS = 0.01
+NO_WARMUP = WarmupPolicy()
 
 
 @attrs.frozen
@@ -122,7 +121,17 @@
     may run wait in a separate queue, whose name is the empty string.
     """
 
-    def __init__(self, jitter: Callable[[], float] = lambda: 0.5) -> None:
+    def __init__(
+        self,
+        jitter: Callable[[], float] = lambda: 0.5,
+        rank: Callable[[str], int] = lambda target: 0,
+    ) -> None:
+        """Create an empty queue.
+
+        ``rank`` returns the position of this queue's instance among those that may
+        grant slots of a cold target.
+        """
+        self._rank = rank
         self.targets_by_id: dict[str, TargetSlots] = {}
         # Those that may have a free slot: a busy service has few of them, and each
         # request for any target would look at all.
@@ -152,20 +161,16 @@
     def set_target(
         self,
         record: TargetRecord,
-        warmup_rate: float,
         now: float,
-        warmup: float = 0.0,
+        warmup: WarmupPolicy = NO_WARMUP,
     ) -> None:
-        """Add a target or apply its newer record.
-
-        A cold target gets ``warmup_rate`` requests a second. A target that starts stays
-        cold for ``warmup`` seconds.
-        """
+        """Add a target or apply its newer record."""
         known = self.targets_by_id.get(record.id)
         if known is not None and known.record.started_at == record.started_at:
             self._open_targets_by_id[record.id] = known
-            return known.update(record, warmup_rate, now, warmup)
-        slots = TargetSlots(record, warmup_rate, now, self.mean.seconds, warmup)
+            return known.update(record, warmup, now)
+        rank = partial(self._rank, record.id)
+        slots = TargetSlots(record, warmup, now, self.mean.seconds, rank)
         self.targets_by_id[record.id] = self._open_targets_by_id[record.id] = slots
 
     def remove_target(self, target: str) -> list[Decision]:
@@ -188,6 +193,7 @@
             slots = self._choose_target(request, now)
             if slots is not None:
                 return [self._grant_at_once(request, slots, now)]
+            self._verify_unused(request.target, now)
         left = request.deadline_at - now
         latest = now + MAX_SOFT_DEADLINE_SHARE * left
         if request.soft_deadline_at > latest:
@@ -198,6 +204,12 @@
         self._queues_by_target.setdefault(request.target, {})[request.id] = request
         return self._dispatch(request.target, now)
 
+    def _verify_unused(self, target: str, now: float) -> None:
+        """Have the health of a target checked that no request may show to be warm."""
+        for slots in self._open_targets(target):
+            if slots.is_unverified(now):
+                return self._suspect_restart(slots, now)
+
     def _grant_at_once(
         self, request: QueuedRequest, slots: TargetSlots, now: float
     ) -> Decision:
@@ -357,6 +369,11 @@
         self._used_at_by_connection.pop((instance, target), None)
         self._used_at_by_connection[instance, target] = now
 
+    def _warmup_wait(self, target: str, now: float) -> float:
+        """Return for how long all targets of a queue are limited, in seconds."""
+        targets = self._candidates(target)
+        return min((t.pause_left(now) for t in targets), default=0.0)
+
     def _drop_ended_pauses(self, now: float) -> None:
         for slots in self.targets_by_id.values():
             slots.drop_ended_pauses(now)
@@ -373,7 +390,7 @@
     def _grant(
         self, request: QueuedRequest, target: TargetSlots, now: float
     ) -> SlotGranted:
-        if now - target.used_at > UNUSED_PERIOD and not target.is_cold(now):
+        if target.is_unverified(now):
             self._suspect_restart(target, now)
         target.used_at = now
         slot = HeldSlot(
@@ -399,6 +416,7 @@
             return []
         slot = self._free(target, result.number)
         if result.complete and result.seconds is not None:
+            target.count_arrival(slot, now)
             target.used_at = now
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
@@ -423,14 +441,14 @@
         """Limit a target that may have restarted to its warm-up rate."""
         if self.targets_by_id.get(target.record.id) is not target:
             return
-        target.suspect_restart(now)
-        if target.is_suspect(now):
+        target.warmup.suspect_restart(now)
+        if target.warmup.is_suspect(now):
             self.suspects.add(target.record.id)
 
     def is_suspect(self, target: str, now: float) -> bool:
         """Tell whether a target is limited until its health has been checked."""
         slots = self.targets_by_id.get(target)
-        return slots is not None and slots.is_suspect(now)
+        return slots is not None and slots.warmup.is_suspect(now)
 
     def clear_suspicion(
         self, target: str, checked_at: float, now: float
@@ -534,10 +552,16 @@
         for target, queue in list(self._queues_by_target.items()):
             if not queue:
                 continue
+            warm_at = now + self._warmup_wait(target, now)
             for request in list(queue.values()):
                 if self._is_too_late(request, self.mean, now):
                     del queue[request.id]
                     reason = "no slot before the deadline"
                     decisions.append(SlotRefused(request, reason, MIN_RETRY_AFTER))
+                elif warm_at > request.deadline_at:
+                    del queue[request.id]
+                    decisions.append(
+                        self._refusal(request, NO_ROOM, warm_at - now, now)
+                    )
             decisions += self._dispatch(target, now)
         return decisions
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -1,16 +1,19 @@
 """Count the slots of one target and limit the rate of a cold one."""
 
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
-from ..accounts import TokenBucket
 from ..traffic import TargetRecord
 from .estimates import MeanDuration, remaining_work
+from .warmup import WarmupLimit, WarmupPolicy
 
-__all__ = ["HeldSlot", "TargetLoad", "TargetSlots"]
+__all__ = ["UNUSED_PERIOD", "HeldSlot", "TargetLoad", "TargetSlots"]
 
-COLD_BURST = 2.0  # requests that a cold target may get at once
+# A target without requests for this long may have restarted unnoticed: no instance
+# need have a connection that would have ended with its process.
+UNUSED_PERIOD = 3.0  # seconds
 # A target may shed a request by chance while it has free capacity, most of which a
 # long pause would waste.
 SHED_PAUSE = 0.03  # seconds without new requests for a target that shed one
@@ -43,7 +46,10 @@
 
 @attrs.define(eq=False)
 class HeldSlot:
-    """Hold one slot for a request of an instance; times in seconds."""
+    """Hold one slot for a request of an instance; times in seconds.
+
+    ``counted`` tells that the request was counted against the limit of a cold target.
+    """
 
     number: int
     request_id: str
@@ -52,6 +58,7 @@
     since: float
     expires_at: float
     route: str = ""
+    counted: bool = False
 
 
 class TargetSlots:
@@ -60,10 +67,10 @@
     def __init__(
         self,
         record: TargetRecord,
-        warmup_rate: float,
+        warmup: WarmupPolicy,
         now: float,
         mean: float,
-        warmup: float = 0.0,
+        rank: Callable[[], int] = lambda: 0,
     ) -> None:
         self.record = record
         self.held_by_number: dict[int, HeldSlot] = {}
@@ -74,22 +81,14 @@
         self._pause_ends_by_instance: dict[str, float] = {}
         self._slowdown = 1.0
         self._slowdown_at = float("-inf")
-        self._cold_until = now + record.cold_for
-        self._warmup = warmup
-        self._suspected_at = float("-inf")
+        self.warmup = WarmupLimit(warmup, record.cold_for, now, rank)
         self.used_at = now  # when a request was last sent or answered, as far as known
         self._cold_grants: deque[float] = deque()  # times of the last second
-        self._bucket = TokenBucket(warmup_rate, COLD_BURST, now, COLD_BURST)
 
-    def update(
-        self, record: TargetRecord, warmup_rate: float, now: float, warmup: float = 0.0
-    ) -> None:
+    def update(self, record: TargetRecord, warmup: WarmupPolicy, now: float) -> None:
         """Apply a newer target record of the same process, or newer settings."""
-        if record.cold_for > 0 and record is not self.record:
-            self._cold_until = now + record.cold_for
-        if warmup_rate != self._bucket.rate:
-            self._bucket.change(warmup_rate, COLD_BURST, now)
-        self._warmup = warmup
+        cold_for = record.cold_for if record is not self.record else 0.0
+        self.warmup.update(warmup, cold_for, now)
         self.record = record
 
     @property
@@ -99,28 +98,19 @@
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the target takes requests only at its warm-up rate."""
-        if self._bucket.rate <= 0:
-            return False
-        return now < self._cold_until or self.is_suspect(now)
-
-    def suspect_restart(self, now: float) -> None:
-        """Treat the target as cold for its warm-up time, as it may have restarted.
+        warmup = self.warmup
+        return warmup.is_cold(now) or warmup.is_suspect(now) or self.is_unverified(now)
 
-        Requests that hold a slot may be running on the new process.
-        """
-        self._suspected_at = now
-        self._bucket.refill(now)
-        unused = COLD_BURST - len(self.held_by_number)
-        self._bucket.level = min(self._bucket.level, unused)
-
-    def is_suspect(self, now: float) -> bool:
-        """Tell whether the target is suspected to have restarted, and so to be cold."""
-        return self._bucket.rate > 0 and now < self._suspected_at + self._warmup
+    def is_unverified(self, now: float) -> bool:
+        """Tell whether the target may have restarted while nothing was sent to it."""
+        if self.warmup.policy.rate <= 0:
+            return False
+        return now - max(self.used_at, self.warmup.suspected_until) > UNUSED_PERIOD
 
     def clear_suspicion(self, checked_at: float) -> None:
-        """End the suspicion unless it arose after the health check began."""
-        if self._suspected_at < checked_at:
-            self._suspected_at = float("-inf")
+        """Apply that the target passed the health check that began then."""
+        self.warmup.clear_suspicion(checked_at)
+        self.used_at = max(self.used_at, checked_at)
 
     def free_slots(self, now: float) -> int:
         """Return how many requests the target can take now."""
@@ -132,10 +122,14 @@
             0, self.record.slots + self._queue_allowance - len(self.held_by_number)
         )
         if free and self.is_cold(now):
-            self._bucket.refill(now)
-            free = min(free, max(0, int(self._bucket.level)))
+            free = min(free, self.warmup.available(now, self._uncounted))
         return free
 
+    @property
+    def _uncounted(self) -> int:
+        """Return the requests that were granted before the target was limited."""
+        return sum(not slot.counted for slot in self.held_by_number.values())
+
     @property
     def _queue_allowance(self) -> int:
         """Return how many requests to queue at the target, so that no slot is idle.
@@ -151,8 +145,8 @@
         """Mark a slot as held."""
         self.held_by_number[slot.number] = slot
         if self.is_cold(now):
-            self._bucket.refill(now)
-            self._bucket.level -= 1
+            slot.counted = True
+            self.warmup.spend(now)
             self._cold_grants.append(now)
 
     def count_cold_grants(self, now: float) -> int:
@@ -165,6 +159,11 @@
         """Free a slot and return it, or None if it is not held."""
         return self.held_by_number.pop(number, None)
 
+    def count_arrival(self, slot: HeldSlot, now: float) -> None:
+        """Count a request that ran, if it was granted before the target was limited."""
+        if not slot.counted and self.is_cold(now):
+            self.warmup.spend(now)
+
     def record_duration(self, seconds: float, slowdown: float = 1.0) -> None:
         """Add the duration of a request that ran at the given slowdown to the means."""
         self.mean.add(seconds)
@@ -227,8 +226,7 @@
         """Return the seconds until shed pause and warm-up rate allow a request."""
         wait = max(0.0, self._paused_until - now)
         if self.is_cold(now):
-            self._bucket.refill(now)
-            wait = max(wait, self._bucket.time_until(1.0))
+            wait = max(wait, self.warmup.wait(now, self._uncounted))
         return wait
 
 
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -12,6 +12,7 @@
     SlotResult,
     TargetLoad,
     TargetSlots,
+    WarmupPolicy,
 )
 from fireflystand_core.traffic import TargetRecord
 
@@ -41,7 +42,7 @@
     """Return an admission queue with a mean duration of 0.1 s and these targets."""
     queue = AdmissionQueue()
     for record in records or (target(),):
-        queue.set_target(record, warmup_rate, 0.0, warmup)
+        queue.set_target(record, 0.0, WarmupPolicy(warmup_rate, warmup))
     return queue
 
 
@@ -119,7 +120,7 @@
         record = target(slots=9, cold_for=self.WARMUP)
         queue = queue_of(record, warmup_rate=self.RATE, warmup=self.WARMUP)
         self.grants(queue, 0.0, 3.5)
-        queue.set_target(record, self.RATE, 3.5, self.WARMUP)
+        queue.set_target(record, 3.5, WarmupPolicy(self.RATE, self.WARMUP))
         self.assertEqual(self.grants(queue, 3.5, 4.0), 50)
 
 
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_pauses.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_pauses.py
@@ -62,7 +62,7 @@
     def queue(self, *targets: str) -> AdmissionQueue:
         queue = AdmissionQueue()
         for target in targets:
-            queue.set_target(TargetRecord(target, "s", "a:1", "x", 2), 0.0, 0.0)
+            queue.set_target(TargetRecord(target, "s", "a:1", "x", 2), 0.0)
         return queue
 
     def request(self, number: str, instance: str, target: str = "", deadline=1.0):
--- /dev/null
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -0,0 +1,132 @@
+"""Test the limit of a cold target over all instances that grant its slots."""
+
+import unittest
+
+from fireflystand_core.dispatch import (
+    AdmissionQueue,
+    QueuedRequest,
+    SlotGranted,
+    SlotRefused,
+    WarmupPolicy,
+)
+from fireflystand_core.traffic import TargetRecord
+
+RATE = 3.6  # requests a second to a cold target
+WARMUP = 3.0  # seconds
+LIMIT = 1.5 * RATE + 8  # requests within a second
+
+
+def cold_target(**fields) -> TargetRecord:
+    """Return a target that stays cold for its warm-up time from now on."""
+    values = {"service": "s", "address": "a:1", "data_centre": "x", "slots": 6}
+    return TargetRecord(id="t1", **(values | {"cold_for": WARMUP} | fields))
+
+
+def slot_request(name: str, now: float, **fields) -> QueuedRequest:
+    """Return a slot request for the target with two seconds left."""
+    values = {"instance": "i", "target": "t1", "priority": 1}
+    times = {"soft_deadline_at": now + 1.0, "deadline_at": now + 2.0}
+    return QueuedRequest(id=name, **(values | times | fields))
+
+
+def queue_at(rank: int, record: TargetRecord, limit: float = LIMIT) -> AdmissionQueue:
+    """Return the queue of the instance with a rank, with one target."""
+    queue = AdmissionQueue(rank=lambda target: rank)
+    queue.set_target(record, 0.0, WarmupPolicy(RATE, WARMUP, limit))
+    return queue
+
+
+def count_grants(queue: AdmissionQueue, since: float, requests: int = 20) -> int:
+    """Return the grants to requests that come evenly within a second."""
+    granted = 0
+    for number in range(requests):
+        now = since + number / requests
+        decisions = queue.submit(slot_request(f"{since}/{number}", now), now)
+        decisions += queue.tick(now)
+        granted += sum(isinstance(d, SlotGranted) for d in decisions)
+    return granted
+
+
+class ShareTests(unittest.TestCase):
+    """Guard against shares that together exceed the limit of a cold target."""
+
+    def test_shares_of_all_instances_keep_the_limit(self):
+        for rate in (0.5, 3.0, 3.8, 19.0, 200.0):
+            for limit in (rate + 1, 1.2 * rate + 1, 1.5 * rate + 5, 1.5 * rate + 10):
+                policy = WarmupPolicy(rate, WARMUP, limit)
+                total = sum(policy.share(rank).per_second for rank in range(870))
+                with self.subTest(rate=rate, limit=limit):
+                    self.assertLessEqual(total, limit)
+
+    def test_first_instance_grants_the_warm_up_rate(self):
+        share = WarmupPolicy(RATE, WARMUP, LIMIT).share(0)
+        self.assertEqual(share.rate, RATE)
+        self.assertGreaterEqual(share.burst, 1.0)
+
+
+class ManyQueuesTests(unittest.TestCase):
+    """Guard against a cold target that each of many queues grants its whole rate.
+
+    77 queues granted 385 requests within a second where 13.4 are allowed.
+    """
+
+    def check(self, record: TargetRecord, since: float) -> None:
+        for instances in (2, 3, 5, 23, 77, 870):
+            queues = [queue_at(rank, record) for rank in range(instances)]
+            with self.subTest(instances=instances):
+                granted = sum(count_grants(queue, since) for queue in queues)
+                self.assertLessEqual(granted, LIMIT)
+                self.assertGreaterEqual(granted, RATE)
+
+    def test_target_that_all_know_to_be_cold(self):
+        self.check(cold_target(), 1.0)
+
+    def test_target_that_each_would_have_to_verify(self):
+        self.check(cold_target(cold_for=0.0), 10.0)
+
+
+class NoShareTests(unittest.TestCase):
+    """Guard against requests lost at instances that may grant a cold target nothing."""
+
+    RANK = 70
+
+    def test_cold_target_is_refused_at_once_until_it_is_warm(self):
+        queue = queue_at(self.RANK, cold_target())
+        (refusal,) = queue.submit(slot_request("r", 0.5), 0.5)
+        self.assertIsInstance(refusal, SlotRefused)
+        self.assertGreater(refusal.retry_after, 0.75 * (WARMUP - 0.5))
+        self.assertEqual(count_grants(queue, WARMUP, requests=3), 3)
+
+    def test_unused_target_is_granted_once_its_health_is_checked(self):
+        queue = queue_at(self.RANK, cold_target(cold_for=0.0))
+        self.assertEqual(queue.submit(slot_request("r", 10.0), 10.0), [])
+        self.assertEqual(queue.suspects, {"t1"})
+        (granted,) = queue.clear_suspicion("t1", 10.001, 10.01)
+        self.assertIsInstance(granted, SlotGranted)
+
+    def test_queued_request_is_refused_once_the_check_finds_the_target_cold(self):
+        record = cold_target(cold_for=0.0)
+        queue = queue_at(self.RANK, record)
+        queue.submit(slot_request("r", 10.0), 10.0)
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        queue.set_target(cold_target(), 10.01, policy)
+        queue.clear_suspicion("t1", 10.001, 10.01)
+        (refusal,) = queue.tick(10.1)
+        self.assertIsInstance(refusal, SlotRefused)
+        self.assertGreater(refusal.retry_after, 2.0)
+
+
+class RankChangeTests(unittest.TestCase):
+    """Guard against a burst by each instance that becomes the first for a target."""
+
+    def test_instance_that_becomes_the_first_starts_without_a_burst(self):
+        ranks = {"t1": 1}
+        queue = AdmissionQueue(rank=ranks.__getitem__)
+        queue.set_target(cold_target(), 0.0, WarmupPolicy(RATE, WARMUP, LIMIT))
+        count_grants(queue, 0.0, requests=1)
+        ranks["t1"] = 0
+        self.assertLessEqual(count_grants(queue, 1.0), RATE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/src/fireflystand_core/sharding/ranking.py
+++ b/packages/core/src/fireflystand_core/sharding/ranking.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from functools import partial
 
 from .hashing import stable_hash
 
@@ -13,20 +14,26 @@
     "home_groups",
     "rendezvous_first",
     "rendezvous_order",
+    "rendezvous_score",
     "witness_list_size",
 ]
 
 WITNESS_COUNT = 5
 
 
+def rendezvous_score(name: str, member: str) -> tuple[int, str]:
+    """Return a member's score for ``name``; the highest one comes first."""
+    return stable_hash(name, member), member
+
+
 def rendezvous_order(name: str, members: Iterable[str]) -> list[str]:
     """Return the members by falling rendezvous score for ``name``."""
-    return sorted(members, key=lambda m: (stable_hash(name, m), m), reverse=True)
+    return sorted(members, key=partial(rendezvous_score, name), reverse=True)
 
 
 def rendezvous_first(name: str, members: Iterable[str]) -> str:
     """Return the member with the highest rendezvous score for ``name``."""
-    return max(members, key=lambda m: (stable_hash(name, m), m))
+    return max(members, key=partial(rendezvous_score, name))
 
 
 def home_groups(service: str, targets: Iterable[str], groups: int) -> dict[str, int]:
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -1,13 +1,17 @@
 """Track which instances are live by means of heartbeats."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 
 import attrs
 import trio
 
 from fireflystand_core.messages import Beat, encode
-from fireflystand_core.sharding import rendezvous_first, rendezvous_order
+from fireflystand_core.sharding import (
+    rendezvous_first,
+    rendezvous_order,
+    rendezvous_score,
+)
 
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
@@ -66,6 +70,7 @@
         # Cached, since the orders are needed some 30 times a second: at each check of
         # a kind of objects or a service.
         self._orders_by_name: dict[str, list[str]] = {}
+        self._registered_ranks_by_name: dict[str, int] = {}
         self.store_unreachable = False  # whether this instance's store calls fail
         self._without_store: set[str] = set()
         self.live_set_version = 0  # number of changes to the set of live instances
@@ -113,20 +118,43 @@
         registered = set(self._state.instances_by_id) | {self.own_id}
         return len(registered & set(self.live)) / len(registered)
 
-    def responsible_instance(self, name: str) -> str:
-        """Return the instance responsible for ``name``."""
+    def responsible_instance(self, name: str, without: Collection[str] = ()) -> str:
+        """Return the instance responsible for ``name``, other than some."""
+        if without:
+            others = [instance for instance in self.live if instance not in without]
+            return rendezvous_first(name, others)
         instance = self._responsible_by_name.get(name)
         if instance is None:
             instance = rendezvous_first(name, self.live)
             self._responsible_by_name[name] = instance
         return instance
 
-    def strongest_instance(self, name: str) -> str:
+    def strongest_instance(self, name: str, without: Collection[str] = ()) -> str:
         """Return the instance for a duty that takes much of a processor.
 
-        It is responsible for ``name`` among those with the highest capacity.
+        It is responsible for ``name`` among those with the highest capacity, other
+        than some.
         """
-        return self._order(name)[0]
+        return next(i for i in self._order(name) if i not in without)
+
+    def registered_rank(self, name: str, *, by_capacity: bool = False) -> int:
+        """Return this instance's position among the registered ones, from 0.
+
+        Which of them are reachable does not matter. ``by_capacity`` puts those with
+        the highest capacity first, as for ``strongest_instance``.
+        """
+        rank = self._registered_ranks_by_name.get(name)
+        if rank is None:
+            others = self._state.instances_by_id.keys() - {self.own_id}
+
+            def position(instance: str) -> tuple:
+                key = self._order_key(instance) if by_capacity else 0.0
+                return (-key, *rendezvous_score(name, instance))
+
+            own = position(self.own_id)
+            rank = sum(position(other) > own for other in others)
+            self._registered_ranks_by_name[name] = rank
+        return rank
 
     def rank(self, name: str) -> int:
         """Return this instance's position in the order for ``name``, from 0."""
@@ -185,6 +213,7 @@
     def refresh_addresses(self) -> None:
         """Apply the registered addresses and capacities of the peers."""
         self._orders_by_name.clear()
+        self._registered_ranks_by_name.clear()
         for record in self._state.instances_by_id.values():
             if record.id != self.own_id:
                 self.network.set_address(record.id, record.address)
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -123,7 +123,12 @@
             bounds=settings.bounds,
         )
         self.slot_service = SlotService(
-            self.state, self.membership, random, control, self.metrics
+            self.state,
+            self.membership,
+            random,
+            control,
+            self.metrics,
+            settings.bounds,
         )
         self.pauses = TargetPauses(random.random)
         self.slots = SlotClient(
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -155,6 +155,13 @@
     data_centre_departure: float = 5.0
     lease_timing: LeaseTiming = attrs.field(factory=LeaseTiming)
     max_lease: float = 10.0
+    # Of the requests to a cold target within any second, from all instances.
+    warmup_overage: float = 1.5  # as a multiple of its warm-up rate
+    warmup_slack: float = 5.0  # beyond that
+
+    def warmup_limit(self, rate: float) -> float:
+        """Return the most requests to a cold target of a warm-up rate in a second."""
+        return self.warmup_overage * rate + self.warmup_slack
 
     @property
     def change_limits_by_kind(self) -> dict[str, float]:
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -1,6 +1,7 @@
 """Acquire target slots from the instances whose admission queues count them."""
 
 from collections.abc import Callable, Collection
+from functools import partial
 from random import Random
 
 import attrs
@@ -14,6 +15,7 @@
     SlotResult,
     TargetLoad,
     TargetPauses,
+    WarmupPolicy,
 )
 from fireflystand_core.messages import (
     SlotGrant,
@@ -37,7 +39,7 @@
 from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import sleep_until_next
 from .membership import Membership
-from .ports import CONFIGURATION, DEPARTURES, TargetControlPort
+from .ports import CONFIGURATION, DEPARTURES, DispatchBounds, TargetControlPort
 from .state import RoutingState
 
 __all__ = ["Slot", "SlotClient", "SlotService"]
@@ -51,6 +53,9 @@
 # A refusal is reused for this long, without a request to the responsible instance.
 REFUSAL_CACHE_TTL = 0.05  # seconds
 MAX_CACHED_REFUSALS = 1000  # before expired ones are dropped
+# A request is sent to the queues of so many other instances, if those before cannot be
+# reached, and then decided by the queue of its own instance.
+MAX_ASKED_INSTANCES = 3
 
 
 @attrs.frozen
@@ -84,16 +89,22 @@
 Decision = SlotGranted | SlotRefused
 
 
-def responsible_for(membership: Membership, service: str, target: str) -> str:
+def responsible_for(
+    membership: Membership,
+    service: str,
+    target: str,
+    without: Collection[str] = (),
+) -> str:
     """Return the instance whose queue grants the slots of a target.
 
-    An empty ``target`` stands for any target of the service.
+    An empty ``target`` stands for any target of the service. Instances in ``without``
+    cannot be asked.
     """
     queue_name = f"{service}/{target}"
     if target:
-        return membership.responsible_instance(queue_name)
+        return membership.responsible_instance(queue_name, without)
     # One queue takes the requests of all instances for the service.
-    return membership.strongest_instance(queue_name)
+    return membership.strongest_instance(queue_name, without)
 
 
 @attrs.frozen
@@ -115,9 +126,11 @@
         random: Random,
         control: TargetControlPort,
         metrics: Metrics,
+        bounds: DispatchBounds,
     ) -> None:
         self._control = control
         self._metrics = metrics
+        self._bounds = bounds
         self._nursery: trio.Nursery | None = None
         self._targets_in_check: set[str] = set()
         self.queues_by_service: dict[str, AdmissionQueue] = {}
@@ -137,10 +150,31 @@
         queue = self.queues_by_service.get(service)
         if queue is None:
             queue = self.queues_by_service[service] = AdmissionQueue(
-                self._random.random
+                self._random.random, partial(self._rank, service)
             )
         return queue
 
+    def _rank(self, service: str, target: str) -> int:
+        """Return this instance's position for the slots of a target.
+
+        It counts the registered instances, not those that this one can reach, so that
+        instances that cannot reach each other agree.
+        """
+        if self._is_keyed(service):
+            return self._membership.registered_rank(f"{service}/{target}")
+        return self._membership.registered_rank(f"{service}/", by_capacity=True)
+
+    def _is_keyed(self, service: str) -> bool:
+        policy = self._state.table.services_by_name.get(service)
+        return policy is not None and policy.keyed
+
+    def _warmup_policy(self, service: str) -> WarmupPolicy:
+        policy = self._state.table.services_by_name.get(service)
+        if policy is None:
+            return WarmupPolicy()
+        limit = self._bounds.warmup_limit(policy.warmup_rate)
+        return WarmupPolicy(policy.warmup_rate, policy.warmup, limit)
+
     def _on_state_change(self, kind: str) -> None:
         """Update the queues for a change that may concern all targets."""
         if self._state.table is None or kind not in (CONFIGURATION, DEPARTURES):
@@ -170,10 +204,8 @@
             if is_gone and name in queue.targets_by_id:
                 self._deliver(queue, queue.remove_target(name))
         if target is not None:
-            policy = self._state.table.services_by_name.get(target.service)
-            rate = policy.warmup_rate if policy else 0.0
-            warmup = policy.warmup if policy else 0.0
-            self._queue(target.service).set_target(target, rate, now, warmup)
+            warmup = self._warmup_policy(target.service)
+            self._queue(target.service).set_target(target, now, warmup)
 
     async def run(self) -> None:
         """Refuse late requests and free expired slots at intervals, until cancelled."""
@@ -225,7 +257,7 @@
             started_at=target.record.started_at,
             instance=decision.request.instance,
             recent=decision.cold_grants,
-            suspected=target.is_suspect(trio.current_time()),
+            suspected=target.warmup.is_suspect(trio.current_time()),
             responsible=responsible_for(
                 self._membership, service, decision.request.target
             ),
@@ -418,46 +450,60 @@
         return len(self._refusals_by_queue_and_route)
 
     async def _acquire(self, service: str, queued: QueuedRequest) -> Slot | SlotRefusal:
-        responsible = responsible_for(self._membership, service, queued.target)
-        if responsible != self._membership.own_id:
-            now = trio.current_time()
-            request = SlotRequest(
-                service=service,
-                ask_id=queued.id,
-                target=queued.target,
-                priority=queued.priority,
-                aim_left=queued.soft_deadline_at - now,
-                time_left=queued.deadline_at - now,
-                data_centre=queued.data_centre,
-                route=queued.route,
-            )
+        own_id = self._membership.own_id
+        unreachable: list[str] = []
+        asked = responsible_for(self._membership, service, queued.target)
+        while asked != own_id:
             try:
-                answer = await self._request_from_peer(responsible, request)
+                return await self._acquire_from_peer(asked, service, queued)
             except PeerUnavailableError as error:
-                # The responsible instance is unreachable, so this instance's queue
-                # decides. For a moment two queues may overfill a target; otherwise the
-                # request would have to wait.
                 emit(PEER_CALL_FAILED, error, message="slot-request")
-                self._record_redirection(service, queued.target, responsible)
-            else:
-                if isinstance(answer, SlotGrant):
-                    return Slot(service, answer.number, answer.target, responsible)
-                return answer
+            unreachable.append(asked)
+            asked = self._next_to_ask(service, queued.target, unreachable)
+            self._record_redirection(service, queued.target, unreachable[-1], asked)
         decision = await self._slot_service.acquire(service, queued)
         if isinstance(decision, SlotGranted):
-            return Slot(
-                service, decision.number, decision.target, self._membership.own_id
-            )
+            return Slot(service, decision.number, decision.target, own_id)
         return SlotRefusal(decision.reason, decision.retry_after)
 
-    def _record_redirection(self, service: str, target: str, responsible: str) -> None:
+    def _next_to_ask(self, service: str, target: str, unreachable: list[str]) -> str:
+        """Return the next instance in the order that all instances use.
+
+        If each granted slots for itself instead, they would overfill the target.
+        """
+        if len(unreachable) >= MAX_ASKED_INSTANCES:
+            return self._membership.own_id
+        return responsible_for(self._membership, service, target, unreachable)
+
+    async def _acquire_from_peer(
+        self, peer: str, service: str, queued: QueuedRequest
+    ) -> Slot | SlotRefusal:
+        now = trio.current_time()
+        request = SlotRequest(
+            service=service,
+            ask_id=queued.id,
+            target=queued.target,
+            priority=queued.priority,
+            aim_left=queued.soft_deadline_at - now,
+            time_left=queued.deadline_at - now,
+            data_centre=queued.data_centre,
+            route=queued.route,
+        )
+        answer = await self._request_from_peer(peer, request)
+        if isinstance(answer, SlotGrant):
+            return Slot(service, answer.number, answer.target, peer)
+        return answer
+
+    def _record_redirection(
+        self, service: str, target: str, responsible: str, asked: str
+    ) -> None:
         self._metrics.count(REDIRECTED_SLOT_REQUESTS)
         emit_limited(
             SLOT_REQUEST_REDIRECTED,
             service=service,
             target=target,
             responsible=responsible,
-            asked=self._membership.own_id,
+            asked=asked,
         )
 
     def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -20,10 +20,10 @@
         self.request_count = 0
         self.network = self
 
-    def responsible_instance(self, name: str) -> str:
+    def responsible_instance(self, name: str, without=()) -> str:
         return "b"
 
-    def strongest_instance(self, name: str) -> str:
+    def strongest_instance(self, name: str, without=()) -> str:
         return "b"
 
     async def request(self, peer, message, timeout):
--- a/packages/testing/src/fireflystand_testing/experiment/model.py
+++ b/packages/testing/src/fireflystand_testing/experiment/model.py
@@ -119,7 +119,7 @@
                 data_centre="",
                 slots=target.slots,
             )
-            self._admission_queue.set_target(record, 0.0, 0.0)
+            self._admission_queue.set_target(record, 0.0)
 
     def run(self) -> dict[str, ClassResult]:
         for item in self._load.classes:
