Reckon slots that are used late into the shares of a cold target

A slot of a cold target may be used for half a second, so what arrives within a second was granted in that second and the half before it: a share lets through its burst and 1.5 times its rate. With shares of burst and rate alone, three instances together could exceed 13.4 requests by 1.4. Change: a share counts with 1.5 times its rate; the deputies divide what the first instance leaves, at two requests a second or more each. The first instance's rate stays as it was with the limits of the platform's settings. Tests: test_warmup.ShareTests (sums for rates from 0.5 to 200 and limits from the rate and 1 up to 1.5 times the rate and 10); its bound counts the time of use now.

--- a/packages/core/src/fireflystand_core/dispatch/warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/warmup.py
@@ -18,10 +18,12 @@
 # Instances after the first that may grant slots of a cold target, as far as the limit
 # allows. They are asked while those before them cannot be.
 MAX_DEPUTIES = 2
-DEPUTY_RATE_SHARE = 0.5  # of the warm-up rate
+MAX_DEPUTY_SHARE = 0.5  # of the warm-up rate
 DEPUTY_BURST = 1.0  # requests
-# Requests may take longer to arrive than those granted after them.
-IN_TRANSIT = 1.0  # requests granted before a second that arrive within it
+MIN_DEPUTY_LIMIT = 2.0  # requests within a second that make a deputy worthwhile
+# A slot may be used for this long, so that the requests that arrive within a second
+# were granted in that second and the time before it.
+COLD_GRANT_LIFETIME = 0.5  # seconds from the grant to the first byte
 HEALTH_CHECK_DURATION = 0.02  # seconds expected
 
 
@@ -34,8 +36,15 @@
 
     @property
     def per_second(self) -> float:
-        """Return the most requests granted within any second."""
-        return self.rate + self.burst
+        """Return the most requests sent within any second."""
+        return self.burst + self.rate * (1 + COLD_GRANT_LIFETIME)
+
+    @classmethod
+    def within(cls, limit: float, rate: float, burst: float) -> "WarmupShare":
+        """Return the largest share up to a rate that keeps a limit within a second."""
+        return cls(
+            max(0.0, min(rate, (limit - burst) / (1 + COLD_GRANT_LIFETIME))), burst
+        )
 
 
 NO_SHARE = WarmupShare(0.0, 0.0)
@@ -56,14 +65,17 @@
 
     def share(self, rank: int) -> WarmupShare:
         """Return what the instance of a rank may grant; 0 is the first for a target."""
-        burst = max(1.0, min(COLD_BURST, self.limit - IN_TRANSIT - self.rate))
-        first = WarmupShare(max(0.0, min(self.rate, self.limit - burst)), burst)
+        spread = (1 + COLD_GRANT_LIFETIME) * self.rate
+        burst = max(1.0, min(COLD_BURST, self.limit - spread))
+        first = WarmupShare.within(self.limit, self.rate, burst)
         if rank == 0:
             return first
-        deputy = WarmupShare(DEPUTY_RATE_SHARE * self.rate, DEPUTY_BURST)
-        left = self.limit - IN_TRANSIT - first.per_second
-        deputies = min(MAX_DEPUTIES, left / deputy.per_second)
-        return deputy if rank <= deputies else NO_SHARE
+        left = self.limit - first.per_second
+        deputies = int(min(MAX_DEPUTIES, left / MIN_DEPUTY_LIMIT))
+        if rank > deputies:
+            return NO_SHARE
+        rate = MAX_DEPUTY_SHARE * self.rate
+        return WarmupShare.within(left / deputies, rate, DEPUTY_BURST)
 
 
 class WarmupLimit:
