Give slots of cold targets back that were granted long ago

What callers saw: nothing; a cold target got more in a second than it bears (FAILBACK). Slots granted one after the other at its warm-up rate were used together by instances that had been frozen or cut off, or whose requests had waited for connections: 18 requests of three instances in a second (keyed and pooled), 16 of four where connections came late; 11 are allowed. Cause: a grant was valid until the deadline of its request, however late it was read or used. Change: a grant tells for how long its request was queued and whether the target was limited to its warm-up rate. The sender knows when it asked, so it knows after what time the slot was granted, without another clock and however late it read the answer; the time in the queue does not count. It checks the age with the pauses, when it gets the slot and just before the first byte, after any wait for a connection. A slot of a cold target that is older than 0.5 s goes back unused and the request asks again; it was not sent, so "not run" stays true. Event 6049 and the counter dispatch.outdated_slots tell it. Why it works: what is sent in a second was granted in that second or the half before it, so a queue lets through its burst and 1.5 times the rate at most. Slots of warm targets and those of earlier builds, which tell no time, do not age; no message and no round trip is added for them. Tests: test_late_grants.HeldGrantTests (failed before with the figures above), test_slots.SlotAgeTests, test_late_grants.SlowLinkTests (passed before, too).

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -124,10 +124,17 @@
 @message("slot-grant")
 @attrs.frozen
 class SlotGrant:
-    """Allow a request to be sent to a target."""
+    """Allow a request to be sent to a target.
+
+    ``waited`` is how many seconds the request had been queued when the slot was
+    granted; earlier builds do not tell. ``cold`` tells that the target got no more than
+    its warm-up rate then.
+    """
 
     number: int
     target: str
+    waited: float | None = None
+    cold: bool = False
 
 
 @message("slot-refusal")
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -544,6 +544,10 @@
         wait = retry_after * (0.5 + self._random.random())
         raise RequestRefusedError(503, reason, retry_after=wait)
 
+    def _may_use(self, slot: Slot) -> bool:
+        """Tell whether a request may be sent with a slot now."""
+        return self._takes_requests(slot.target) and self._slots.check(slot)
+
     async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot | None:
         """Return a slot, or None if the target left while the request waited for it."""
         context.phase = _Phase.SLOT
@@ -585,7 +589,7 @@
         self, context: _RequestContext, slot: Slot
     ) -> TargetRecord | None:
         """Return the slot's target, or None if the request may not go to it now."""
-        if not self._takes_requests(slot.target):
+        if not self._may_use(slot):
             return None
         target = self._state.usable_target(slot.target)
         if not self._is_keyed(context.service):
@@ -603,7 +607,7 @@
         context.target = target.id
         context.slots_used += 1
         began_at = trio.current_time()
-        forward = self._forward_request(context, target)
+        forward = self._forward_request(context, slot, target)
         may_have_run_before = context.may_have_run
         result = SlotReturn(slot.service, slot.number)
         opened: Exchange | Failure | None = None
@@ -719,7 +723,7 @@
             self._crash_detector.record_exit(target.id)
 
     def _forward_request(
-        self, context: _RequestContext, target: TargetRecord
+        self, context: _RequestContext, slot: Slot, target: TargetRecord
     ) -> ForwardRequest:
         names = self._settings.target_fields
         control_fields = [(names.expected_target, target.id.encode())]
@@ -744,7 +748,7 @@
             repeatable=repeatable,
             read_more_body=None if complete else context.body.read,
             idle_limit=REPEATABLE_IDLE_LIMIT if repeatable else UNREPEATABLE_IDLE_LIMIT,
-            is_withdrawn=lambda: not self._takes_requests(target.id),
+            is_withdrawn=lambda: not self._may_use(slot),
         )
 
     async def _deliver(
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -27,15 +27,21 @@
 from ..events import (
     COLD_SLOT_GRANTED,
     PEER_CALL_FAILED,
+    SLOT_OUTDATED,
     SLOT_REQUEST_REDIRECTED,
     emit,
     emit_limited,
 )
 from ..future import Future
 from ..http_client import ConnectionFailedError
-from ..metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS, Metrics
+from ..metrics import (
+    COLD_SLOTS,
+    OUTDATED_SLOTS,
+    REDIRECTED_SLOT_REQUESTS,
+    Metrics,
+)
 from ..peers import PeerLink, PeerUnavailableError, Reply
-from .clock import sleep_until_next
+from .clock import lease_clock, sleep_until_next
 from .membership import Membership
 from .ports import CONFIGURATION, DEPARTURES, TargetControlPort
 from .state import RoutingState
@@ -51,6 +57,8 @@
 # A refusal is reused for this long, without a request to the responsible instance.
 REFUSAL_CACHE_TTL = 0.05  # seconds
 MAX_CACHED_REFUSALS = 1000  # before expired ones are dropped
+# Slots that were granted one after the other must not be used together.
+COLD_GRANT_LIFETIME = 0.5  # seconds from the grant to the first byte, at a cold target
 
 
 @attrs.frozen
@@ -73,15 +81,22 @@
 
 @attrs.frozen
 class Slot:
-    """Hold a granted slot and the instance whose admission queue counts it."""
+    """Hold a granted slot and the instance whose admission queue counts it.
+
+    ``granted_at`` is a time on the lease clock after which the slot was granted, None
+    if it is not known.
+    """
 
     service: str
     number: int
     target: str
     responsible: str
+    granted_at: float | None = None
+    cold: bool = False  # whether the target got no more than its warm-up rate
 
 
 Decision = SlotGranted | SlotRefused
+Answer = SlotGrant | SlotRefusal
 
 
 def responsible_for(membership: Membership, service: str, target: str) -> str:
@@ -98,12 +113,24 @@
 
 @attrs.frozen
 class _Requester:
-    """Hold who gets the decision on a slot request; ``link`` is set for a peer's."""
+    """Hold who gets the answer to a slot request; ``link`` is set for a peer's.
+
+    ``asked_at`` is when it was read, in seconds on trio's clock.
+    """
 
     service: str
-    deliver: Callable[[Decision], None]
+    deliver: Callable[[Answer], None]
+    asked_at: float
     link: PeerLink | None = None
 
+    def answer(self, decision: Decision) -> None:
+        """Deliver an admission queue's decision."""
+        if isinstance(decision, SlotRefused):
+            return self.deliver(SlotRefusal(decision.reason, decision.retry_after))
+        waited = trio.current_time() - self.asked_at
+        is_cold = decision.cold_grants > 0
+        self.deliver(SlotGrant(decision.number, decision.target, waited, is_cold))
+
 
 class SlotService:
     """Own this instance's admission queues, one for each service."""
@@ -184,12 +211,12 @@
                 for queue in self.queues_by_service.values():
                     self._deliver(queue, queue.tick(now))
 
-    async def acquire(self, service: str, queued: QueuedRequest) -> Decision:
-        """Wait for a decision; cancellation withdraws the slot request."""
-        decision: Future[Decision] = Future()
-        self._enqueue(queued, _Requester(service, decision.set))
+    async def acquire(self, service: str, queued: QueuedRequest) -> Answer:
+        """Wait for an answer; cancellation withdraws the slot request."""
+        answer: Future[Answer] = Future()
+        self._enqueue(queued, _Requester(service, answer.set, trio.current_time()))
         try:
-            return await decision.wait()
+            return await answer.wait()
         except trio.Cancelled:
             self.withdraw(service, queued.id)
             raise
@@ -207,7 +234,7 @@
                 continue
             if isinstance(decision, SlotGranted) and decision.cold_grants:
                 self._record_cold_grant(requester.service, decision)
-            requester.deliver(decision)
+            requester.answer(decision)
         while queue.suspects and self._nursery is not None:
             target = queue.suspects.pop()
             if target not in self._targets_in_check:
@@ -295,13 +322,7 @@
             route=request.route,
         )
 
-        def deliver(decision: Decision) -> None:
-            if isinstance(decision, SlotGranted):
-                reply(SlotGrant(decision.number, decision.target))
-            else:
-                reply(SlotRefusal(decision.reason, decision.retry_after))
-
-        self._enqueue(queued, _Requester(request.service, deliver, link))
+        self._enqueue(queued, _Requester(request.service, reply, now, link))
 
     def _handle_return(self, message: SlotReturn, link: PeerLink, reply: Reply) -> None:
         if message.leaving:
@@ -350,7 +371,9 @@
         data_centre: str,
         pauses: TargetPauses | None = None,
         metrics: Metrics | None = None,
+        clock: Callable[[], float] = lease_clock,
     ) -> None:
+        self._clock = clock
         self._metrics = metrics or Metrics()
         self._pauses = pauses or TargetPauses()
         self._slot_service = slot_service
@@ -419,6 +442,7 @@
 
     async def _acquire(self, service: str, queued: QueuedRequest) -> Slot | SlotRefusal:
         responsible = responsible_for(self._membership, service, queued.target)
+        asked_at = self._clock()
         if responsible != self._membership.own_id:
             now = trio.current_time()
             request = SlotRequest(
@@ -439,16 +463,49 @@
                 # request would have to wait.
                 emit(PEER_CALL_FAILED, error, message="slot-request")
                 self._record_redirection(service, queued.target, responsible)
+                asked_at = self._clock()
             else:
-                if isinstance(answer, SlotGrant):
-                    return Slot(service, answer.number, answer.target, responsible)
-                return answer
-        decision = await self._slot_service.acquire(service, queued)
-        if isinstance(decision, SlotGranted):
-            return Slot(
-                service, decision.number, decision.target, self._membership.own_id
-            )
-        return SlotRefusal(decision.reason, decision.retry_after)
+                return self._slot(service, answer, responsible, asked_at)
+        answer = await self._slot_service.acquire(service, queued)
+        return self._slot(service, answer, self._membership.own_id, asked_at)
+
+    def _slot(
+        self, service: str, answer: Answer, responsible: str, asked_at: float
+    ) -> Slot | SlotRefusal:
+        """Return the slot that an answer grants, or the refusal.
+
+        Neither a late answer nor a freeze of this process makes a slot look younger.
+        """
+        if isinstance(answer, SlotRefusal):
+            return answer
+        return Slot(
+            service,
+            answer.number,
+            answer.target,
+            responsible,
+            None if answer.waited is None else asked_at + answer.waited,
+            answer.cold,
+        )
+
+    def check(self, slot: Slot) -> bool:
+        """Tell whether a slot may be used now; log one that has to be given back."""
+        if not self._is_outdated(slot):
+            return True
+        self._metrics.count(OUTDATED_SLOTS)
+        emit_limited(
+            SLOT_OUTDATED,
+            service=slot.service,
+            target=slot.target,
+            responsible=slot.responsible,
+            age=round(self._clock() - slot.granted_at, 3),
+        )
+        return False
+
+    def _is_outdated(self, slot: Slot) -> bool:
+        """Tell whether a slot was granted too long ago for its request to be sent."""
+        if slot.granted_at is None or not slot.cold:
+            return False
+        return self._clock() - slot.granted_at > COLD_GRANT_LIFETIME
 
     def _record_redirection(self, service: str, target: str, responsible: str) -> None:
         self._metrics.count(REDIRECTED_SLOT_REQUESTS)
--- /dev/null
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
@@ -0,0 +1,190 @@
+"""Test slots that are used long after they were granted."""
+
+import unittest
+from collections import Counter
+from unittest import mock
+
+import trio
+
+from fireflystand_core.messages import SlotRequest
+
+from ...forward.pool import TargetPool
+from ..node import DispatchNode
+from ..ports import TARGETS
+from .node_support import Caller, Fleet, HttpTarget, eventually, play_fleet
+from .test_cold_targets import (
+    BOUND,
+    WARMUP,
+    WARMUP_RATE,
+    most_in_a_second,
+    responsible_node,
+)
+
+NODES = 4
+TIME_LEFT = 12.0  # seconds that the callers give their requests
+SLOTS = 20
+
+
+class HeldAnswers:
+    """Hold the answers to an instance's slot requests, like a socket not yet read."""
+
+    def __init__(self, node: DispatchNode) -> None:
+        self._request = node.network.request
+        self._released = trio.Event()
+        self.arrived = 0
+        self.count = 0
+        node.network.request = self.request
+
+    async def request(self, instance: str, message, timeout: float | None = 1.0):
+        """Send a message; return the answer to a slot request once it is released."""
+        answer = await self._request(instance, message, timeout)
+        if isinstance(message, SlotRequest):
+            self.count += 1
+            await self._wait()
+        return answer
+
+    async def _wait(self) -> None:
+        self.arrived += 1
+        await self._released.wait()
+
+    def release(self) -> None:
+        """Deliver what has arrived, and from now on everything at once."""
+        self._released.set()
+
+
+class SlowAnswers(HeldAnswers):
+    """Delay the answers to an instance's slot requests, like a slow link."""
+
+    delay = 0.8  # seconds
+
+    async def _wait(self) -> None:
+        await trio.sleep(self.delay)
+
+
+async def start_fleet(fleet: Fleet, service: str, **fields) -> HttpTarget:
+    """Start the instances and the targets; return the only one of a service."""
+    fleet.configure(
+        2, warmup=WARMUP, warmup_rate=WARMUP_RATE, max_attempts=1, timeout=TIME_LEFT
+    )
+    await fleet.add_target("pooled" if service == "keyed" else "keyed")
+    target = await fleet.add_target(service, work=0.02)
+    write_record(fleet, slots=SLOTS, started_at=1, **fields)
+    for _ in range(NODES):
+        await fleet.add_node()
+    await fleet.settle()
+    return target
+
+
+def write_record(fleet: Fleet, **fields) -> None:
+    """Change the record of the only target of the service under test."""
+    record = fleet.store.objects[TARGETS]["t2"].value
+    fleet.store.write(TARGETS, "t2", record | fields)
+
+
+def other_nodes(fleet: Fleet, service: str) -> list[DispatchNode]:
+    """Return the instances that do not grant the slots of the target themselves."""
+    responsible = responsible_node(fleet, service)
+    return [node for node in fleet.nodes if node is not responsible]
+
+
+class LateGrants:
+    """Own requests whose grants are held, and count how they end."""
+
+    def __init__(self, nursery: trio.Nursery, service: str) -> None:
+        self._nursery = nursery
+        self._service = service
+        self.statuses: Counter[int] = Counter()
+
+    async def hold(self, node: DispatchNode, count: int) -> HeldAnswers:
+        """Send requests through an instance; return once all their grants are held."""
+        held = HeldAnswers(node)
+        await self.send(node, count)
+        await eventually(lambda: held.arrived == count)
+        return held
+
+    async def send(self, node: DispatchNode, count: int) -> None:
+        """Send requests through an instance, each on a connection of its own."""
+        for _ in range(count):
+            self._nursery.start_soon(self._send, await Caller.connect(node))
+
+    async def _send(self, caller: Caller) -> None:
+        deadline = str(int(TIME_LEFT * 1000))
+        status, _ = await caller.request(f"/{self._service[0]}/x", deadline=deadline)
+        self.statuses[status] += 1
+
+
+class HeldGrantTests(unittest.TestCase):
+    """Guard against a flood of a cold target by grants that are used together.
+
+    They had been made one after the other at its warm-up rate, for instances that then
+    froze or were cut off.
+    """
+
+    def check(self, service: str) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, service, cold_for=WARMUP)
+            frozen = other_nodes(fleet, service)
+            held = []
+            async with trio.open_nursery() as nursery:
+                requests = LateGrants(nursery, service)
+                for node in frozen:
+                    held.append(await requests.hold(node, 6))
+                for answers in held:
+                    answers.release()
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+            self.assertEqual(len(target.arrivals), requests.statuses[200])
+
+        play_fleet(scenario)
+
+    def test_grants_of_a_cold_target(self):
+        for service in ("keyed", "pooled"):
+            with self.subTest(service):
+                self.check(service)
+
+    def test_requests_that_wait_for_a_connection(self):
+        """Each had its slot in time."""
+        may_connect = trio.Event()
+        waiting = 0
+        connect = TargetPool._connect
+
+        async def connect_late(pool: TargetPool):
+            nonlocal waiting
+            waiting += 1
+            await may_connect.wait()
+            return await connect(pool)
+
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, "keyed", cold_for=WARMUP)
+            async with trio.open_nursery() as nursery:
+                requests = LateGrants(nursery, "keyed")
+                for node in fleet.nodes:
+                    await requests.send(node, 4)
+                await eventually(lambda: waiting == 4 * NODES)
+                may_connect.set()
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+            self.assertEqual(len(target.arrivals), requests.statuses[200])
+
+        with mock.patch.object(TargetPool, "_connect", connect_late):
+            play_fleet(scenario)
+
+
+class SlowLinkTests(unittest.TestCase):
+    """Guard against limits on late grants that warm targets need not have."""
+
+    def test_warm_target_is_used_over_a_slow_link(self):
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, "keyed")
+            node = other_nodes(fleet, "keyed")[0]
+            async with trio.open_nursery() as nursery:
+                answers = SlowAnswers(node)
+                requests = LateGrants(nursery, "keyed")
+                await requests.send(node, SLOTS)
+            self.assertEqual(requests.statuses, {200: SLOTS})
+            self.assertEqual(len(target.arrivals), SLOTS)
+            self.assertEqual(answers.count, SLOTS)
+
+        play_fleet(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -2,10 +2,11 @@
 
 import unittest
 
+import msgpack
 import trio
 import trio.testing
 
-from fireflystand_core.messages import SlotRefusal
+from fireflystand_core.messages import Decoder, SlotGrant, SlotRefusal, encode
 
 from ..slots import MAX_CACHED_REFUSALS, SlotClient
 
@@ -74,5 +75,67 @@
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class LateAnswerPeer(RefusingPeer):
+    """Grant slots and answer late."""
+
+    def __init__(self, answer: SlotGrant, waited: float, delay: float) -> None:
+        super().__init__()
+        self.answer = answer
+        self.waited = waited  # seconds in the queue
+        self.delay = delay  # seconds of the answer on its way
+
+    async def request(self, peer, message, timeout):
+        await trio.sleep(self.waited + self.delay)
+        return self.answer
+
+
+class SlotAgeTests(unittest.TestCase):
+    """Guard against slots that look younger or older than they are."""
+
+    def is_usable(
+        self, answer: SlotGrant, *, waited=0.0, delay=0.0, held=0.0, clock=None
+    ) -> bool:
+        """Tell whether a slot may be used that was queued, sent and held so long."""
+        usable = None
+        peer = LateAnswerPeer(answer, waited, delay)
+        client = SlotClient(None, peer, None, "x", clock=clock or trio.current_time)
+
+        async def main():
+            nonlocal usable
+            now = trio.current_time()
+            slot = await client.acquire("s", "t1", 1, now, now + 9.0)
+            await trio.sleep(held)
+            usable = client.check(slot)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return usable
+
+    def test_time_in_the_queue_does_not_count(self):
+        grant = SlotGrant(1, "t1", waited=3.0, cold=True)
+        self.assertTrue(self.is_usable(grant, waited=3.0, delay=0.1, held=0.1))
+
+    def test_time_on_the_way_and_after_it_count_together(self):
+        grant = SlotGrant(1, "t1", waited=3.0, cold=True)
+        for delay, held in ((0.6, 0.0), (0.0, 0.6), (0.3, 0.3)):
+            with self.subTest(delay=delay, held=held):
+                usable = self.is_usable(grant, waited=3.0, delay=delay, held=held)
+                self.assertFalse(usable)
+
+    def test_time_of_a_suspended_machine_counts(self):
+        """Trio's clock stands still meanwhile."""
+        times = iter((10.0, 11.0, 11.0))
+        grant = SlotGrant(1, "t1", waited=0.0, cold=True)
+        self.assertFalse(self.is_usable(grant, clock=lambda: next(times)))
+
+    def test_slots_of_warm_targets_and_of_earlier_builds_do_not_age(self):
+        _, correlation, fields = msgpack.unpackb(encode(1, SlotGrant(1, "t1")))
+        earlier = {"number": fields["number"], "target": fields["target"]}
+        data = msgpack.packb(["slot-grant", correlation, earlier])
+        (envelope,) = Decoder().feed(data)
+        for grant in (envelope.message, SlotGrant(1, "t1", waited=0.0)):
+            with self.subTest(grant):
+                self.assertTrue(self.is_usable(grant, delay=3.0, held=3.0))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -483,6 +483,15 @@
     "responsible",
     "asked",
 )
+SLOT_OUTDATED = define_event(
+    6049,
+    "INFO",
+    "slot given back unused because it was granted too long ago",
+    "service",
+    "target",
+    "responsible",
+    "age",
+)
 TARGET_PAUSED = define_event(
     6044, "INFO", "target asked for a pause", "target", "service", "seconds"
 )
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -249,6 +249,12 @@
     "requests",
     "slot requests whose responsible instance could not be asked",
 )
+OUTDATED_SLOTS = define_metric(
+    "dispatch.outdated_slots",
+    "counter",
+    "slots",
+    "slots given back unused because they were granted too long ago",
+)
 LIVE_PEERS = define_metric(
     "dispatch.live_peers", "gauge", "instances", "other instances that are reachable"
 )
