Give slots back that were granted before a target was cold

Cause: a slot named a target, not a process of it, and the sender did not compare it with what it knew of the target when it sent the request. Change: a grant names the start of the process that it is for and the version of the record by which the granting instance knew it. The sender keeps until when a target says that it is cold. Why it works: the versions of the records tell which of the two instances lags behind, without any clock. A grant for a later process than the sender knows is used, since the granting instance has counted it for that process. Warm targets, also restarted ones, are served as before.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -128,13 +128,16 @@
 
     ``waited`` is how many seconds the request had been queued when the slot was
     granted; earlier builds do not tell. ``cold`` tells that the target got no more than
-    its warm-up rate then.
+    its warm-up rate then. ``started_at`` is the start of its process and ``version``
+    that of the record by which the granting instance knew it.
     """
 
     number: int
     target: str
     waited: float | None = None
     cold: bool = False
+    started_at: int = 0
+    version: int = 0
 
 
 @message("slot-refusal")
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -84,7 +84,8 @@
     """Hold a granted slot and the instance whose admission queue counts it.
 
     ``granted_at`` is a time on the lease clock after which the slot was granted, None
-    if it is not known.
+    if it is not known. ``started_at`` is the start of the process that it was granted
+    for, and ``version`` that of the target's record then.
     """
 
     service: str
@@ -93,6 +94,8 @@
     responsible: str
     granted_at: float | None = None
     cold: bool = False  # whether the target got no more than its warm-up rate
+    started_at: int = 0
+    version: int = 0
 
 
 Decision = SlotGranted | SlotRefused
@@ -123,13 +126,21 @@
     asked_at: float
     link: PeerLink | None = None
 
-    def answer(self, decision: Decision) -> None:
-        """Deliver an admission queue's decision."""
-        if isinstance(decision, SlotRefused):
-            return self.deliver(SlotRefusal(decision.reason, decision.retry_after))
-        waited = trio.current_time() - self.asked_at
-        is_cold = decision.cold_grants > 0
-        self.deliver(SlotGrant(decision.number, decision.target, waited, is_cold))
+    def refuse(self, decision: SlotRefused) -> None:
+        """Deliver a refusal."""
+        self.deliver(SlotRefusal(decision.reason, decision.retry_after))
+
+    def grant(self, decision: SlotGranted, target: TargetRecord) -> None:
+        """Deliver the grant of a slot at a target."""
+        grant = SlotGrant(
+            decision.number,
+            decision.target,
+            waited=trio.current_time() - self.asked_at,
+            cold=decision.cold_grants > 0,
+            started_at=target.started_at,
+            version=target.version,
+        )
+        self.deliver(grant)
 
 
 class SlotService:
@@ -232,9 +243,12 @@
             requester = self._requesters_by_id.pop(decision.request.id, None)
             if requester is None:
                 continue
-            if isinstance(decision, SlotGranted) and decision.cold_grants:
+            if isinstance(decision, SlotRefused):
+                requester.refuse(decision)
+                continue
+            if decision.cold_grants:
                 self._record_cold_grant(requester.service, decision)
-            requester.answer(decision)
+            requester.grant(decision, queue.targets_by_id[decision.target].record)
         while queue.suspects and self._nursery is not None:
             target = queue.suspects.pop()
             if target not in self._targets_in_check:
@@ -485,6 +499,8 @@
             responsible,
             None if answer.waited is None else asked_at + answer.waited,
             answer.cold,
+            answer.started_at,
+            answer.version,
         )
 
     def check(self, slot: Slot) -> bool:
@@ -498,15 +514,36 @@
             target=slot.target,
             responsible=slot.responsible,
             age=round(self._clock() - slot.granted_at, 3),
+            started_at=slot.started_at,
         )
         return False
 
     def _is_outdated(self, slot: Slot) -> bool:
-        """Tell whether a slot was granted too long ago for its request to be sent."""
-        if slot.granted_at is None or not slot.cold:
+        """Tell whether a slot no longer allows its request to be sent.
+
+        At a cold target it is for one process and for a short time.
+        """
+        if slot.granted_at is None:
+            return False
+        if self._was_for_warm_process(slot):
+            return True
+        target = self._state.targets_by_id.get(slot.target)
+        if not slot.cold and (target is None or not self._state.is_cold(target)):
             return False
         return self._clock() - slot.granted_at > COLD_GRANT_LIFETIME
 
+    def _was_for_warm_process(self, slot: Slot) -> bool:
+        """Tell whether a slot was granted for a process before the present cold one."""
+        target = self._state.targets_by_id.get(slot.target)
+        return (
+            target is not None
+            and not slot.cold
+            # With an earlier record this instance lags behind the granting one.
+            and target.version > slot.version
+            and target.started_at != slot.started_at
+            and self._state.is_cold(target)
+        )
+
     def _record_redirection(self, service: str, target: str, responsible: str) -> None:
         self._metrics.count(REDIRECTED_SLOT_REQUESTS)
         emit_limited(
@@ -546,6 +583,9 @@
             now = trio.current_time()
             if pause := self._pauses.left(target.id, target.started_at, now):
                 result = attrs.evolve(result, pause=pause)
+        if slot.granted_at is not None and self._was_for_warm_process(slot):
+            # The granting instance may not know the present process yet.
+            result = attrs.evolve(result, may_have_restarted=True)
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -109,6 +109,8 @@
         self.targets_by_id: dict[str, TargetRecord] = {}
         # Also the records of targets that were removed.
         self.latest_records_by_target: dict[str, TargetRecord] = {}
+        # The start of the process that stated that it is cold, and until when it is.
+        self._cold_processes_by_target: dict[str, tuple[int, float]] = {}
         self.departed_data_centres: frozenset[str] = frozenset()
         self.records_by_service: dict[str, RangeRecord] = {}
         self._record_values_by_service: dict[str, dict] = {}  # their stored forms
@@ -179,9 +181,26 @@
             service=target.service,
             seconds=round(seconds, 2),
         )
-        self.targets_by_id[target_id] = attrs.evolve(target, cold_for=seconds)
+        target = attrs.evolve(target, cold_for=seconds)
+        self.targets_by_id[target_id] = target
+        self._record_cold(target)
         self.notify(TARGETS, [target_id])
 
+    def _record_cold(self, target: TargetRecord) -> None:
+        if target.cold_for > 0:
+            cold_until = self._clock() + target.cold_for
+            self._cold_processes_by_target[target.id] = (target.started_at, cold_until)
+
+    def is_cold(self, target: TargetRecord) -> bool:
+        """Tell whether a target gets its warm-up rate, as far as it has stated that."""
+        started_at, cold_until = self._cold_processes_by_target.get(
+            target.id, (0, float("-inf"))
+        )
+        if started_at != target.started_at or self._clock() >= cold_until:
+            return False
+        policy = self.table and self.table.services_by_name.get(target.service)
+        return policy is not None and policy.warmup_rate > 0
+
     def has_stated_leaving(self, target: TargetRecord) -> bool:
         """Tell whether the process of a record stated that it leaves."""
         return self._leaving_starts_by_target.get(target.id) == target.started_at
@@ -553,6 +572,7 @@
             )
         self.targets_by_id[target.id] = target
         self.latest_records_by_target[target.id] = target
+        self._record_cold(target)
 
     def _handle_deletion(self, change: ObjectChange) -> None:
         known = self.targets_by_id.get(change.name)
@@ -570,6 +590,7 @@
 
     def _remove_target(self, name: str, revision: int) -> None:
         known = self.targets_by_id.pop(name, None)
+        self._cold_processes_by_target.pop(name, None)
         if known is not None:
             self._removals.add(known)
             emit(
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
@@ -1,4 +1,4 @@
-"""Test slots that are used long after they were granted."""
+"""Test slots that are used long after they were granted, or by another process."""
 
 import unittest
 from collections import Counter
@@ -7,10 +7,13 @@
 import trio
 
 from fireflystand_core.messages import SlotRequest
+from fireflystand_core.replica import ObjectChange
 
 from ...forward.pool import TargetPool
 from ..node import DispatchNode
 from ..ports import TARGETS
+from ..slots import COLD_GRANT_LIFETIME
+from ..state import ChangeSource
 from .node_support import Caller, Fleet, HttpTarget, eventually, play_fleet
 from .test_cold_targets import (
     BOUND,
@@ -81,6 +84,17 @@
     fleet.store.write(TARGETS, "t2", record | fields)
 
 
+async def tell_all(fleet: Fleet, **fields) -> None:
+    """Change the target's record and wait until all instances know it."""
+    write_record(fleet, **fields)
+    version = fleet.store.revision
+    await eventually(
+        lambda: all(
+            node.state.targets_by_id["t2"].version >= version for node in fleet.nodes
+        )
+    )
+
+
 def other_nodes(fleet: Fleet, service: str) -> list[DispatchNode]:
     """Return the instances that do not grant the slots of the target themselves."""
     responsible = responsible_node(fleet, service)
@@ -168,6 +182,58 @@
             play_fleet(scenario)
 
 
+class FormerGrantTests(unittest.TestCase):
+    """Guard against a flood of a cold target by grants of the time when it was warm."""
+
+    def check(self, service: str, known_for: float, **record) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, service)
+            async with trio.open_nursery() as nursery:
+                requests = LateGrants(nursery, service)
+                held = await requests.hold(other_nodes(fleet, service)[0], SLOTS)
+                await tell_all(fleet, cold_for=WARMUP, **record)
+                await trio.sleep(known_for)
+                held.release()
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+            self.assertEqual(len(target.arrivals), requests.statuses[200])
+
+        play_fleet(scenario)
+
+    def test_target_that_turned_cold(self):
+        for service in ("keyed", "pooled"):
+            with self.subTest(service):
+                self.check(service, COLD_GRANT_LIFETIME + 0.1)
+
+    def test_target_that_started_again(self):
+        """However short the time since the grants."""
+        for service in ("keyed", "pooled"):
+            with self.subTest(service):
+                self.check(service, 0.0, started_at=2)
+
+    def test_granting_instance_does_not_know_the_process_yet(self):
+        """It is told by the slots that come back, and the requests are served."""
+
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, "keyed")
+            granting = responsible_node(fleet, "keyed")
+            node = other_nodes(fleet, "keyed")[0]
+            known = fleet.store.objects[TARGETS]["t2"]
+            address = known.value["address"]
+            value = known.value | {"started_at": 2, "cold_for": WARMUP}
+            change = ObjectChange("t2", known.version + 1, value)
+            node.state._decode(TARGETS, [change], ChangeSource.PUSH)
+            for each in fleet.nodes:
+                each.control.cold_for_by_address[address] = WARMUP
+            async with trio.open_nursery() as nursery:
+                requests = LateGrants(nursery, "keyed")
+                await requests.send(node, SLOTS)
+            self.assertEqual(granting.state.targets_by_id["t2"].started_at, 1)
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+            self.assertEqual(requests.statuses, {200: SLOTS})
+
+        play_fleet(scenario)
+
+
 class SlowLinkTests(unittest.TestCase):
     """Guard against limits on late grants that warm targets need not have."""
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -9,6 +9,7 @@
 from fireflystand_core.messages import Decoder, SlotGrant, SlotRefusal, encode
 
 from ..slots import MAX_CACHED_REFUSALS, SlotClient
+from ..state import RoutingState
 
 
 class RefusingPeer:
@@ -98,7 +99,8 @@
         """Tell whether a slot may be used that was queued, sent and held so long."""
         usable = None
         peer = LateAnswerPeer(answer, waited, delay)
-        client = SlotClient(None, peer, None, "x", clock=clock or trio.current_time)
+        state = RoutingState(None, None)
+        client = SlotClient(None, peer, state, "x", clock=clock or trio.current_time)
 
         async def main():
             nonlocal usable
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -486,11 +486,12 @@
 SLOT_OUTDATED = define_event(
     6049,
     "INFO",
-    "slot given back unused because it was granted too long ago",
+    "slot given back unused because it is outdated",
     "service",
     "target",
     "responsible",
     "age",
+    "started_at",
 )
 TARGET_PAUSED = define_event(
     6044, "INFO", "target asked for a pause", "target", "service", "seconds"
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -253,7 +253,7 @@
     "dispatch.outdated_slots",
     "counter",
     "slots",
-    "slots given back unused because they were granted too long ago",
+    "slots given back unused because they were outdated",
 )
 LIVE_PEERS = define_metric(
     "dispatch.live_peers", "gauge", "instances", "other instances that are reachable"
