--- a/packages/core/src/fireflystand_core/dispatch/warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/warmup.py
@@ -12,7 +12,7 @@
 
 from ..accounts import TokenBucket
 
-__all__ = ["WarmupLimit", "WarmupPolicy", "WarmupShare"]
+__all__ = ["COLD_GRANT_LIFETIME", "WarmupLimit", "WarmupPolicy", "WarmupShare"]
 
 COLD_BURST = 2.0  # requests that a cold target may get at once
 # Instances after the first that may grant slots of a cold target, as far as the limit
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -8,6 +8,7 @@
 import trio
 
 from fireflystand_core.dispatch import (
+    COLD_GRANT_LIFETIME,
     AdmissionQueue,
     QueuedRequest,
     SlotGranted,
@@ -29,15 +30,21 @@
 from ..events import (
     COLD_SLOT_GRANTED,
     PEER_CALL_FAILED,
+    SLOT_OUTDATED,
     SLOT_REQUEST_REDIRECTED,
     emit,
     emit_limited,
 )
 from ..future import Future
 from ..http_client import ConnectionFailedError
-from ..metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS, Metrics
+from ..metrics import (
+    COLD_SLOTS,
+    OUTDATED_SLOTS,
+    REDIRECTED_SLOT_REQUESTS,
+    Metrics,
+)
 from ..peers import PeerLink, PeerUnavailableError, Reply
-from .clock import sleep_until_next
+from .clock import lease_clock, sleep_until_next
 from .membership import Membership
 from .ports import CONFIGURATION, DEPARTURES, DispatchBounds, TargetControlPort
 from .state import RoutingState
@@ -78,15 +85,25 @@
 
 @attrs.frozen
 class Slot:
-    """Hold a granted slot and the instance whose admission queue counts it."""
+    """Hold a granted slot and the instance whose admission queue counts it.
+
+    ``granted_at`` is a time on the lease clock after which the slot was granted, None
+    if it is not known. ``started_at`` is the start of the process that it was granted
+    for, and ``version`` that of the target's record then.
+    """
 
     service: str
     number: int
     target: str
     responsible: str
+    granted_at: float | None = None
+    cold: bool = False  # whether the target got no more than its warm-up rate
+    started_at: int = 0
+    version: int = 0
 
 
 Decision = SlotGranted | SlotRefused
+Answer = SlotGrant | SlotRefusal
 
 
 def responsible_for(
@@ -109,12 +126,32 @@
 
 @attrs.frozen
 class _Requester:
-    """Hold who gets the decision on a slot request; ``link`` is set for a peer's."""
+    """Hold who gets the answer to a slot request; ``link`` is set for a peer's.
+
+    ``asked_at`` is when it was read, in seconds on trio's clock.
+    """
 
     service: str
-    deliver: Callable[[Decision], None]
+    deliver: Callable[[Answer], None]
+    asked_at: float
     link: PeerLink | None = None
 
+    def refuse(self, decision: SlotRefused) -> None:
+        """Deliver a refusal."""
+        self.deliver(SlotRefusal(decision.reason, decision.retry_after))
+
+    def grant(self, decision: SlotGranted, target: TargetRecord) -> None:
+        """Deliver the grant of a slot at a target."""
+        grant = SlotGrant(
+            decision.number,
+            decision.target,
+            waited=trio.current_time() - self.asked_at,
+            cold=decision.cold_grants > 0,
+            started_at=target.started_at,
+            version=target.version,
+        )
+        self.deliver(grant)
+
 
 class SlotService:
     """Own this instance's admission queues, one for each service."""
@@ -216,12 +253,12 @@
                 for queue in self.queues_by_service.values():
                     self._deliver(queue, queue.tick(now))
 
-    async def acquire(self, service: str, queued: QueuedRequest) -> Decision:
-        """Wait for a decision; cancellation withdraws the slot request."""
-        decision: Future[Decision] = Future()
-        self._enqueue(queued, _Requester(service, decision.set))
+    async def acquire(self, service: str, queued: QueuedRequest) -> Answer:
+        """Wait for an answer; cancellation withdraws the slot request."""
+        answer: Future[Answer] = Future()
+        self._enqueue(queued, _Requester(service, answer.set, trio.current_time()))
         try:
-            return await decision.wait()
+            return await answer.wait()
         except trio.Cancelled:
             self.withdraw(service, queued.id)
             raise
@@ -237,9 +274,12 @@
             requester = self._requesters_by_id.pop(decision.request.id, None)
             if requester is None:
                 continue
-            if isinstance(decision, SlotGranted) and decision.cold_grants:
+            if isinstance(decision, SlotRefused):
+                requester.refuse(decision)
+                continue
+            if decision.cold_grants:
                 self._record_cold_grant(requester.service, decision)
-            requester.deliver(decision)
+            requester.grant(decision, queue.targets_by_id[decision.target].record)
         while queue.suspects and self._nursery is not None:
             target = queue.suspects.pop()
             if target not in self._targets_in_check:
@@ -327,13 +367,7 @@
             route=request.route,
         )
 
-        def deliver(decision: Decision) -> None:
-            if isinstance(decision, SlotGranted):
-                reply(SlotGrant(decision.number, decision.target))
-            else:
-                reply(SlotRefusal(decision.reason, decision.retry_after))
-
-        self._enqueue(queued, _Requester(request.service, deliver, link))
+        self._enqueue(queued, _Requester(request.service, reply, now, link))
 
     def _handle_return(self, message: SlotReturn, link: PeerLink, reply: Reply) -> None:
         if message.leaving:
@@ -382,7 +416,9 @@
         data_centre: str,
         pauses: TargetPauses | None = None,
         metrics: Metrics | None = None,
+        clock: Callable[[], float] = lease_clock,
     ) -> None:
+        self._clock = clock
         self._metrics = metrics or Metrics()
         self._pauses = pauses or TargetPauses()
         self._slot_service = slot_service
@@ -461,10 +497,70 @@
             unreachable.append(asked)
             asked = self._next_to_ask(service, queued.target, unreachable)
             self._record_redirection(service, queued.target, unreachable[-1], asked)
-        decision = await self._slot_service.acquire(service, queued)
-        if isinstance(decision, SlotGranted):
-            return Slot(service, decision.number, decision.target, own_id)
-        return SlotRefusal(decision.reason, decision.retry_after)
+        asked_at = self._clock()
+        answer = await self._slot_service.acquire(service, queued)
+        return self._slot(service, answer, own_id, asked_at)
+
+    def _slot(
+        self, service: str, answer: Answer, responsible: str, asked_at: float
+    ) -> Slot | SlotRefusal:
+        """Return the slot that an answer grants, or the refusal.
+
+        Neither a late answer nor a freeze of this process makes a slot look younger.
+        """
+        if isinstance(answer, SlotRefusal):
+            return answer
+        return Slot(
+            service,
+            answer.number,
+            answer.target,
+            responsible,
+            None if answer.waited is None else asked_at + answer.waited,
+            answer.cold,
+            answer.started_at,
+            answer.version,
+        )
+
+    def check(self, slot: Slot) -> bool:
+        """Tell whether a slot may be used now; log one that has to be given back."""
+        if not self._is_outdated(slot):
+            return True
+        self._metrics.count(OUTDATED_SLOTS)
+        emit_limited(
+            SLOT_OUTDATED,
+            service=slot.service,
+            target=slot.target,
+            responsible=slot.responsible,
+            age=round(self._clock() - slot.granted_at, 3),
+            started_at=slot.started_at,
+        )
+        return False
+
+    def _is_outdated(self, slot: Slot) -> bool:
+        """Tell whether a slot no longer allows its request to be sent.
+
+        At a cold target it is for one process and for a short time.
+        """
+        if slot.granted_at is None:
+            return False
+        if self._was_for_warm_process(slot):
+            return True
+        target = self._state.targets_by_id.get(slot.target)
+        if not slot.cold and (target is None or not self._state.is_cold(target)):
+            return False
+        return self._clock() - slot.granted_at > COLD_GRANT_LIFETIME
+
+    def _was_for_warm_process(self, slot: Slot) -> bool:
+        """Tell whether a slot was granted for a process before the present cold one."""
+        target = self._state.targets_by_id.get(slot.target)
+        return (
+            target is not None
+            and not slot.cold
+            # With an earlier record this instance lags behind the granting one.
+            and target.version > slot.version
+            and target.started_at != slot.started_at
+            and self._state.is_cold(target)
+        )
 
     def _next_to_ask(self, service: str, target: str, unreachable: list[str]) -> str:
         """Return the next instance in the order that all instances use.
@@ -478,6 +574,7 @@
     async def _acquire_from_peer(
         self, peer: str, service: str, queued: QueuedRequest
     ) -> Slot | SlotRefusal:
+        asked_at = self._clock()
         now = trio.current_time()
         request = SlotRequest(
             service=service,
@@ -490,9 +587,7 @@
             route=queued.route,
         )
         answer = await self._request_from_peer(peer, request)
-        if isinstance(answer, SlotGrant):
-            return Slot(service, answer.number, answer.target, peer)
-        return answer
+        return self._slot(service, answer, peer, asked_at)
 
     def _record_redirection(
         self, service: str, target: str, responsible: str, asked: str
@@ -535,6 +630,9 @@
             now = trio.current_time()
             if pause := self._pauses.left(target.id, target.started_at, now):
                 result = attrs.evolve(result, pause=pause)
+        if slot.granted_at is not None and self._was_for_warm_process(slot):
+            # The granting instance may not know the present process yet.
+            result = attrs.evolve(result, may_have_restarted=True)
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
