Share the retry budget among the registered instances at all times

Callers saw nothing; targets could get more retries than the operators allow. Cause: an instance divided the burst by the number of instances it knew at its first request to a service, and never again: one that knew only itself kept the burst of the whole fleet. Where the part was below one, each instance got a whole retry, and all of them saved it up in calm times.

SharedRetryBudget earns retries as a share of requests and, with time, at the instance's part of the burst for each 10 s. The part is one registered instance's, read at each use, whether or not the others are in reach; it is nothing until the registry has been read. Fractions begin at a random phase, so that small parts are granted at spaced times rather than never, and what is not spent within 5 s lapses, so that a window gets at most 1.5 times what a window earns. The platform's settings halve the operators' limits, which leaves room for that and for rounding.

Evidence: an instance that knew 39 others after its first request sent 25 retries for 60 refused requests, of which 10.5 were allowed by the test (test_retries). In the model with the figures 0.2 and 64, the former budget let 82 and 195 instances send 82 and 195 retries in 10 s without requests (test_retry_budget).

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from fireflystand_core.admission import RetryBudget
+from fireflystand_core.admission import SharedRetryBudget
 from fireflystand_core.dispatch import (
     TARGET_GONE,
     TARGET_PAUSES,
@@ -179,7 +179,7 @@
         self._loop_lag = loop_lag
         self._reader = RequestReader(settings.caller_fields, settings.target_fields)
         self._choices_by_route: dict[str, WeightedChoice] = {}
-        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._budgets_by_service: dict[str, SharedRetryBudget] = {}
         self._longest_deadlines_by_route: dict[str, float] = {}
         self._time_limits = TimeLimits()
         self._owner_waits = OwnerWaits()
@@ -398,7 +398,8 @@
             context.route.name, WeightedChoice(self._random)
         )
         context.service = choice.choose(context.route)
-        self._retry_budget(context).note_request()
+        part = self._state.registered_share
+        self._retry_budget(context).note_request(part, trio.current_time())
 
     async def _check_rate(self, context: _RequestContext) -> None:
         if context.account is None:
@@ -410,13 +411,16 @@
             wait = retry_after * (1 + self._random.random())
             raise RequestRefusedError(429, "account is over its rate", retry_after=wait)
 
-    def _retry_budget(self, context: _RequestContext) -> RetryBudget:
+    def _retry_budget(self, context: _RequestContext) -> SharedRetryBudget:
         bounds = self._settings.bounds
         budget = self._budgets_by_service.get(context.service)
         if budget is None:
-            instances = max(1, len(self._state.instances_by_id))
-            burst = max(1.0, bounds.retry_burst / instances)
-            budget = RetryBudget(bounds.retry_share, burst)
+            budget = SharedRetryBudget(
+                bounds.retry_share,
+                bounds.retry_burst,
+                self._random.random(),
+                trio.current_time(),
+            )
             self._budgets_by_service[context.service] = budget
         return budget
 
@@ -820,7 +824,8 @@
                 not self._is_keyed(context.service)
                 and context.slots_used <= context.route.max_attempts
             )
-        return self._retry_budget(context).spend()
+        part = self._state.registered_share
+        return self._retry_budget(context).spend(part, trio.current_time())
 
     def _refusal_after(
         self, context: _RequestContext, failure: Failure
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -147,7 +147,7 @@
 
     api_key_withdrawal: float = 5.0  # until a withdrawn API key is refused everywhere
     retry_share: float = 0.1  # retries, as a fraction of all requests
-    retry_burst: float = 20.0  # retries beyond the share at once, over all instances
+    retry_burst: float = 20.0  # further retries in 10 s, over all instances
     stop_grace: float = 6.0  # from the signal to stop to the end of the process
     # From the store's acknowledgement of a change until all instances act on it.
     configuration_apply: float = 2.0
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -653,6 +653,17 @@
         record.check()
         self.instances_by_id[change.name] = record
 
+    @property
+    def registered_share(self) -> float:
+        """Return one instance's part of the registered ones; 0 until they are known.
+
+        Those out of reach count too: what holds for all instances together is divided
+        by it, and they may go on with their parts.
+        """
+        if not self.replicas_by_kind[INSTANCES].revision:
+            return 0.0
+        return 1 / max(1, len(self.instances_by_id))
+
     def is_registered(self, instance: str, incarnation: str) -> bool:
         """Tell whether the store has the record of an instance's process."""
         known = self.replicas_by_kind[INSTANCES].by_name.get(instance)
