Open no more connections to a target than an instance's part of its limit

Callers got 502 or refusals for requests on connections that a target had reset. Cause: each instance opened up to 8 connections to a target, whatever `max_connections` said, which was read and used nowhere: 616 by 77 instances where 520 are accepted, 1,560 by 195 where 1,200 are.

The limit of a pool is now the part of one registered instance, less 4 connections for grants, releases and health checks, at least 1 and at most 8 (6 in both cases above: 462 and 1,170). It is read with each request, so it follows the registry and the configuration; idle connections beyond a lower limit are closed with the next use. An instance that has not read the registry opens one.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -33,7 +33,14 @@
     Event,
     emit_limited,
 )
-from ..forward import BrokenExchangeError, Exchange, Failure, Forwarder, ForwardRequest
+from ..forward import (
+    BrokenExchangeError,
+    Exchange,
+    Failure,
+    Forwarder,
+    ForwardRequest,
+    connection_share,
+)
 from ..framing import MalformedMessageError
 from ..metrics import (
     ADDED_ROUTE_ANSWERED,
@@ -749,8 +756,17 @@
             read_more_body=None if complete else context.body.read,
             idle_limit=REPEATABLE_IDLE_LIMIT if repeatable else UNREPEATABLE_IDLE_LIMIT,
             is_withdrawn=lambda: not self._takes_requests(target.id),
+            connections=self._connections_to(target),
         )
 
+    def _connections_to(self, target: TargetRecord) -> int:
+        """Return this instance's part of the connections that a target accepts."""
+        policy = self._state.table.services_by_name.get(target.service)
+        instances = self._state.registered_count
+        if policy is None or not instances:
+            return 1
+        return connection_share(policy.max_connections, instances)
+
     async def _deliver(
         self, context: _RequestContext, exchange: Exchange, writer: ResponseWriter
     ) -> bool:
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -70,7 +70,7 @@
 
 METRICS_PATH = "/metrics"
 REGISTRATION_RETRY_DELAY = 0.3  # seconds
-CONNECTIONS_PER_TARGET = 8  # one instance's share of those that a target accepts
+CONNECTIONS_PER_TARGET = 8  # at most, even where a target accepts more from each
 # Callers are directed to other instances after two failed readiness probes, which come
 # once a second.
 READINESS_NOTICE = 2.3  # seconds between failing readiness and closing the listener
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -660,9 +660,15 @@
         Those out of reach count too: what holds for all instances together is divided
         by it, and they may go on with their parts.
         """
+        count = self.registered_count
+        return 1 / count if count else 0.0
+
+    @property
+    def registered_count(self) -> int:
+        """Return the number of registered instances; 0 until they are known."""
         if not self.replicas_by_kind[INSTANCES].revision:
-            return 0.0
-        return 1 / max(1, len(self.instances_by_id))
+            return 0
+        return max(1, len(self.instances_by_id))
 
     def is_registered(self, instance: str, incarnation: str) -> bool:
         """Tell whether the store has the record of an instance's process."""
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -33,6 +33,7 @@
 from ..node import DispatchNode
 from ..ports import (
     CONFIGURATION,
+    INSTANCES,
     TARGETS,
     DispatchBounds,
     DispatchSettings,
@@ -301,7 +302,14 @@
         return node
 
     def configure(
-        self, version: int = 1, *, accounts=(), warmup=0.0, warmup_rate=0.0, **route
+        self,
+        version: int = 1,
+        *,
+        accounts=(),
+        warmup=0.0,
+        warmup_rate=0.0,
+        max_connections=16,
+        **route,
     ) -> None:
         """Write a configuration with one keyed and one unkeyed route.
 
@@ -318,10 +326,14 @@
             Route("keyed", prefix="/k/", services=_only("keyed"), **values),
             Route("pooled", prefix="/p/", services=_only("pooled"), **values),
         ]
-        cold = {"warmup": warmup, "warmup_rate": warmup_rate}
+        policy = {
+            "warmup": warmup,
+            "warmup_rate": warmup_rate,
+            "max_connections": max_connections,
+        }
         services = [
-            ServicePolicy("keyed", keyed=True, **cold),
-            ServicePolicy("pooled", **cold),
+            ServicePolicy("keyed", keyed=True, **policy),
+            ServicePolicy("pooled", **policy),
         ]
         table = RoutingTable(version, routes, services, accounts, EntryLimits())
         self.tables_by_version[version] = table
@@ -386,6 +398,21 @@
     play_fleet(with_nodes)
 
 
+async def register_others(fleet: Fleet, count: int) -> None:
+    """Register instances that nobody reaches, and wait until all others know them."""
+    for number in range(count):
+        record = {
+            "incarnation": f"{number}",
+            "address": "127.0.0.1:1",
+            "data_centre": "x",
+        }
+        fleet.store.write(INSTANCES, f"other-{number}", record)
+    expected = count + len(fleet.nodes)
+    await eventually(
+        lambda: all(len(n.state.instances_by_id) == expected for n in fleet.nodes)
+    )
+
+
 async def eventually(condition) -> None:
     """Wait until a condition holds; raise TooSlowError if it never does."""
     with trio.fail_after(WAIT_TIMEOUT):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_retries.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_retries.py
@@ -2,8 +2,7 @@
 
 import unittest
 
-from ..ports import INSTANCES
-from .node_support import Caller, Fleet, eventually, play_fleet
+from .node_support import Caller, Fleet, play_fleet, register_others
 
 OTHERS = 39  # registered instances, of which none is in reach
 REQUESTS = 40
@@ -20,14 +19,7 @@
             await fleet.settle()
             caller = await Caller.connect(node)
             await caller.request("/p/x")
-            for number in range(OTHERS):
-                record = {
-                    "incarnation": f"{number}",
-                    "address": "127.0.0.1:1",
-                    "data_centre": "x",
-                }
-                fleet.store.write(INSTANCES, f"other-{number}", record)
-            await eventually(lambda: len(node.state.instances_by_id) == OTHERS + 1)
+            await register_others(fleet, OTHERS)
             before = len(target.requests)
             for _ in range(REQUESTS):
                 await caller.request("/p/x")
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -13,7 +13,7 @@
 from .pool import IDLE_LIMIT, UNREPEATABLE_IDLE_LIMIT, TargetPool
 from .target_options import TargetOptions
 
-__all__ = ["Failure", "Forwarder"]
+__all__ = ["Failure", "Forwarder", "connection_share"]
 
 CONNECTIONS_PER_TARGET = 16
 CANCEL_TIMEOUT = 1.0  # seconds
@@ -21,6 +21,16 @@
 MAX_CONCURRENT_CANCELS = 64
 DISCARDED_BODY_LIMIT = 64 * 1024  # bytes
 DISCARDED_BODY_TIMEOUT = 0.2  # seconds
+# To each target, for the calls of all instances that are not requests of callers.
+CONTROL_CONNECTIONS = 4
+
+
+def connection_share(accepted: int, instances: int) -> int:
+    """Return how many of the connections that a target accepts an instance may open.
+
+    Each one needs a connection, so more instances than these open more together.
+    """
+    return max(1, (accepted - CONTROL_CONNECTIONS) // max(1, instances))
 
 
 @attrs.frozen
@@ -74,11 +84,15 @@
         for pool in self.pools_by_address.values():
             pool.close()
 
-    def _pool_for(self, address: str) -> TargetPool:
+    def _pool_for(self, address: str, connections: int | None) -> TargetPool:
+        limit = self._connections_per_target
+        if connections is not None:
+            limit = min(limit, connections)
         pool = self.pools_by_address.get(address)
         if pool is None:
-            pool = TargetPool(address, self._connections_per_target)
+            pool = TargetPool(address, limit)
             self.pools_by_address[address] = pool
+        pool.limit = limit
         return pool
 
     async def open(self, request: ForwardRequest) -> Exchange | Failure:
@@ -86,7 +100,7 @@
 
         Cancelling the call also cancels the request at the target.
         """
-        pool = self._pool_for(request.address)
+        pool = self._pool_for(request.address, request.connections)
         idle_limit = request.idle_limit
         if idle_limit is None:
             idle_limit = IDLE_LIMIT if request.repeatable else UNREPEATABLE_IDLE_LIMIT
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -50,6 +50,7 @@
     cancellation_pending: bool = False  # at the target
     on_cancelled: Callable[[bool], None] | None = None  # gets True if acknowledged
     is_withdrawn: Callable[[], bool] = lambda: False  # asked before the first byte
+    connections: int | None = None  # at most, to the target; None is the usual number
 
 
 class Exchange:
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -30,6 +30,7 @@
         # Whether all earlier connections to the target were ended before their timeout.
         self.follows_early_end = False
         self.names_requests = False  # whether a response here carried its request's id
+        self.use: object = None  # the use for which the pool lent the connection
 
     def is_idle(self) -> bool:
         """Tell whether neither bytes nor the end of the stream have arrived."""
@@ -49,10 +50,8 @@
 
     def __init__(self, address: str, limit: int) -> None:
         self.address = address
-        self._limit = limit
         self._idle: list[PooledConnection] = []
-        self._connection_semaphore = trio.Semaphore(limit)
-        self.in_use = 0
+        self._uses = trio.CapacityLimiter(limit)
         self._waiting = 0  # tasks that have yet to get a connection
         self._early_end_at = float("-inf")  # when such an end was last found
 
@@ -61,6 +60,22 @@
         """Return the number of idle connections."""
         return len(self._idle)
 
+    @property
+    def in_use(self) -> int:
+        """Return the number of connections in use, with those that are being made."""
+        return self._uses.borrowed_tokens
+
+    @property
+    def limit(self) -> int:
+        """Return how many connections may be open."""
+        return int(self._uses.total_tokens)
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        if limit != self._uses.total_tokens:
+            self._uses.total_tokens = limit
+            self._close_excess()
+
     async def acquire(
         self, idle_limit: float = IDLE_LIMIT, request_id: str = ""
     ) -> PooledConnection:
@@ -70,19 +85,20 @@
         the request has been sent then.
         """
         self._waiting += 1
+        use = object()
         try:
-            await self._connection_semaphore.acquire()
+            await self._uses.acquire_on_behalf_of(use)
         finally:
             self._waiting -= 1
-        self.in_use += 1
         try:
             connection, ended_early = self._reuse(idle_limit, request_id)
             if connection is None:
                 connection = await self._connect()
             connection.follows_early_end = ended_early
+            connection.use = use
             return connection
         except BaseException:
-            self._end_use()
+            self._uses.release_on_behalf_of(use)
             raise
 
     def _reuse(
@@ -110,8 +126,7 @@
         return any(connection.is_idle() for connection in self._idle)
 
     async def _connect(self) -> PooledConnection:
-        while self._idle and len(self._idle) + self.in_use > self._limit:
-            self._idle.pop(0).close()
+        self._close_excess()
         with trio.fail_after(CONNECT_TIMEOUT):
             stream = await connect(self.address)
         connection = PooledConnection(stream)
@@ -120,11 +135,17 @@
             raise OSError("target sent bytes before the request")
         return connection
 
+    def _close_excess(self) -> None:
+        """Close idle connections beyond the limit, the oldest first."""
+        while self._idle and len(self._idle) + self.in_use > self.limit:
+            self._idle.pop(0).close()
+
     def release(self, connection: PooledConnection) -> None:
         """Return a connection to the pool; its last exchange must be complete."""
-        self._end_use()
+        self._end_use(connection)
         now = connection.idle_since = trio.current_time()
         self._idle.append(connection)
+        self._close_excess()
         while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT:
             self._idle.pop(0).close()
 
@@ -156,17 +177,16 @@
 
     def discard(self, connection: PooledConnection) -> None:
         """Close a connection that must not be used again."""
-        self._end_use()
+        self._end_use(connection)
         connection.close()
 
     def reset(self, connection: PooledConnection) -> None:
         """Reset a connection whose exchange has not ended."""
-        self._end_use()
+        self._end_use(connection)
         connection.reset()
 
-    def _end_use(self) -> None:
-        self.in_use -= 1
-        self._connection_semaphore.release()
+    def _end_use(self, connection: PooledConnection) -> None:
+        self._uses.release_on_behalf_of(connection.use)
 
     def close(self) -> None:
         """Close the idle connections."""
