--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from fireflystand_core.admission import RetryBudget
+from fireflystand_core.admission import SharedRetryBudget
 from fireflystand_core.dispatch import (
     TARGET_GONE,
     TARGET_PAUSES,
@@ -33,7 +33,14 @@
     Event,
     emit_limited,
 )
-from ..forward import BrokenExchangeError, Exchange, Failure, Forwarder, ForwardRequest
+from ..forward import (
+    BrokenExchangeError,
+    Exchange,
+    Failure,
+    Forwarder,
+    ForwardRequest,
+    connection_share,
+)
 from ..framing import MalformedMessageError
 from ..metrics import (
     ADDED_ROUTE_ANSWERED,
@@ -179,7 +186,7 @@
         self._loop_lag = loop_lag
         self._reader = RequestReader(settings.caller_fields, settings.target_fields)
         self._choices_by_route: dict[str, WeightedChoice] = {}
-        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._budgets_by_service: dict[str, SharedRetryBudget] = {}
         self._longest_deadlines_by_route: dict[str, float] = {}
         self._time_limits = TimeLimits()
         self._owner_waits = OwnerWaits()
@@ -398,7 +405,8 @@
             context.route.name, WeightedChoice(self._random)
         )
         context.service = choice.choose(context.route)
-        self._retry_budget(context).note_request()
+        part = self._state.registered_share
+        self._retry_budget(context).note_request(part, trio.current_time())
 
     async def _check_rate(self, context: _RequestContext) -> None:
         if context.account is None:
@@ -410,13 +418,16 @@
             wait = retry_after * (1 + self._random.random())
             raise RequestRefusedError(429, "account is over its rate", retry_after=wait)
 
-    def _retry_budget(self, context: _RequestContext) -> RetryBudget:
+    def _retry_budget(self, context: _RequestContext) -> SharedRetryBudget:
         bounds = self._settings.bounds
         budget = self._budgets_by_service.get(context.service)
         if budget is None:
-            instances = max(1, len(self._state.instances_by_id))
-            burst = max(1.0, bounds.retry_burst / instances)
-            budget = RetryBudget(bounds.retry_share, burst)
+            budget = SharedRetryBudget(
+                bounds.retry_share,
+                bounds.retry_burst,
+                self._random.random(),
+                trio.current_time(),
+            )
             self._budgets_by_service[context.service] = budget
         return budget
 
@@ -749,8 +760,17 @@
             read_more_body=None if complete else context.body.read,
             idle_limit=REPEATABLE_IDLE_LIMIT if repeatable else UNREPEATABLE_IDLE_LIMIT,
             is_withdrawn=lambda: not self._may_use(slot),
+            connections=self._connections_to(target),
         )
 
+    def _connections_to(self, target: TargetRecord) -> int:
+        """Return this instance's part of the connections that a target accepts."""
+        policy = self._state.table.services_by_name.get(target.service)
+        instances = self._state.registered_count
+        if policy is None or not instances:
+            return 1
+        return connection_share(policy.max_connections, instances)
+
     async def _deliver(
         self, context: _RequestContext, exchange: Exchange, writer: ResponseWriter
     ) -> bool:
@@ -824,7 +844,8 @@
                 not self._is_keyed(context.service)
                 and context.slots_used <= context.route.max_attempts
             )
-        return self._retry_budget(context).spend()
+        part = self._state.registered_share
+        return self._retry_budget(context).spend(part, trio.current_time())
 
     def _refusal_after(
         self, context: _RequestContext, failure: Failure
