Grant cold targets nothing before an instance is registered

An instance that starts with a new id comes first for some targets in its own view, but not in that of the others, which do not count it until its record reaches them: both grant the first one's share of a cold target. Change: an instance without a record of its own comes last, and the cached positions follow every change of the registry, not only those that come with new addresses. Why it works: what it may grant begins with its registration, without tokens for a burst, as after any change of its position. Tests: test_cold_targets.RegisteredRankTests; its second one fails without the condition.

--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -16,6 +16,7 @@
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
 from .clock import lease_clock, sleep_until_next
+from .ports import INSTANCES
 from .state import RoutingState
 
 __all__ = ["HEARTBEAT_INTERVAL", "Membership"]
@@ -26,6 +27,7 @@
 HEARTBEAT_TIMEOUT = 0.7  # seconds; a frozen or disconnected peer does not respond
 MAX_HEARTBEATS_PER_INTERVAL = 24  # bounds the cost of contacting the peers
 DEAD_AFTER_ROUNDS = 2.6  # rounds without a heartbeat until a peer is declared dead
+LAST_RANK = 1_000_000  # after all registered instances
 
 
 @attrs.frozen
@@ -76,6 +78,7 @@
         self.live_set_version = 0  # number of changes to the set of live instances
         self.incarnations_by_id: dict[str, str] = {}
         self._ended_incarnations_by_id: dict[str, str] = {}  # processes that have ended
+        state.listeners.append(self._on_state_change)
         network.set_direct_handler(Beat, self._handle_heartbeat)
         network.on_stream_end = self._handle_stream_end
 
@@ -140,9 +143,12 @@
     def registered_rank(self, name: str, *, by_capacity: bool = False) -> int:
         """Return this instance's position among the registered ones, from 0.
 
-        Which of them are reachable does not matter. ``by_capacity`` puts those with
+        Which of them are reachable does not matter. An instance that is not registered
+        yet, which the others cannot count, comes last. ``by_capacity`` puts those with
         the highest capacity first, as for ``strongest_instance``.
         """
+        if self.own_id not in self._state.instances_by_id:
+            return LAST_RANK
         rank = self._registered_ranks_by_name.get(name)
         if rank is None:
             others = self._state.instances_by_id.keys() - {self.own_id}
@@ -210,10 +216,13 @@
             ]
         return [peer for peer in self._round_remaining.pop() if peer in peers]
 
+    def _on_state_change(self, kind: str) -> None:
+        if kind == INSTANCES:
+            self._registered_ranks_by_name.clear()
+
     def refresh_addresses(self) -> None:
         """Apply the registered addresses and capacities of the peers."""
         self._orders_by_name.clear()
-        self._registered_ranks_by_name.clear()
         for record in self._state.instances_by_id.values():
             if record.id != self.own_id:
                 self.network.set_address(record.id, record.address)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -10,9 +10,9 @@
 from ...events import COLD_SLOT_GRANTED, SLOT_REQUEST_REDIRECTED
 from ...metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS
 from ..node import DispatchNode
-from ..ports import TARGETS
+from ..ports import INSTANCES, TARGETS
 from ..slots import responsible_for
-from .node_support import Caller, Fleet, HttpTarget, play_fleet
+from .node_support import Caller, Fleet, HttpTarget, eventually, play_fleet
 
 WARMUP = 30.0  # seconds
 WARMUP_RATE = 4.0  # requests a second to a cold target
@@ -150,5 +150,40 @@
                 self.check(service, refuse_peers)
 
 
+class RegisteredRankTests(unittest.TestCase):
+    """Guard against several instances that each hold themselves first for a target."""
+
+    def test_instances_agree_whether_or_not_they_reach_each_other(self):
+        async def scenario(fleet: Fleet) -> None:
+            await start_fleet(fleet, "keyed")
+            memberships = [node.membership for node in fleet.nodes]
+
+            def ranks() -> list[int]:
+                return sorted(m.registered_rank("keyed/t2") for m in memberships)
+
+            self.assertEqual(ranks(), list(range(NODES)))
+            end_process(responsible_node(fleet, "keyed"))
+            self.assertEqual(ranks(), list(range(NODES)))
+            for membership in memberships:
+                for peer in list(membership.network.addresses_by_id):
+                    membership._declare_dead(peer, "apart")
+            self.assertEqual(ranks(), list(range(NODES)))
+
+        play_fleet(scenario)
+
+    def test_instance_that_is_not_registered_comes_last(self):
+        async def scenario(fleet: Fleet) -> None:
+            await start_fleet(fleet, "keyed")
+            membership = fleet.nodes[0].membership
+            before = membership.registered_rank("keyed/t2")
+            record = fleet.store.objects[INSTANCES]["n1"]
+            fleet.nodes[0].state.instances_by_id.pop("n1")
+            self.assertGreater(membership.registered_rank("keyed/t2"), 800)
+            fleet.store.write(INSTANCES, "n1", record.value)
+            await eventually(lambda: membership.registered_rank("keyed/t2") == before)
+
+        play_fleet(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
