Keep a target's statement that it is cold at the queue that checked it

A target whose health check said that it is cold got its full load: one instance's queue granted 87 slots in a second (11 allowed), keyed and pooled. Cause: the statement went only to the instance that is responsible in the view of the one that made the check. A queue that others ask because they lost that instance first, or that decides after three failures, then took the passed check for a warm target. Change: the instance that made the check applies the statement itself too.

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -507,13 +507,15 @@
         )
 
     def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
-        """Report a cold target to the instance that counts its slots."""
+        """Apply that a target is cold, also at the instance that counts its slots.
+
+        Others may have asked this instance for its slots instead.
+        """
         name = target.id if keyed else ""
         responsible = responsible_for(self._membership, target.service, name)
         cold = [target.id, target.started_at, seconds]
-        if responsible == self._membership.own_id:
-            self._state.mark_cold(*cold)
-        else:
+        self._state.mark_cold(*cold)
+        if responsible != self._membership.own_id:
             self._send(responsible, SlotReturn(target.service, 0, cold=cold))
 
     async def _request_from_peer(self, responsible: str, request: SlotRequest):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -7,6 +7,13 @@
 import trio
 from loguru import logger
 
+from fireflystand_core.dispatch import (
+    UNUSED_PERIOD,
+    QueuedRequest,
+    SlotGranted,
+    SlotResult,
+)
+
 from ...events import COLD_SLOT_GRANTED, SLOT_REQUEST_REDIRECTED
 from ...metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS
 from ..node import DispatchNode
@@ -36,13 +43,15 @@
         logger.remove(sink)
 
 
-async def start_fleet(fleet: Fleet, service: str) -> HttpTarget:
+async def start_fleet(
+    fleet: Fleet, service: str, cold_for: float = WARMUP
+) -> HttpTarget:
     """Start the instances and the targets; return the cold one of a service."""
     fleet.configure(2, warmup=WARMUP, warmup_rate=WARMUP_RATE, max_attempts=1)
     await fleet.add_target("pooled" if service == "keyed" else "keyed")
     target = await fleet.add_target(service, work=0.02)
     record = fleet.store.objects[TARGETS]["t2"].value
-    fleet.store.write(TARGETS, "t2", record | {"slots": 6, "cold_for": WARMUP})
+    fleet.store.write(TARGETS, "t2", record | {"slots": 6, "cold_for": cold_for})
     for _ in range(NODES):
         await fleet.add_node()
     await fleet.settle()
@@ -150,5 +159,59 @@
                 self.check(service, refuse_peers)
 
 
+class ColdStatementTests(unittest.TestCase):
+    """Guard against queues that clear a target which told them that it is cold.
+
+    The statement went only to the instance that grants its slots in the view of the
+    one that checked its health.
+    """
+
+    async def count_grants(self, node: DispatchNode, service: str) -> int:
+        """Return the grants of an instance's queue to requests within a second."""
+        granted = 0
+
+        async def request(number: int) -> None:
+            nonlocal granted
+            now = trio.current_time()
+            target = "t2" if service == "keyed" else ""
+            queued = QueuedRequest(
+                f"r{number}", "other", target, 1, now + 0.5, now + 1.0
+            )
+            decision = await node.slot_service.acquire(service, queued)
+            if isinstance(decision, SlotGranted):
+                granted += 1
+                await trio.sleep(0.02)
+                result = SlotResult(decision.number, 0.02)
+                node.slot_service.release(service, result)
+
+        with trio.move_on_after(1.0):
+            async with trio.open_nursery() as nursery:
+                for number in range(100):
+                    nursery.start_soon(request, number)
+                    await trio.sleep(0.01)
+        return granted
+
+    def check(self, service: str) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await start_fleet(fleet, service, cold_for=0.0)
+            await trio.sleep(UNUSED_PERIOD + 0.2)
+            address = fleet.nodes[0].state.targets_by_id["t2"].address
+            for node in fleet.nodes:
+                node.control.cold_for_by_address[address] = WARMUP
+            responsible = responsible_node(fleet, service)
+            others = [node for node in fleet.nodes if node is not responsible]
+            granted = 0
+            for node in others[:3]:
+                granted = max(granted, await self.count_grants(node, service))
+            self.assertLessEqual(granted, BOUND)
+
+        play_fleet(scenario)
+
+    def test_instance_that_is_asked_in_place_of_the_responsible_one(self):
+        for service in ("keyed", "pooled"):
+            with self.subTest(service):
+                self.check(service)
+
+
 if __name__ == "__main__":
     unittest.main()
