Check a target again whose suspicion ended without a check

A queue without a share of a target's warm-up rate suspects an unused target and grants it nothing. If no health check passed within the warm-up time, the target counted as verified for three seconds more, and got its full load, though a process may have started there just before: 7 of 20 requests were granted, as many as it has slots, by each such queue. Cause: the end of a suspicion counted as a use of the target. Change: only requests and passed checks do. A queue that grants the warm-up rate meanwhile has used the target and is not affected. Test: test_warmup.UncheckedTargetTests failed before.

--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -105,7 +105,7 @@
         """Tell whether the target may have restarted while nothing was sent to it."""
         if self.warmup.policy.rate <= 0:
             return False
-        return now - max(self.used_at, self.warmup.suspected_until) > UNUSED_PERIOD
+        return now - self.used_at > UNUSED_PERIOD and not self.warmup.is_suspect(now)
 
     def clear_suspicion(self, checked_at: float) -> None:
         """Apply that the target passed the health check that began then."""
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -128,5 +128,15 @@
         self.assertLessEqual(count_grants(queue, 1.0), RATE)
 
 
+class UncheckedTargetTests(unittest.TestCase):
+    """Guard against the full load for a target whose health nobody could check."""
+
+    def test_suspicion_that_ends_by_time_at_an_instance_without_a_share(self):
+        queue = queue_at(70, cold_target(cold_for=0.0))
+        queue.submit(slot_request("r", 10.0), 10.0)
+        self.assertEqual(queue.suspects, {"t1"})
+        self.assertEqual(count_grants(queue, 10.0 + WARMUP + 0.1), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
