Grant a cold target its warm-up rate beside requests that ran before

Callers were refused at a target that turned cold while it worked: with 20 of 40 slots held it got no request for as long as they were held, and for over two seconds more once they had ended. Cause: each held slot counted as a request that may still arrive, however long ago it was granted, and each that ended took a token without bound. Change: a slot counts for a second after its grant, and what ran before the limit delays the next grant by about a second at most. A window of a second that contains such a grant contains none of those arrivals.

--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -27,6 +27,7 @@
 MAX_QUEUED_SHARE = 0.5  # of a target's slots, for requests that wait at the target
 # Reported slowdowns are clamped to between 1 / MAX_SLOWDOWN and MAX_SLOWDOWN.
 MAX_SLOWDOWN = 10.0
+MAX_TRANSIT = 1.0  # seconds from the grant of a slot to the arrival of its request
 COLD_WINDOW = 1.0  # seconds over which the requests to a cold target are counted
 
 
@@ -122,13 +123,15 @@
             0, self.record.slots + self._queue_allowance - len(self.held_by_number)
         )
         if free and self.is_cold(now):
-            free = min(free, self.warmup.available(now, self._uncounted))
+            free = min(free, self.warmup.available(now, self._count_in_transit(now)))
         return free
 
-    @property
-    def _uncounted(self) -> int:
-        """Return the requests that were granted before the target was limited."""
-        return sum(not slot.counted for slot in self.held_by_number.values())
+    def _count_in_transit(self, now: float) -> int:
+        """Count the requests granted before the limit that may still arrive."""
+        return sum(
+            not slot.counted and now - slot.since < MAX_TRANSIT
+            for slot in self.held_by_number.values()
+        )
 
     @property
     def _queue_allowance(self) -> int:
@@ -226,7 +229,7 @@
         """Return the seconds until shed pause and warm-up rate allow a request."""
         wait = max(0.0, self._paused_until - now)
         if self.is_cold(now):
-            wait = max(wait, self.warmup.wait(now, self._uncounted))
+            wait = max(wait, self.warmup.wait(now, self._count_in_transit(now)))
         return wait
 
 
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -7,6 +7,7 @@
     QueuedRequest,
     SlotGranted,
     SlotRefused,
+    SlotResult,
     WarmupPolicy,
 )
 from fireflystand_core.traffic import TargetRecord
@@ -138,5 +139,34 @@
         self.assertEqual(count_grants(queue, 10.0 + WARMUP + 0.1), 0)
 
 
+class BusyTargetTests(unittest.TestCase):
+    """Guard against a cold target that gets nothing for what ran before it was."""
+
+    SLOTS = 40
+
+    def busy_queue(self) -> tuple[AdmissionQueue, list[SlotGranted]]:
+        """Return the queue of a warm target and the slots that are held there."""
+        queue = queue_at(0, cold_target(cold_for=0.0, slots=self.SLOTS))
+        granted = []
+        for number in range(self.SLOTS // 2):
+            request = slot_request(f"w{number}", 0.0, deadline_at=60.0)
+            granted += queue.submit(request, 0.0)
+        policy = WarmupPolicy(RATE, 30.0, LIMIT)
+        queue.set_target(cold_target(cold_for=30.0, slots=self.SLOTS), 2.0, policy)
+        return queue, granted
+
+    def test_requests_that_have_run_for_long(self):
+        queue, _ = self.busy_queue()
+        granted = sum(count_grants(queue, since) for since in (2.0, 3.0, 4.0, 5.0))
+        self.assertGreaterEqual(granted, RATE)
+
+    def test_requests_that_have_ended(self):
+        queue, held = self.busy_queue()
+        for decision in held:
+            queue.release(SlotResult(decision.number, 2.0), 2.1)
+        granted = sum(count_grants(queue, since) for since in (3.2, 4.2))
+        self.assertGreaterEqual(granted, RATE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/core/src/fireflystand_core/dispatch/warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/warmup.py
@@ -127,9 +127,12 @@
         return max(0, int(self._bucket.level) - uncounted)
 
     def spend(self, now: float) -> None:
-        """Count a request that the target gets."""
+        """Count a request that the target gets.
+
+        Those that ran before the limit may be many, and delay others by a second.
+        """
         self._refresh(now)
-        self._bucket.level -= 1
+        self._bucket.level = max(self._bucket.level - 1, -self._share.rate)
 
     def wait(self, now: float, uncounted: int) -> float:
         """Return the seconds until the next request may be granted."""
