--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from fireflystand_core.dispatch import (
     AdmissionQueue,
     QueuedRequest,
@@ -117,6 +119,52 @@
         self.assertGreater(refusal.retry_after, 2.0)
 
 
+class PooledTargetsTests(unittest.TestCase):
+    """Guard against a service that stays on one target after its queue has moved.
+
+    Its queue is at an instance that grants cold targets nothing, and has a backlog.
+    """
+
+    TARGETS = 4
+    SLOTS = 2
+
+    def queue(self) -> AdmissionQueue:
+        queue = AdmissionQueue(rank=lambda target: 70)
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        for number in range(self.TARGETS):
+            record = cold_target(cold_for=0.0, slots=self.SLOTS)
+            record = attrs.evolve(record, id=f"t{number}")
+            queue.set_target(record, 0.0, policy)
+        return queue
+
+    def check_all(self, queue: AdmissionQueue, now: float, dead=()) -> list:
+        """Let the targets under check pass it, except dead ones."""
+        checked = sorted(queue.suspects - set(dead))
+        queue.suspects.clear()
+        return [d for t in checked for d in queue.clear_suspicion(t, now, now)]
+
+    def test_all_targets_are_used_while_requests_wait(self):
+        queue = self.queue()
+        held = set()
+        for number in range(100):
+            now = 10.0 + number / 100
+            request = slot_request(f"r{number}", now, target="")
+            decisions = queue.submit(request, now)
+            if number % 10 == 9:
+                decisions += self.check_all(queue, now + 0.005)
+            granted = [d for d in decisions if isinstance(d, SlotGranted)]
+            held |= {decision.target for decision in granted}
+        self.assertEqual(len(held), self.TARGETS)
+
+    def test_lone_request_does_not_wait_for_a_dead_target(self):
+        queue = self.queue()
+        decisions = queue.submit(slot_request("r", 10.0, target=""), 10.0)
+        for step in range(5):
+            now = 10.1 + step / 10
+            decisions += self.check_all(queue, now, dead=["t0"]) + queue.tick(now)
+        self.assertTrue(any(isinstance(d, SlotGranted) for d in decisions))
+
+
 class RankChangeTests(unittest.TestCase):
     """Guard against a burst by each instance that becomes the first for a target."""
 
@@ -187,5 +235,51 @@
         self.assertGreaterEqual(len(granted), self.HELD - RATE)
 
 
+class UncheckedTargetTests(unittest.TestCase):
+    """Guard against the full load for a target whose health nobody could check."""
+
+    def test_suspicion_that_ends_by_time_at_an_instance_without_a_share(self):
+        queue = queue_at(70, cold_target(cold_for=0.0))
+        queue.submit(slot_request("r", 10.0), 10.0)
+        self.assertEqual(queue.suspects, {"t1"})
+        self.assertEqual(count_grants(queue, 10.0 + WARMUP + 0.1), 0)
+
+    def test_target_that_returns_after_its_record_had_lapsed(self):
+        queue = queue_at(0, cold_target(cold_for=0.0, slots=50))
+        queue.remove_target("t1")
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        queue.set_target(cold_target(cold_for=0.0, slots=50), 60.0, policy)
+        self.assertLessEqual(count_grants(queue, 60.0), LIMIT)
+
+
+class BusyTargetTests(unittest.TestCase):
+    """Guard against a cold target that gets nothing for what ran before it was."""
+
+    SLOTS = 40
+
+    def busy_queue(self) -> tuple[AdmissionQueue, list[SlotGranted]]:
+        """Return the queue of a warm target and the slots that are held there."""
+        queue = queue_at(0, cold_target(cold_for=0.0, slots=self.SLOTS))
+        granted = []
+        for number in range(self.SLOTS // 2):
+            request = slot_request(f"w{number}", 0.0, deadline_at=60.0)
+            granted += queue.submit(request, 0.0)
+        policy = WarmupPolicy(RATE, 30.0, LIMIT)
+        queue.set_target(cold_target(cold_for=30.0, slots=self.SLOTS), 2.0, policy)
+        return queue, granted
+
+    def test_requests_that_have_run_for_long(self):
+        queue, _ = self.busy_queue()
+        granted = sum(count_grants(queue, since) for since in (2.0, 3.0, 4.0, 5.0))
+        self.assertGreaterEqual(granted, RATE)
+
+    def test_requests_that_have_ended(self):
+        queue, held = self.busy_queue()
+        for decision in held:
+            queue.release(SlotResult(decision.number, 2.0), 2.1)
+        granted = sum(count_grants(queue, since) for since in (3.2, 4.2))
+        self.assertGreaterEqual(granted, RATE)
+
+
 if __name__ == "__main__":
     unittest.main()
