Check the unused targets of a service while requests wait for them

Callers of a service waited and were refused although targets were idle: once the queue of a service had moved to an instance without a share of the warm-up rate, 1 of 4 targets was used as long as requests waited. Cause: one target is checked when a request finds the queue empty, and none while requests wait. A lone request waited for the check of one target, even if that target did not answer. Change: each request that finds no free target has the next unused one checked, and each tick while requests wait, so that a target that does not answer delays by a tick. Test: test_warmup.PooledTargetsTests, both failed before.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -193,7 +193,7 @@
             slots = self._choose_target(request, now)
             if slots is not None:
                 return [self._grant_at_once(request, slots, now)]
-            self._verify_unused(request.target, now)
+        self._verify_unused(request.target, now)
         left = request.deadline_at - now
         latest = now + MAX_SOFT_DEADLINE_SHARE * left
         if request.soft_deadline_at > latest:
@@ -564,4 +564,6 @@
                         self._refusal(request, NO_ROOM, warm_at - now, now)
                     )
             decisions += self._dispatch(target, now)
+            if queue:
+                self._verify_unused(target, now)
         return decisions
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from fireflystand_core.dispatch import (
     AdmissionQueue,
     QueuedRequest,
@@ -117,6 +119,52 @@
         self.assertGreater(refusal.retry_after, 2.0)
 
 
+class PooledTargetsTests(unittest.TestCase):
+    """Guard against a service that stays on one target after its queue has moved.
+
+    Its queue is at an instance that grants cold targets nothing, and has a backlog.
+    """
+
+    TARGETS = 4
+    SLOTS = 2
+
+    def queue(self) -> AdmissionQueue:
+        queue = AdmissionQueue(rank=lambda target: 70)
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        for number in range(self.TARGETS):
+            record = cold_target(cold_for=0.0, slots=self.SLOTS)
+            record = attrs.evolve(record, id=f"t{number}")
+            queue.set_target(record, 0.0, policy)
+        return queue
+
+    def check_all(self, queue: AdmissionQueue, now: float, dead=()) -> list:
+        """Let the targets under check pass it, except dead ones."""
+        checked = sorted(queue.suspects - set(dead))
+        queue.suspects.clear()
+        return [d for t in checked for d in queue.clear_suspicion(t, now, now)]
+
+    def test_all_targets_are_used_while_requests_wait(self):
+        queue = self.queue()
+        held = set()
+        for number in range(100):
+            now = 10.0 + number / 100
+            request = slot_request(f"r{number}", now, target="")
+            decisions = queue.submit(request, now)
+            if number % 10 == 9:
+                decisions += self.check_all(queue, now + 0.005)
+            granted = [d for d in decisions if isinstance(d, SlotGranted)]
+            held |= {decision.target for decision in granted}
+        self.assertEqual(len(held), self.TARGETS)
+
+    def test_lone_request_does_not_wait_for_a_dead_target(self):
+        queue = self.queue()
+        decisions = queue.submit(slot_request("r", 10.0, target=""), 10.0)
+        for step in range(5):
+            now = 10.1 + step / 10
+            decisions += self.check_all(queue, now, dead=["t0"]) + queue.tick(now)
+        self.assertTrue(any(isinstance(d, SlotGranted) for d in decisions))
+
+
 class RankChangeTests(unittest.TestCase):
     """Guard against a burst by each instance that becomes the first for a target."""
 
