Grant no share of a cold target before the registered instances are known

Five instances that start while the store refuses to list the instances sent a cold target 16 to 20 requests in a second (11 allowed). Cause: an instance that knows no other one took itself for the first. One that is not registered yet is not counted by the others either. Change: an instance comes after all others until it has a list of the instances and is part of it.

--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -16,6 +16,7 @@
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
 from .clock import lease_clock, sleep_until_next
+from .ports import INSTANCES
 from .state import RoutingState
 
 __all__ = ["HEARTBEAT_INTERVAL", "Membership"]
@@ -25,6 +26,7 @@
 HEARTBEAT_INTERVAL = 0.5  # seconds; a dead peer is detected within three rounds
 HEARTBEAT_TIMEOUT = 0.7  # seconds; a frozen or disconnected peer does not respond
 MAX_HEARTBEATS_PER_INTERVAL = 24  # bounds the cost of contacting the peers
+UNREGISTERED_RANK = 1_000_000
 DEAD_AFTER_ROUNDS = 2.6  # rounds without a heartbeat until a peer is declared dead
 
 
@@ -141,11 +143,17 @@
         """Return this instance's position among the registered ones, from 0.
 
         Which of them are reachable does not matter. ``by_capacity`` puts those with
-        the highest capacity first, as for ``strongest_instance``.
+        the highest capacity first, as for ``strongest_instance``. An instance that
+        does not know the registered ones, or is none of them, comes after all.
         """
+        registered = self._state.instances_by_id
+        if not self._state.replicas_by_kind[INSTANCES].revision or (
+            self.own_id not in registered
+        ):
+            return UNREGISTERED_RANK
         rank = self._registered_ranks_by_name.get(name)
         if rank is None:
-            others = self._state.instances_by_id.keys() - {self.own_id}
+            others = registered.keys() - {self.own_id}
 
             def position(instance: str) -> tuple:
                 key = self._order_key(instance) if by_capacity else 0.0
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -13,13 +13,14 @@
     SlotGranted,
     SlotResult,
 )
+from fireflystand_core.exceptions import StoreUnavailableError
 
 from ...events import COLD_SLOT_GRANTED, SLOT_REQUEST_REDIRECTED
 from ...metrics import COLD_SLOTS, REDIRECTED_SLOT_REQUESTS
 from ..node import DispatchNode
-from ..ports import TARGETS
+from ..ports import INSTANCES, TARGETS
 from ..slots import responsible_for
-from .node_support import Caller, Fleet, HttpTarget, play_fleet
+from .node_support import Caller, Fleet, HttpTarget, eventually, play_fleet
 
 WARMUP = 30.0  # seconds
 WARMUP_RATE = 4.0  # requests a second to a cold target
@@ -213,5 +214,35 @@
                 self.check(service)
 
 
+class UnknownRegistryTests(unittest.TestCase):
+    """Guard against instances that take themselves for the only one as they start."""
+
+    def test_instances_that_know_no_others_yet(self):
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, "pooled")
+            known = fleet.store.list
+
+            async def list_but_instances(kind):
+                if kind == INSTANCES:
+                    raise StoreUnavailableError("too many calls", step="list")
+                return await known(kind)
+
+            fleet.store.list = list_but_instances
+            starting = [await fleet.add_node() for _ in range(5)]
+            await eventually(
+                lambda: all(
+                    "t2" in node.state.targets_by_id and node.state.table
+                    for node in starting
+                )
+            )
+            until = trio.current_time() + 1.0
+            async with trio.open_nursery() as nursery:
+                for node in starting:
+                    nursery.start_soon(send_requests, node, "pooled", until)
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+
+        play_fleet(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
