Reproduce the full load for a target that returns unchecked

A target whose data centre returns from an evacuation, or whose record lapsed, gets a new entry that counts as used just now, and no health check, whatever happened to it meanwhile; its record may say later that it is cold.

--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -186,6 +186,13 @@
         self.assertEqual(queue.suspects, {"t1"})
         self.assertEqual(count_grants(queue, 10.0 + WARMUP + 0.1), 0)
 
+    def test_target_that_returns_after_its_record_had_lapsed(self):
+        queue = queue_at(0, cold_target(cold_for=0.0, slots=50))
+        queue.remove_target("t1")
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        queue.set_target(cold_target(cold_for=0.0, slots=50), 60.0, policy)
+        self.assertLessEqual(count_grants(queue, 60.0), LIMIT)
+
 
 class BusyTargetTests(unittest.TestCase):
     """Guard against a cold target that gets nothing for what ran before it was."""
