--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -143,15 +143,18 @@
     def registered_rank(self, name: str, *, by_capacity: bool = False) -> int:
         """Return this instance's position among the registered ones, from 0.
 
-        Which of them are reachable does not matter. An instance that is not registered
-        yet, which the others cannot count, comes last. ``by_capacity`` puts those with
-        the highest capacity first, as for ``strongest_instance``.
+        Which of them are reachable does not matter. ``by_capacity`` puts those with
+        the highest capacity first, as for ``strongest_instance``. An instance that
+        does not know the registered ones, or is none of them, comes after all.
         """
-        if self.own_id not in self._state.instances_by_id:
+        registered = self._state.instances_by_id
+        if not self._state.replicas_by_kind[INSTANCES].revision or (
+            self.own_id not in registered
+        ):
             return LAST_RANK
         rank = self._registered_ranks_by_name.get(name)
         if rank is None:
-            others = self._state.instances_by_id.keys() - {self.own_id}
+            others = registered.keys() - {self.own_id}
 
             def position(instance: str) -> tuple:
                 key = self._order_key(instance) if by_capacity else 0.0
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from fireflystand_core.dispatch import UNUSED_PERIOD, QueuedRequest, SlotResult
+from fireflystand_core.exceptions import StoreUnavailableError
 from fireflystand_core.messages import SlotGrant
 
 from ...events import COLD_SLOT_GRANTED, SLOT_REQUEST_REDIRECTED
@@ -244,5 +245,35 @@
                 self.check(service)
 
 
+class UnknownRegistryTests(unittest.TestCase):
+    """Guard against instances that take themselves for the only one as they start."""
+
+    def test_instances_that_know_no_others_yet(self):
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, "pooled")
+            known = fleet.store.list
+
+            async def list_but_instances(kind):
+                if kind == INSTANCES:
+                    raise StoreUnavailableError("too many calls", step="list")
+                return await known(kind)
+
+            fleet.store.list = list_but_instances
+            starting = [await fleet.add_node() for _ in range(5)]
+            await eventually(
+                lambda: all(
+                    "t2" in node.state.targets_by_id and node.state.table
+                    for node in starting
+                )
+            )
+            until = trio.current_time() + 1.0
+            async with trio.open_nursery() as nursery:
+                for node in starting:
+                    nursery.start_soon(send_requests, node, "pooled", until)
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+
+        play_fleet(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
