Keep the longest statement of a target that it is cold

A target's record that arrived after its health response replaced what it had said there: cold for ten seconds, then a record written before with a tenth of a second left, and the target got its full load. Change: the later end holds.

--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -165,6 +165,16 @@
         self.assertTrue(any(isinstance(d, SlotGranted) for d in decisions))
 
 
+class StatementTests(unittest.TestCase):
+    """Guard against an older record that shortens what a target said since."""
+
+    def test_longest_statement_holds(self):
+        queue = queue_at(0, cold_target(cold_for=10.0, slots=50))
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        queue.set_target(cold_target(cold_for=0.1, slots=50), 0.5, policy)
+        self.assertLessEqual(count_grants(queue, 1.0), LIMIT)
+
+
 class RankChangeTests(unittest.TestCase):
     """Guard against a burst by each instance that becomes the first for a target."""
 
--- a/packages/core/src/fireflystand_core/dispatch/warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/warmup.py
@@ -100,9 +100,12 @@
         self._bucket = TokenBucket(policy.rate, COLD_BURST, now, COLD_BURST)
 
     def update(self, policy: WarmupPolicy, cold_for: float, now: float) -> None:
-        """Apply newer settings, and that the target stays cold if ``cold_for`` > 0."""
-        if cold_for > 0:
-            self._cold_until = now + cold_for
+        """Apply newer settings, and that the target stays cold for some seconds.
+
+        An earlier statement that it stays cold for longer holds nevertheless: it may
+        have come by a shorter way than this one.
+        """
+        self._cold_until = max(self._cold_until, now + cold_for)
         if policy != self.policy:
             self.policy = policy
             self._applied_rank = None
