Trust no health check that a busy target turned away

A cold target that had no room for a health check got its full load: 118 requests in a second where 11 are allowed, by one queue. Cause: any response with the target's id counted as a passed check. A refusal does not say for how long the target stays cold. Change: the control port tells whether the response states it (status 200, or with the remaining warm-up). Otherwise the check is repeated, and a queue without a share of the target's rate refuses what waits for it, with the end of the suspicion as Retry-After; a request had waited there for all its time and was told to return after 0.05 s.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -479,6 +479,12 @@
         slots.clear_suspicion(checked_at)
         return self._dispatch_freed(slots, now)
 
+    def note_failed_check(self, target: str) -> None:
+        """Apply that a health check of a suspected target gave no answer."""
+        slots = self.targets_by_id.get(target)
+        if slots is not None:
+            slots.warmup.note_failed_check()
+
     def _free(self, target: TargetSlots, number: int) -> HeldSlot:
         """Take back a slot of a target."""
         if self.targets_by_id.get(target.record.id) is target:
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -118,6 +118,15 @@
         self.assertIsInstance(refusal, SlotRefused)
         self.assertGreater(refusal.retry_after, 2.0)
 
+    def test_queued_request_is_refused_once_a_check_has_failed(self):
+        """It waited for all its time and was told to return at once."""
+        queue = queue_at(self.RANK, cold_target(cold_for=0.0))
+        queue.submit(slot_request("r", 10.0), 10.0)
+        queue.note_failed_check("t1")
+        (refusal,) = queue.tick(10.5)
+        self.assertIsInstance(refusal, SlotRefused)
+        self.assertGreater(refusal.retry_after, 1.0)
+
 
 class PooledTargetsTests(unittest.TestCase):
     """Guard against a service that stays on one target after its queue has moved.
--- a/packages/core/src/fireflystand_core/dispatch/warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/warmup.py
@@ -97,6 +97,7 @@
         self._share = NO_SHARE
         self._cold_until = now + cold_for
         self._suspected_at = float("-inf")
+        self._has_failed_check = False
         self._bucket = TokenBucket(policy.rate, COLD_BURST, now, COLD_BURST)
 
     def update(self, policy: WarmupPolicy, cold_for: float, now: float) -> None:
@@ -126,6 +127,11 @@
     def suspect_restart(self, now: float) -> None:
         """Treat the target as cold for its warm-up time, as it may have restarted."""
         self._suspected_at = now
+        self._has_failed_check = False
+
+    def note_failed_check(self) -> None:
+        """Apply that the target did not state its health when it was asked."""
+        self._has_failed_check = True
 
     def clear_suspicion(self, checked_at: float) -> None:
         """End the suspicion unless it arose after the health check began."""
@@ -161,6 +167,8 @@
             return self._bucket.time_until(1.0 + uncounted)
         if self.is_cold(now):
             return self._cold_until - now
+        if self._has_failed_check:
+            return max(HEALTH_CHECK_DURATION, self.suspected_until - now)
         return HEALTH_CHECK_DURATION
 
     def _refresh(self, now: float) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -97,10 +97,11 @@
     async def grant(self, address: str, item: KeyRange, lease: float) -> None:
         """Grant a lease of a range for ``lease`` seconds from the call's arrival."""
 
-    async def reach(self, address: str, target: str) -> None:
+    async def reach(self, address: str, target: str) -> bool:
         """Check that the target with the id responds at the address.
 
-        A target that says that it is cold is reported before the call returns.
+        Return whether its response tells if it is cold. A target that says that it is
+        cold is reported before the call returns.
         """
 
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -323,7 +323,7 @@
         self._deliver(queue, queue.release(result, trio.current_time()))
 
     async def _check_health(self, queue: AdmissionQueue, name: str) -> None:
-        """Check a target's health until it passes or is no longer suspect.
+        """Check a target's health until it states it or is no longer suspect.
 
         The control port reports the remaining seconds of its warm-up.
         """
@@ -336,13 +336,16 @@
                 checked_at = trio.current_time()
                 try:
                     with trio.fail_after(HEALTH_TIMEOUT):
-                        await self._control.reach(target.address, target.id)
+                        stated = await self._control.reach(target.address, target.id)
                 except (ConnectionFailedError, trio.TooSlowError):
+                    stated = False
+                now = trio.current_time()
+                if stated:
+                    self._deliver(queue, queue.clear_suspicion(name, checked_at, now))
+                else:
+                    queue.note_failed_check(name)
                     await trio.sleep(interval)
                     interval = min(MAX_HEALTH_RETRY_INTERVAL, 2 * interval)
-                else:
-                    now = trio.current_time()
-                    self._deliver(queue, queue.clear_suspicion(name, checked_at, now))
         finally:
             self._targets_in_check.discard(name)
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -159,18 +159,20 @@
 class SharedControl:
     """Accept grants and releases without checks.
 
-    Targets at the addresses of ``cold_for_by_address`` say that they are cold.
+    Targets at the addresses of ``cold_for_by_address`` say that they are cold, those
+    at ``busy_addresses`` turn health checks away.
     """
 
     def __init__(self) -> None:
         self.on_cold: Callable[[str, float], None] = lambda target, seconds: None
         self.cold_for_by_address: dict[str, float] = {}
         self.health_checks: list[str] = []  # addresses
+        self.busy_addresses: set[str] = set()
 
     async def grant(self, address: str, item: KeyRange, lease: float) -> None:
         await trio.sleep(0.001)
 
-    async def reach(self, address: str, target: str) -> None:
+    async def reach(self, address: str, target: str) -> bool:
         self.health_checks.append(address)
         host, port = address.rsplit(":", 1)
         try:
@@ -179,8 +181,11 @@
             raise ConnectionFailedError(
                 "refused", step="reach", peer=address, refused=True
             ) from error
+        if address in self.busy_addresses:
+            return False
         if address in self.cold_for_by_address:
             self.on_cold(target, self.cold_for_by_address[address])
+        return True
 
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
         await trio.sleep(0.001)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restarted_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restarted_targets.py
@@ -174,6 +174,16 @@
         most = self.play("pooled", "/p/x", self.restart_at_once, 0.0)
         self.assertGreater(most, 3 * BOUND)
 
+    def test_check_that_a_busy_target_turns_away_shows_nothing(self):
+        """Its refusal does not say that it is cold, and its full load followed."""
+
+        async def restart(fleet: Fleet, target) -> None:
+            for node in fleet.nodes:
+                node.control.busy_addresses.add(f"127.0.0.1:{target.port}")
+            await self.restart_at_once(fleet, target)
+
+        self.assertLessEqual(self.play("pooled", "/p/x", restart, WARMUP), BOUND)
+
     def check_idle_restart(self, idle: float) -> None:
         async def scenario(fleet: Fleet) -> None:
             target = await self.start(fleet, "pooled")
