Pass over peers that slot requests could not reach lately

Callers waited: each request for a slot first tried the responsible instance again while that was cut off, up to a second for a connection, and then the next one, until it was declared dead (5 s at 77 instances). Change: a peer to which a slot request failed is passed over for half a second by all requests of the instance. Why it works: the next instance in the common order decides as it would after the failure; for cold targets its share bounds what it grants. Tests: test_slots.UnreachablePeerTests (asked b, c, b, c, b, c before).

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -63,6 +63,9 @@
 # A request is sent to the queues of so many other instances, if those before cannot be
 # reached, and then decided by the queue of its own instance.
 MAX_ASKED_INSTANCES = 3
+# A peer that cannot be reached is not asked for this long: each request to it could
+# wait for a connection.
+PEER_RETRY_INTERVAL = 0.5  # seconds
 
 
 @attrs.frozen
@@ -429,6 +432,7 @@
         self._state = state
         self._data_centre = data_centre
         self._number = 0
+        self._failed_at_by_peer: dict[str, float] = {}
         # Routes differ in how long their requests take, so a refusal holds for one.
         self._refusals_by_queue_and_route: dict[tuple[str, str], _CachedRefusal] = {}
 
@@ -490,16 +494,20 @@
 
     async def _acquire(self, service: str, queued: QueuedRequest) -> Slot | SlotRefusal:
         own_id = self._membership.own_id
-        unreachable: list[str] = []
-        asked = responsible_for(self._membership, service, queued.target)
-        while asked != own_id:
+        for _ in range(MAX_ASKED_INSTANCES):
+            # The next one in the order that all instances use. If each granted slots
+            # for itself instead, they would overfill the target.
+            peer = responsible_for(
+                self._membership, service, queued.target, self._unreachable_peers()
+            )
+            if peer == own_id:
+                break
             try:
-                return await self._acquire_from_peer(asked, service, queued)
+                return await self._acquire_from_peer(peer, service, queued)
             except PeerUnavailableError as error:
                 emit(PEER_CALL_FAILED, error, message="slot-request")
-            unreachable.append(asked)
-            asked = self._next_to_ask(service, queued.target, unreachable)
-            self._record_redirection(service, queued.target, unreachable[-1], asked)
+            self._failed_at_by_peer[peer] = trio.current_time()
+            self._record_redirection(service, queued.target, peer)
         asked_at = self._clock()
         answer = await self._slot_service.acquire(service, queued)
         return self._slot(service, answer, own_id, asked_at)
@@ -565,14 +573,14 @@
             and self._state.is_cold(target)
         )
 
-    def _next_to_ask(self, service: str, target: str, unreachable: list[str]) -> str:
-        """Return the next instance in the order that all instances use.
-
-        If each granted slots for itself instead, they would overfill the target.
-        """
-        if len(unreachable) >= MAX_ASKED_INSTANCES:
-            return self._membership.own_id
-        return responsible_for(self._membership, service, target, unreachable)
+    def _unreachable_peers(self) -> Collection[str]:
+        """Return the peers to which a slot request failed lately."""
+        if self._failed_at_by_peer:
+            earliest = trio.current_time() - PEER_RETRY_INTERVAL
+            for peer, failed_at in list(self._failed_at_by_peer.items()):
+                if failed_at < earliest:
+                    del self._failed_at_by_peer[peer]
+        return self._failed_at_by_peer.keys()
 
     async def _acquire_from_peer(
         self, peer: str, service: str, queued: QueuedRequest
@@ -592,16 +600,13 @@
         answer = await self._request_from_peer(peer, request)
         return self._slot(service, answer, peer, asked_at)
 
-    def _record_redirection(
-        self, service: str, target: str, responsible: str, asked: str
-    ) -> None:
+    def _record_redirection(self, service: str, target: str, responsible: str) -> None:
         self._metrics.count(REDIRECTED_SLOT_REQUESTS)
         emit_limited(
             SLOT_REQUEST_REDIRECTED,
             service=service,
             target=target,
             responsible=responsible,
-            asked=asked,
         )
 
     def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -8,6 +8,7 @@
 
 from fireflystand_core.messages import Decoder, SlotGrant, SlotRefusal, encode
 
+from ...peers import PeerUnavailableError
 from ..slots import MAX_CACHED_REFUSALS, SlotClient
 from ..state import RoutingState
 
@@ -76,6 +77,37 @@
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class UnreachablePeerTests(unittest.TestCase):
+    """Guard against requests that each wait for a peer that cannot be reached."""
+
+    def test_peer_that_failed_is_passed_over_for_a_while(self):
+        class Peers(RefusingPeer):
+            def responsible_instance(self, name, without=()):
+                return next(peer for peer in "bc" if peer not in without)
+
+            async def request(self, peer, message, timeout):
+                asked.append(peer)
+                if peer == "b":
+                    await trio.sleep(0.2)
+                    raise PeerUnavailableError("cut off", step="connect", peer=peer)
+                return SlotGrant(1, "t1")
+
+        asked: list[str] = []
+        client = SlotClient(None, Peers(), None, "x")
+
+        async def main():
+            for _ in range(3):
+                now = trio.current_time()
+                slot = await client.acquire("s", "t1", 1, now, now + 2.0)
+                self.assertEqual(slot.responsible, "c")
+            self.assertEqual(asked, ["b", "c", "c", "c"])
+            await trio.sleep(0.6)
+            await client.acquire("s", "t1", 1, now, now + 9.0)
+            self.assertEqual(asked[4:], ["b", "c"])
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class LateAnswerPeer(RefusingPeer):
     """Grant slots and answer late."""
 
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -481,7 +481,6 @@
     "service",
     "target",
     "responsible",
-    "asked",
 )
 SLOT_OUTDATED = define_event(
     6049,
