Do not take peers for dead for a time in which one stood still

Cause: the silence of a peer was counted from its last heartbeat, also over the time in which this process could not have read one. Change: a check of the peers that comes over 1 s after the last one adds the gap, less a heartbeat's interval, to the times at which they were heard. Why it works: they get the two intervals that any peer gets to be heard. An instance that is late all the time still finds silent peers, after three checks; one whose host refuses connections is found as before. Tests: test_mesh.StandstillTests; two of three failed before (1 live instance where there are 4), the third one guards the late instance.

--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -22,6 +22,7 @@
 HEARTBEAT_TIMEOUT = 0.7  # seconds; a frozen or disconnected peer does not respond
 MAX_HEARTBEATS_PER_INTERVAL = 24  # bounds the cost of contacting the peers
 DEAD_AFTER_ROUNDS = 2.6  # rounds without a heartbeat until a peer is declared dead
+MAX_CHECK_GAP = 1.0  # seconds between two checks of a process that has not stood still
 
 
 @attrs.frozen
@@ -59,6 +60,9 @@
         self._on_heartbeat: OnHeartbeat = lambda peer, heartbeat, sent_after: None
         self._on_peer_dead: Callable[[str], None] = lambda peer: None
         self._heard_at_by_id: dict[str, float] = {}
+        self._checked_at = float(
+            "inf"
+        )  # when the silence of the peers was last checked
         self._clocks_by_id: dict[str, _PeerClock] = {}
         self._dead_since_by_id: dict[str, float] = {}
         self._round_remaining: list[list[str]] = []  # peers for each remaining interval
@@ -277,8 +281,15 @@
         return min(self._clock(), heartbeat.echo[1])
 
     def _expire_peers(self) -> None:
+        now = self._clock()
+        gap, self._checked_at = now - self._checked_at, now
+        if gap > MAX_CHECK_GAP:
+            # This process stood still, and heartbeats may wait to be read.
+            for peer, received_at in self._heard_at_by_id.items():
+                later = received_at + gap - HEARTBEAT_INTERVAL
+                self._heard_at_by_id[peer] = min(now, later)
         timeout = HEARTBEAT_INTERVAL * DEAD_AFTER_ROUNDS * self._intervals_per_round
-        earliest = self._clock() - timeout
+        earliest = now - timeout
         for peer, received_at in list(self._heard_at_by_id.items()):
             if received_at < earliest:
                 self._declare_dead(peer, "no beats")
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_mesh.py
@@ -57,6 +57,41 @@
             self.assertEqual(len(list(membership._next_peers())), 8)
 
 
+class StandstillTests(unittest.TestCase):
+    """Guard against instances that take all others for dead after a freeze.
+
+    Such an instance freed the slots of all others and granted their requests itself.
+    """
+
+    def setUp(self):
+        self.now = 10.0
+        self.membership = make_membership(1, 4)
+        self.membership._clock = lambda: self.now
+        for peer in (2, 3, 4):
+            self.membership._record_heartbeat(beat_of(f"n{peer:02}"))
+        self.membership._expire_peers()
+
+    def check_after(self, seconds: float) -> int:
+        """Return how many instances are live at a check so much later."""
+        self.now += seconds
+        self.membership._expire_peers()
+        return len(self.membership.live)
+
+    def test_peers_are_live_after_a_freeze(self):
+        self.assertEqual(self.check_after(0.5), 4)
+        self.assertEqual(self.check_after(5.0), 4)
+
+    def test_peers_that_stay_silent_are_declared_dead(self):
+        self.assertEqual(self.check_after(5.0), 4)
+        self.assertEqual(self.check_after(0.5), 4)
+        self.assertEqual(self.check_after(0.5), 1)
+
+    def test_silent_peers_are_declared_dead_by_a_late_instance(self):
+        for _ in range(3):
+            live = self.check_after(2.0)
+        self.assertEqual(live, 1)
+
+
 class DutyTests(unittest.TestCase):
     """Guard against shared duties on the weakest instances.
 
