Ask again for the slots of a process that stood still

Cause: a slot granted at a warm target does not age, since a slow link must not cost requests, and an instance that stood still cannot know that the target is cold: its requests go on before it has read what it missed. In a service whose cold targets are limited, a slot that was granted before that, and over 0.5 s ago, goes back unused, and the request asks again. Why it works: the granting instance knows the target. A request asks once more for a freeze; without one nothing changes.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -546,7 +546,9 @@
 
     def _may_use(self, slot: Slot) -> bool:
         """Tell whether a request may be sent with a slot now."""
-        return self._takes_requests(slot.target) and self._slots.check(slot)
+        if not self._takes_requests(slot.target):
+            return False
+        return self._slots.check(slot, self._loop_lag.stood_still_until)
 
     async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot | None:
         """Return a slot, or None if the target left while the request waited for it."""
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -503,9 +503,12 @@
             answer.version,
         )
 
-    def check(self, slot: Slot) -> bool:
-        """Tell whether a slot may be used now; log one that has to be given back."""
-        if not self._is_outdated(slot):
+    def check(self, slot: Slot, stood_still_until: float = float("-inf")) -> bool:
+        """Tell whether a slot may be used now; log one that has to be given back.
+
+        Until ``stood_still_until``, on the lease clock, this process learned nothing.
+        """
+        if not self._is_outdated(slot, stood_still_until):
             return True
         self._metrics.count(OUTDATED_SLOTS)
         emit_limited(
@@ -518,7 +521,7 @@
         )
         return False
 
-    def _is_outdated(self, slot: Slot) -> bool:
+    def _is_outdated(self, slot: Slot, stood_still_until: float) -> bool:
         """Tell whether a slot no longer allows its request to be sent.
 
         At a cold target it is for one process and for a short time.
@@ -527,10 +530,16 @@
             return False
         if self._was_for_warm_process(slot):
             return True
+        age = self._clock() - slot.granted_at
         target = self._state.targets_by_id.get(slot.target)
-        if not slot.cold and (target is None or not self._state.is_cold(target)):
-            return False
-        return self._clock() - slot.granted_at > COLD_GRANT_LIFETIME
+        if slot.cold or target is not None and self._state.is_cold(target):
+            return age > COLD_GRANT_LIFETIME
+        # The target may have turned cold meanwhile.
+        return (
+            slot.granted_at < stood_still_until
+            and age > COLD_GRANT_LIFETIME
+            and self._state.limits_cold_targets(slot.service)
+        )
 
     def _was_for_warm_process(self, slot: Slot) -> bool:
         """Tell whether a slot was granted for a process before the present cold one."""
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -198,7 +198,11 @@
         )
         if started_at != target.started_at or self._clock() >= cold_until:
             return False
-        policy = self.table and self.table.services_by_name.get(target.service)
+        return self.limits_cold_targets(target.service)
+
+    def limits_cold_targets(self, service: str) -> bool:
+        """Tell whether the cold targets of a service get a limited rate."""
+        policy = self.table and self.table.services_by_name.get(service)
         return policy is not None and policy.warmup_rate > 0
 
     def has_stated_leaving(self, target: TargetRecord) -> bool:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
@@ -1,5 +1,6 @@
 """Test slots that are used long after they were granted, or by another process."""
 
+import time
 import unittest
 from collections import Counter
 from unittest import mock
@@ -234,6 +235,48 @@
         play_fleet(scenario)
 
 
+class FrozenProcessTests(unittest.TestCase):
+    """Guard against a flood by instances that stood still while a target turned cold.
+
+    Their requests go on before they can have learned that.
+    """
+
+    def freeze_and_release(self, seconds: float, turns_cold: bool):
+        """Return arrivals, statuses and slot requests around a freeze."""
+        found = None
+
+        async def scenario(fleet: Fleet) -> None:
+            nonlocal found
+            target = await start_fleet(fleet, "keyed")
+            granting = responsible_node(fleet, "keyed")
+            async with trio.open_nursery() as nursery:
+                requests = LateGrants(nursery, "keyed")
+                held = await requests.hold(other_nodes(fleet, "keyed")[0], SLOTS)
+                if turns_cold:
+                    granting.state.mark_cold("t2", 1, WARMUP)
+                for node in fleet.nodes:
+                    node.loop_lag.peak = 0.0  # of a machine that is busy by chance
+                held.release()
+                time.sleep(seconds)  # no task runs meanwhile
+            found = target.arrivals, requests.statuses, held.count
+
+        play_fleet(scenario)
+        return found
+
+    def test_target_turns_cold_during_a_freeze(self):
+        arrivals, statuses, _ = self.freeze_and_release(2.0, turns_cold=True)
+        self.assertLessEqual(most_in_a_second(arrivals), BOUND)
+        self.assertEqual(len(arrivals), statuses[200])
+
+    def test_target_stays_warm_during_a_freeze(self):
+        _, statuses, _ = self.freeze_and_release(2.0, turns_cold=False)
+        self.assertEqual(statuses, {200: SLOTS})
+
+    def test_short_delay_of_the_event_loop_costs_no_slot_request(self):
+        _, statuses, asked = self.freeze_and_release(0.6, turns_cold=False)
+        self.assertEqual((statuses, asked), ({200: SLOTS}, SLOTS))
+
+
 class SlowLinkTests(unittest.TestCase):
     """Guard against limits on late grants that warm targets need not have."""
 
