State the order of instances and whether a service is keyed once

The position of an instance among the registered ones and the order of the live ones repeated the same sort key, the name of a queue stood in two places, and three modules looked up whether a service is keyed. No behaviour changes: the order by capacity and rendezvous score has no ties.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -477,14 +477,10 @@
             else:
                 await trio.sleep(RETRY_DELAY)
 
-    def _is_keyed(self, service: str) -> bool:
-        policy = self._state.table.services_by_name.get(service)
-        return policy is not None and policy.keyed
-
     async def _wait_for_owner(self, context: _RequestContext) -> str:
         """Return the target that owns the request's key, empty for unkeyed services."""
         context.phase = _Phase.OWNER
-        if not self._is_keyed(context.service):
+        if not self._state.is_keyed(context.service):
             if not self._state.usable_targets(context.service):
                 self._raise_no_target(context, "service has no target")
             return ""
@@ -605,7 +601,7 @@
         if not self._may_use(slot):
             return None
         target = self._state.usable_target(slot.target)
-        if not self._is_keyed(context.service):
+        if not self._state.is_keyed(context.service):
             return target
         owner = self._state.owner(context.service, context.request.routing_key)
         if owner is None or owner.target != target.id:
@@ -843,7 +839,7 @@
         if not context.attempts or context.slots_used > context.route.max_attempts:
             # No target received the request; only unkeyed services have others to try.
             return (
-                not self._is_keyed(context.service)
+                not self._state.is_keyed(context.service)
                 and context.slots_used <= context.route.max_attempts
             )
         part = self._state.registered_share
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -1,17 +1,14 @@
 """Track which instances are live by means of heartbeats."""
 
 from collections.abc import Callable, Collection, Iterable
+from functools import partial
 from random import Random
 
 import attrs
 import trio
 
 from fireflystand_core.messages import Beat, encode
-from fireflystand_core.sharding import (
-    rendezvous_first,
-    rendezvous_order,
-    rendezvous_score,
-)
+from fireflystand_core.sharding import rendezvous_first, rendezvous_score
 
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
@@ -157,14 +154,9 @@
             return LAST_RANK
         rank = self._registered_ranks_by_name.get(name)
         if rank is None:
-            others = registered.keys() - {self.own_id}
-
-            def position(instance: str) -> tuple:
-                key = self._order_key(instance) if by_capacity else 0.0
-                return (-key, *rendezvous_score(name, instance))
-
-            own = position(self.own_id)
-            rank = sum(position(other) > own for other in others)
+            precedence = self._precedence if by_capacity else rendezvous_score
+            own = precedence(name, self.own_id)
+            rank = sum(precedence(name, other) > own for other in registered)
             self._registered_ranks_by_name[name] = rank
         return rank
 
@@ -179,15 +171,21 @@
         """
         order = self._orders_by_name.get(name)
         if order is None:
-            order = sorted(rendezvous_order(name, self.live), key=self._order_key)
-            self._orders_by_name[name] = order
+            key = partial(self._precedence, name)
+            order = self._orders_by_name[name] = sorted(
+                self.live, key=key, reverse=True
+            )
         return order
 
-    def _order_key(self, instance: str) -> float:
+    def _precedence(self, name: str, instance: str) -> tuple[float, int, str]:
+        """Return a sort key: capacity, then rendezvous score; the highest is first."""
+        return self._capacity_of(instance), *rendezvous_score(name, instance)
+
+    def _capacity_of(self, instance: str) -> float:
         if instance == self.own_id:
-            return -self._capacity
+            return self._capacity
         record = self._state.instances_by_id.get(instance)
-        return -record.capacity if record else 0.0
+        return record.capacity if record else 0.0
 
     def store_watcher_rank(self, name: str) -> int:
         """Return this instance's position among those that reach the store."""
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -287,11 +287,8 @@
     def note_cold(self, target_id: str, seconds: float) -> None:
         """Send a target requests at its warm-up rate, as its health response asks."""
         target = self.state.targets_by_id.get(target_id)
-        table = self.state.table
-        if target is not None and table is not None:
-            policy = table.services_by_name.get(target.service)
-            is_keyed = policy is not None and policy.keyed
-            self.slots.report_cold(target, seconds, keyed=is_keyed)
+        if target is not None and self.state.table is not None:
+            self.slots.report_cold(target, seconds)
 
     def summary(self) -> dict:
         """Return this instance's view of the fleet, for operators."""
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -127,6 +127,18 @@
     return membership.strongest_instance(queue_name, without)
 
 
+def granting_rank(membership: Membership, service: str, target: str) -> int:
+    """Return an instance's own position in the order that ``responsible_for`` uses.
+
+    It counts the registered instances, reachable or not, so that instances that cannot
+    reach each other agree.
+    """
+    queue_name = f"{service}/{target}"
+    if target:
+        return membership.registered_rank(queue_name)
+    return membership.registered_rank(queue_name, by_capacity=True)
+
+
 @attrs.frozen
 class _Requester:
     """Hold who gets the answer to a slot request; ``link`` is set for a peer's.
@@ -195,18 +207,9 @@
         return queue
 
     def _rank(self, service: str, target: str) -> int:
-        """Return this instance's position for the slots of a target.
-
-        It counts the registered instances, not those that this one can reach, so that
-        instances that cannot reach each other agree.
-        """
-        if self._is_keyed(service):
-            return self._membership.registered_rank(f"{service}/{target}")
-        return self._membership.registered_rank(f"{service}/", by_capacity=True)
-
-    def _is_keyed(self, service: str) -> bool:
-        policy = self._state.table.services_by_name.get(service)
-        return policy is not None and policy.keyed
+        """Return this instance's position for the slots of a target."""
+        name = target if self._state.is_keyed(service) else ""
+        return granting_rank(self._membership, service, name)
 
     def _warmup_policy(self, service: str) -> WarmupPolicy:
         policy = self._state.table.services_by_name.get(service)
@@ -618,12 +621,12 @@
             responsible=responsible,
         )
 
-    def report_cold(self, target: TargetRecord, seconds: float, *, keyed: bool) -> None:
+    def report_cold(self, target: TargetRecord, seconds: float) -> None:
         """Apply that a target is cold, also at the instance that counts its slots.
 
         Others may have asked this instance for its slots instead.
         """
-        name = target.id if keyed else ""
+        name = target.id if self._state.is_keyed(target.service) else ""
         responsible = responsible_for(self._membership, target.service, name)
         cold = [target.id, target.started_at, seconds]
         self._state.mark_cold(*cold)
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -200,6 +200,11 @@
             return False
         return self.limits_cold_targets(target.service)
 
+    def is_keyed(self, service: str) -> bool:
+        """Tell whether each request to a service has a key with one owner."""
+        policy = self.table and self.table.services_by_name.get(service)
+        return policy is not None and policy.keyed
+
     def limits_cold_targets(self, service: str) -> bool:
         """Tell whether the cold targets of a service get a limited rate."""
         policy = self.table and self.table.services_by_name.get(service)
