Use slots of cold targets over slow links

Cause: each grant came later than the 0.5 s in which it may be used, and the request asked again at once. Change: the sender keeps the delay of the last two grants of each instance, of which the second one was asked for after the first had come; the lesser one, 2 s at most, is added to the time in which a slot may be used. Why it works: slots that all come late by the same time are as far apart as they were granted. A freeze or a partition holds up what is under way together, which counts as one delay; the next grant is quick again.

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -59,6 +59,7 @@
 MAX_CACHED_REFUSALS = 1000  # before expired ones are dropped
 # Slots that were granted one after the other must not be used together.
 COLD_GRANT_LIFETIME = 0.5  # seconds from the grant to the first byte, at a cold target
+MAX_USUAL_DELAY = 2.0  # seconds that a grant may take longer on a slow link
 
 
 @attrs.frozen
@@ -98,6 +99,29 @@
     version: int = 0
 
 
+@attrs.define
+class AnswerDelay:
+    """Hold how long the grants of an instance usually take to arrive, in seconds.
+
+    Slots that all come late by the same time are as far apart as they were granted. A
+    freeze or a partition delays those that were under way, but not the next ones.
+    """
+
+    _last_two: tuple[float, float] = (0.0, 0.0)
+    _measured_at: float = float("-inf")
+
+    @property
+    def usual(self) -> float:
+        """Return the delay that two grants, one asked for after the other, had."""
+        return min(*self._last_two, MAX_USUAL_DELAY)
+
+    def record(self, asked_at: float, delay: float, now: float) -> None:
+        """Add a delay unless its request was under way together with the last one."""
+        if asked_at >= self._measured_at:
+            self._last_two = self._last_two[1], delay
+            self._measured_at = now
+
+
 Decision = SlotGranted | SlotRefused
 Answer = SlotGrant | SlotRefusal
 
@@ -395,6 +419,7 @@
         self._state = state
         self._data_centre = data_centre
         self._number = 0
+        self._delays_by_instance: dict[str, AnswerDelay] = {}
         # Routes differ in how long their requests take, so a refusal holds for one.
         self._refusals_by_queue_and_route: dict[tuple[str, str], _CachedRefusal] = {}
 
@@ -492,12 +517,18 @@
         """
         if isinstance(answer, SlotRefusal):
             return answer
+        granted_at = None
+        if answer.waited is not None:
+            granted_at = asked_at + answer.waited
+            now = self._clock()
+            delay = self._delays_by_instance.setdefault(responsible, AnswerDelay())
+            delay.record(asked_at, now - granted_at, now)
         return Slot(
             service,
             answer.number,
             answer.target,
             responsible,
-            None if answer.waited is None else asked_at + answer.waited,
+            granted_at,
             answer.cold,
             answer.started_at,
             answer.version,
@@ -533,7 +564,8 @@
         age = self._clock() - slot.granted_at
         target = self._state.targets_by_id.get(slot.target)
         if slot.cold or target is not None and self._state.is_cold(target):
-            return age > COLD_GRANT_LIFETIME
+            usual = self._delays_by_instance[slot.responsible].usual
+            return age > COLD_GRANT_LIFETIME + usual
         # The target may have turned cold meanwhile.
         return (
             slot.granted_at < stood_still_until
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
@@ -278,7 +278,7 @@
 
 
 class SlowLinkTests(unittest.TestCase):
-    """Guard against limits on late grants that warm targets need not have."""
+    """Guard against limits on late grants that cost requests over slow links."""
 
     def test_warm_target_is_used_over_a_slow_link(self):
         async def scenario(fleet: Fleet) -> None:
@@ -294,6 +294,22 @@
 
         play_fleet(scenario)
 
+    def test_cold_target_is_used_over_a_slow_link(self):
+        """No slot that was sent there was used, and the others lacked them."""
+
+        async def scenario(fleet: Fleet) -> None:
+            target = await start_fleet(fleet, "keyed", cold_for=WARMUP)
+            slow, quick = other_nodes(fleet, "keyed")[:2]
+            async with trio.open_nursery() as nursery:
+                SlowAnswers(slow)
+                requests = LateGrants(nursery, "keyed")
+                await requests.send(slow, 4)
+                await requests.send(quick, 8)
+            self.assertEqual(requests.statuses, {200: 12})
+            self.assertLessEqual(most_in_a_second(target.arrivals), BOUND)
+
+        play_fleet(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -8,7 +8,7 @@
 
 from fireflystand_core.messages import Decoder, SlotGrant, SlotRefusal, encode
 
-from ..slots import MAX_CACHED_REFUSALS, SlotClient
+from ..slots import MAX_CACHED_REFUSALS, MAX_USUAL_DELAY, AnswerDelay, SlotClient
 from ..state import RoutingState
 
 
@@ -125,7 +125,7 @@
 
     def test_time_of_a_suspended_machine_counts(self):
         """Trio's clock stands still meanwhile."""
-        times = iter((10.0, 11.0, 11.0))
+        times = iter((10.0, 10.0, 11.0, 11.0))
         grant = SlotGrant(1, "t1", waited=0.0, cold=True)
         self.assertFalse(self.is_usable(grant, clock=lambda: next(times)))
 
@@ -139,5 +139,34 @@
                 self.assertTrue(self.is_usable(grant, delay=3.0, held=3.0))
 
 
+class AnswerDelayTests(unittest.TestCase):
+    """Guard against freezes that are taken for slow links, and the other way round.
+
+    Over a slow link no slot of a cold target would be used, and others lack them.
+    """
+
+    def test_second_slow_grant_shows_a_slow_link(self):
+        delay = AnswerDelay()
+        delay.record(10.0, 0.8, 10.8)
+        self.assertEqual(delay.usual, 0.0)
+        delay.record(10.8, 0.9, 11.7)
+        self.assertEqual(delay.usual, 0.8)
+
+    def test_grants_held_by_one_freeze_count_once(self):
+        delay = AnswerDelay()
+        delay.record(9.0, 0.01, 9.01)
+        for number in range(20):
+            delay.record(10.0 + 0.1 * number, 5.0 - 0.1 * number, 15.0)
+        self.assertEqual(delay.usual, 0.01)
+        delay.record(15.0, 0.02, 15.02)
+        self.assertEqual(delay.usual, 0.02)
+
+    def test_long_delay_is_not_usual(self):
+        delay = AnswerDelay()
+        delay.record(10.0, 5.0, 15.0)
+        delay.record(15.0, 5.0, 20.0)
+        self.assertEqual(delay.usual, MAX_USUAL_DELAY)
+
+
 if __name__ == "__main__":
     unittest.main()
