Grant cold targets nothing until the registrations of a start are known

Change: an instance comes last for one second after its registration, in which those of instances that start with it arrive. Only at the first start of the whole system are the targets of the first list taken for used. Why it works: when an instance begins to grant, the others that began within the same second are known to it, or it to them.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -125,13 +125,17 @@
         self,
         jitter: Callable[[], float] = lambda: 0.5,
         rank: Callable[[str], int] = lambda target: 0,
+        *,
+        is_first_start: bool = True,
     ) -> None:
         """Create an empty queue.
 
         ``rank`` returns the position of this queue's instance among those that may
-        grant slots of a cold target.
+        grant slots of a cold target. ``is_first_start`` tells that the targets start
+        with this process, so that those added first cannot have restarted since.
         """
         self._rank = rank
+        self._is_first_start = is_first_start
         self.targets_by_id: dict[str, TargetSlots] = {}
         # Those that may have a free slot: a busy service has few of them, and each
         # request for any target would look at all.
@@ -174,7 +178,7 @@
         slots = TargetSlots(record, warmup, now, self.mean.seconds, rank)
         if self._first_target_at is None:
             self._first_target_at = now
-        if now > self._first_target_at:
+        if now > self._first_target_at or not self._is_first_start:
             self._take_over_held_slots(slots)
             slots.limit_until_verified(now)
         self.targets_by_id[record.id] = self._open_targets_by_id[record.id] = slots
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_warmup.py
@@ -263,6 +263,14 @@
         self.assertEqual(queue.suspects, {"t1"})
         self.assertEqual(count_grants(queue, 10.0 + WARMUP + 0.1), 0)
 
+    def test_target_that_restarted_before_the_instance_started(self):
+        """Its record may be that of its earlier process, which was warm."""
+        queue = AdmissionQueue(is_first_start=False)
+        policy = WarmupPolicy(RATE, WARMUP, LIMIT)
+        queue.set_target(cold_target(cold_for=0.0), 0.0, policy)
+        self.assertLessEqual(count_grants(queue, 0.5), RATE + 2)
+        self.assertEqual(queue.suspects, {"t1"})
+
     def test_target_that_returns_after_its_record_had_lapsed(self):
         queue = queue_at(0, cold_target(cold_for=0.0, slots=50))
         queue.remove_target("t1")
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -25,6 +25,8 @@
 MAX_HEARTBEATS_PER_INTERVAL = 24  # bounds the cost of contacting the peers
 DEAD_AFTER_ROUNDS = 2.6  # rounds without a heartbeat until a peer is declared dead
 LAST_RANK = 1_000_000  # after all registered instances
+# Registrations reach all other instances within this time, unless they are cut off.
+REGISTRY_DELAY = 1.0  # seconds
 MAX_CHECK_GAP = 1.0  # seconds between two checks of a process that has not stood still
 
 
@@ -73,6 +75,7 @@
         # a kind of objects or a service.
         self._orders_by_name: dict[str, list[str]] = {}
         self._registered_ranks_by_name: dict[str, int] = {}
+        self._registered_at = float("inf")  # as first seen here
         self.store_unreachable = False  # whether this instance's store calls fail
         self._without_store: set[str] = set()
         self.live_set_version = 0  # number of changes to the set of live instances
@@ -145,21 +148,36 @@
 
         Which of them are reachable does not matter. ``by_capacity`` puts those with
         the highest capacity first, as for ``strongest_instance``. An instance that
-        does not know the registered ones, or is none of them, comes after all.
+        does not know the registered ones, or has just become one of them, comes after
+        all.
         """
-        registered = self._state.instances_by_id
-        if not self._state.replicas_by_kind[INSTANCES].revision or (
-            self.own_id not in registered
-        ):
+        if not self._is_settled:
             return LAST_RANK
         rank = self._registered_ranks_by_name.get(name)
         if rank is None:
             precedence = self._precedence if by_capacity else rendezvous_score
             own = precedence(name, self.own_id)
+            registered = self._state.instances_by_id
             rank = sum(precedence(name, other) > own for other in registered)
             self._registered_ranks_by_name[name] = rank
         return rank
 
+    @property
+    def _is_settled(self) -> bool:
+        """Tell whether this instance and those that started with it are registered.
+
+        As a whole fleet starts, each would otherwise be the first in its own view.
+        """
+        self._note_registration()
+        return self._clock() >= self._registered_at + REGISTRY_DELAY
+
+    def _note_registration(self) -> None:
+        is_known = self._state.replicas_by_kind[INSTANCES].revision > 0
+        if not is_known or self.own_id not in self._state.instances_by_id:
+            self._registered_at = float("inf")
+        elif self._registered_at == float("inf"):
+            self._registered_at = self._clock()
+
     def rank(self, name: str) -> int:
         """Return this instance's position in the order for ``name``, from 0."""
         return self._order(name).index(self.own_id)
@@ -223,6 +241,7 @@
     def _on_state_change(self, kind: str) -> None:
         if kind == INSTANCES:
             self._registered_ranks_by_name.clear()
+            self._note_registration()
 
     def refresh_addresses(self) -> None:
         """Apply the registered addresses and capacities of the peers."""
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -129,6 +129,7 @@
             control,
             self.metrics,
             settings.bounds,
+            is_first_start=settings.is_first_start,
         )
         self.pauses = TargetPauses(random.random)
         self.slots = SlotClient(
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -203,7 +203,10 @@
         control: TargetControlPort,
         metrics: Metrics,
         bounds: DispatchBounds,
+        *,
+        is_first_start: bool,
     ) -> None:
+        self._is_first_start = is_first_start
         self._control = control
         self._metrics = metrics
         self._bounds = bounds
@@ -226,7 +229,9 @@
         queue = self.queues_by_service.get(service)
         if queue is None:
             queue = self.queues_by_service[service] = AdmissionQueue(
-                self._random.random, partial(self._rank, service)
+                self._random.random,
+                partial(self._rank, service),
+                is_first_start=self._is_first_start,
             )
         return queue
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -351,6 +351,8 @@
     async def settle(self) -> None:
         """Wait until all instances have the configuration, targets and key owners."""
         version = max(self.tables_by_version)
+        services = self.tables_by_version[version].services_by_name.values()
+        limits_cold_targets = any(policy.warmup_rate for policy in services)
         targets = len(self.store.objects.get(TARGETS, {}))
 
         def settled(node: DispatchNode) -> bool:
@@ -363,6 +365,10 @@
                 and len(node.membership.live) == len(self.nodes)
                 and record is not None
                 and all(item.target for item in record.ranges)
+                and (
+                    not limits_cold_targets
+                    or node.membership.registered_rank("any") < len(self.nodes)
+                )
             )
 
         await eventually(lambda: all(settled(node) for node in self.nodes))
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_cold_targets.py
@@ -90,7 +90,8 @@
 
 def most_in_a_second(arrivals: list[float]) -> int:
     """Return the most requests that arrived within a second."""
-    return max(sum(since <= at < since + 1 for at in arrivals) for since in arrivals)
+    counts = (sum(since <= at < since + 1 for at in arrivals) for since in arrivals)
+    return max(counts, default=0)
 
 
 async def load_and_lose_responsible(
@@ -167,7 +168,7 @@
             def ranks() -> list[int]:
                 return sorted(m.registered_rank("keyed/t2") for m in memberships)
 
-            self.assertEqual(ranks(), list(range(NODES)))
+            await eventually(lambda: ranks() == list(range(NODES)))
             end_process(responsible_node(fleet, "keyed"))
             self.assertEqual(ranks(), list(range(NODES)))
             for membership in memberships:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_late_grants.py
@@ -68,7 +68,12 @@
 async def start_fleet(fleet: Fleet, service: str, **fields) -> HttpTarget:
     """Start the instances and the targets; return the only one of a service."""
     fleet.configure(
-        2, warmup=WARMUP, warmup_rate=WARMUP_RATE, max_attempts=1, timeout=TIME_LEFT
+        2,
+        warmup=WARMUP,
+        warmup_rate=WARMUP_RATE,
+        max_attempts=1,
+        timeout=TIME_LEFT,
+        max_connections=100,
     )
     await fleet.add_target("pooled" if service == "keyed" else "keyed")
     target = await fleet.add_target(service, work=0.02)
