Send fewer confirmations between data centres and batch watches of targets

Ruled out: fewer heartbeats, since they bound how long the slots of a lost instance are held. Change: without client accounts, heartbeats between data centres carry confirmations only from and to the instances that watch the store, or if the confirmations here are old; watches of targets pause 0.2 s while targets change in quick succession.

--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -13,10 +13,10 @@
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
 from .clock import lease_clock, sleep_until_next
-from .ports import INSTANCES
+from .ports import CONFIGURATION, DEPARTURES, INSTANCES, TARGETS, DispatchBounds
 from .state import RoutingState
 
-__all__ = ["HEARTBEAT_INTERVAL", "Membership"]
+__all__ = ["HEARTBEAT_INTERVAL", "WATCHER_COUNT", "Membership"]
 
 OnHeartbeat = Callable[[str, Beat, float], None]
 
@@ -24,6 +24,15 @@
 HEARTBEAT_TIMEOUT = 0.7  # seconds; a frozen or disconnected peer does not respond
 MAX_HEARTBEATS_PER_INTERVAL = 24  # bounds the cost of contacting the peers
 DEAD_AFTER_ROUNDS = 2.6  # rounds without a heartbeat until a peer is declared dead
+# Instances that watch a kind and push its changes to the others. The next one in the
+# order takes the place of an instance whose calls to the store fail.
+WATCHER_COUNT = 2
+# Confirmations reach a data centre through the instances that watch the store and
+# spread in it, if enough of its instances exchange heartbeats.
+MIN_LOCAL_PEERS = 4
+# Of the time within which a change has to take effect; replicas.py asks the store
+# itself a little later.
+QUIET_AGE_SHARE = 0.74
 LAST_RANK = 1_000_000  # after all registered instances
 # Registrations reach all other instances within this time, unless they are cut off.
 REGISTRY_DELAY = 1.0  # seconds
@@ -53,9 +62,11 @@
         *,
         random: Random | None = None,
         capacity: float = 0.0,
+        bounds: DispatchBounds | None = None,
         clock: Callable[[], float] = lease_clock,
     ) -> None:
         self._capacity = capacity
+        self._change_limits_by_kind = (bounds or DispatchBounds()).change_limits_by_kind
         self._clock = clock
         self.network = network
         self.own_id = network.hello.instance
@@ -76,6 +87,8 @@
         self._orders_by_name: dict[str, list[str]] = {}
         self._registered_ranks_by_name: dict[str, int] = {}
         self._registered_at = float("inf")  # as first seen here
+        self._watchers_cache: set[str] = set()
+        self._watchers_until = float("-inf")
         self.store_unreachable = False  # whether this instance's store calls fail
         self._without_store: set[str] = set()
         self.live_set_version = 0  # number of changes to the set of live instances
@@ -254,12 +267,12 @@
                 self.network.remove_peer(peer)
                 self._declare_dead(peer, "not registered")
 
-    def heartbeat(self, peer: str) -> Beat:
+    def heartbeat(self, peer: str, *, confirms: bool = True) -> Beat:
         """Return this instance's heartbeat message to a peer."""
         confirmations = [
             [kind, replica.revision, replica.changed, self._replica_age(kind)]
             for kind, replica in self._state.replicas_by_kind.items()
-            if replica.revision
+            if confirms and replica.revision
         ]
         now = self._clock()
         clock = self._clocks_by_id.get(peer)
@@ -276,11 +289,56 @@
     def _replica_age(self, kind: str) -> float:
         return round(self._state.confirmation_age(kind), 4)
 
+    def confirms_to(self, peer: str) -> bool:
+        """Tell whether heartbeats to a peer carry the confirmations of the replicas.
+
+        They are half of the bytes of a heartbeat. Without client accounts, no API key
+        depends on them, and the peers of a data centre pass on among themselves what
+        they hear from the instances that watch the store.
+        """
+        table = self._state.table
+        if table is None or not table.limits_by_capacity:
+            return True
+        instances = self._state.instances_by_id
+        own, other = instances.get(self.own_id), instances.get(peer)
+        if own is None or other is None or own.data_centre == other.data_centre:
+            return True
+        local = sum(
+            peer in instances and instances[peer].data_centre == own.data_centre
+            for peer in self._heard_at_by_id
+        )
+        if local < MIN_LOCAL_PEERS or self._has_old_confirmations:
+            return True
+        return not self._watchers.isdisjoint((self.own_id, peer))
+
+    @property
+    def _has_old_confirmations(self) -> bool:
+        return any(
+            self._state.confirmation_age(kind)
+            > QUIET_AGE_SHARE * self._change_limits_by_kind[kind]
+            for kind in (CONFIGURATION, TARGETS)
+        )
+
+    @property
+    def _watchers(self) -> set[str]:
+        """Return the instances that watch the store for others."""
+        if self._watchers_until < self._clock():
+            self._watchers_until = self._clock() + HEARTBEAT_INTERVAL
+            self._watchers_cache = {
+                instance
+                for kind in (CONFIGURATION, DEPARTURES, TARGETS)
+                for instance in self._store_watchers(f"watch/{kind}")
+            }
+        return self._watchers_cache
+
+    def _store_watchers(self, name: str) -> list[str]:
+        reachable = [i for i in self._order(name) if i not in self._without_store]
+        return reachable[:WATCHER_COUNT]
+
     async def _send_heartbeat(self, peer: str) -> None:
+        heartbeat = self.heartbeat(peer, confirms=self.confirms_to(peer))
         try:
-            response = await self.network.request(
-                peer, self.heartbeat(peer), HEARTBEAT_TIMEOUT
-            )
+            response = await self.network.request(peer, heartbeat, HEARTBEAT_TIMEOUT)
         except PeerUnavailableError as error:
             if error.refused:
                 self._record_ended(peer)
@@ -293,7 +351,10 @@
 
     def _handle_heartbeat(self, heartbeat: Beat, link: PeerLink, reply: Reply) -> None:
         self._record_heartbeat(heartbeat)
-        reply(self.heartbeat(heartbeat.instance))
+        peer = heartbeat.instance
+        # A peer whose confirmations are old sends them, and gets newer ones.
+        confirms = bool(heartbeat.proofs) or self.confirms_to(peer)
+        reply(self.heartbeat(peer, confirms=confirms))
 
     def _record_heartbeat(self, heartbeat: Beat) -> None:
         peer = heartbeat.instance
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -110,7 +110,11 @@
         )
         self.network = PeerNetwork(hello)
         self.membership = Membership(
-            self.network, self.state, random=random, capacity=settings.capacity
+            self.network,
+            self.state,
+            random=random,
+            capacity=settings.capacity,
+            bounds=settings.bounds,
         )
         others = [seed for seed in settings.seeds if seed != settings.peer_address]
         random.shuffle(others)
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -27,12 +27,13 @@
 from ..events import PEER_CALL_FAILED, STORE_REACHABLE, STORE_UNREACHABLE, emit
 from ..peers import PeerLink, PeerUnavailableError, Reply
 from .clock import lease_clock, sleep_until_next
-from .membership import Membership
+from .membership import WATCHER_COUNT, Membership
 from .ports import (
     CONFIGURATION,
     INSTANCES,
     KINDS,
     RANGES,
+    TARGETS,
     DispatchBounds,
     KindSnapshot,
     StorePort,
@@ -41,9 +42,6 @@
 
 __all__ = ["ReplicaSync"]
 
-# Instances that watch a kind and push its changes to the others. The next one in the
-# order takes the place of an instance whose calls to the store fail.
-WATCHER_COUNT = 2
 # Parts of the time within which a change of a kind has to take effect. A watch waits
 # for the first; an instance asks the store itself once the confirmations from its peers
 # are older than the second, so that no change is missed with its watchers. In between,
@@ -69,6 +67,10 @@
 SEED_WATCH_PERIOD = 2.0  # seconds after the start
 # With this delay, a few watch responses report all instances that register together.
 REGISTRATION_DELAY = 0.25  # seconds from a change of the instances to the next watch
+# Many targets change within a second at a start, a release or a departure. With this
+# delay one call and one push report several of them; a single change is not delayed.
+BATCH_DELAY = 0.2  # seconds from a change to the next watch
+BATCH_PERIOD = 0.5  # seconds since the change before it
 INCOMPLETE_TIMEOUT = 1.5  # seconds until a replica that misses a change is pulled
 PULL_TIMEOUT = 0.5  # seconds
 # Share of the instances that know the latest configuration of before a restoration.
@@ -109,6 +111,7 @@
         self._listed_kinds: set[str] = set()  # for which the last watch had no history
         self._watches_by_kind: dict[str, trio.CancelScope] = {}
         self._next_newer_pull = float("-inf")
+        self._targets_changed_at = float("-inf")
         # The first revision of a restored store that may lack known withdrawals.
         self._unproved_revision: int | None = None
         self.store_answered_at = float("-inf")
@@ -288,10 +291,21 @@
             self._membership.refresh_addresses()
         if changes:
             self._push_after(kind, since, snapshot.revision)
-            if kind == INSTANCES:
-                await trio.sleep(REGISTRATION_DELAY)
+            if delay := self._batch_delay(kind):
+                await trio.sleep(delay)
         return listed_again
 
+    def _batch_delay(self, kind: str) -> float:
+        """Return for how long further changes of a kind are gathered."""
+        if kind == INSTANCES:
+            return REGISTRATION_DELAY
+        table = self._state.table
+        if kind != TARGETS or table is None or not table.limits_by_capacity:
+            return 0.0
+        now = self._clock()
+        gap, self._targets_changed_at = now - self._targets_changed_at, now
+        return BATCH_DELAY if gap < BATCH_PERIOD else 0.0
+
     def _is_unproved(self, kind: str) -> bool:
         """Tell whether the store's responses do not confirm the replica of a kind."""
         return kind == CONFIGURATION and self._unproved_revision is not None
--- a/packages/router/src/fireflystand_router/dispatch/tests/replication_model.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/replication_model.py
@@ -224,7 +224,8 @@
         self.capacity = 2.0 if is_strong else 0.4  # processor cores
         self.store = CutStore(model.store, model.fabric, self.id)
         self.state = RoutingState(_read_table, lambda change: None, trio.current_time)
-        hello = Hello(self.id, f"{self.id}-1", "x", f"{self.id}:1")
+        self.data_centre = f"dc{number % model.data_centres}"
+        hello = Hello(self.id, f"{self.id}-1", self.data_centre, f"{self.id}:1")
         random = Random(f"{model.seed}/{self.id}")
         network = SimulatedNetwork(model.fabric, hello)
         self.membership = Membership(
@@ -232,6 +233,7 @@
             self.state,
             random=random,
             capacity=self.capacity,
+            bounds=model.bounds,
             clock=trio.current_time,
         )
         self.sync = ReplicaSync(
@@ -258,9 +260,16 @@
     """Own a store, a network and the instances on it."""
 
     def __init__(
-        self, count: int, *, seed: int, bounds: DispatchBounds, is_uniform: bool
+        self,
+        count: int,
+        *,
+        seed: int,
+        bounds: DispatchBounds,
+        is_uniform: bool,
+        data_centres: int,
     ) -> None:
         self.seed = seed
+        self.data_centres = data_centres
         self.is_uniform = is_uniform
         self.bounds = bounds
         self.random = Random(seed)
@@ -277,7 +286,7 @@
         value = {
             "incarnation": f"{instance.id}-1",
             "address": f"{instance.id}:1",
-            "data_centre": "x",
+            "data_centre": instance.data_centre,
             "capacity": instance.capacity,
         }
         self.store.write(INSTANCES, instance.id, value)
@@ -344,6 +353,7 @@
     seed: int,
     bounds: DispatchBounds | None = None,
     is_uniform: bool = False,
+    data_centres: int = 1,
 ) -> None:
     """Run a scenario once all instances have contacted each other.
 
@@ -357,6 +367,7 @@
             seed=seed,
             bounds=bounds or DispatchBounds(),
             is_uniform=is_uniform,
+            data_centres=data_centres,
         )
         model.configure(1)
         async with trio.open_nursery() as nursery:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_replication.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_replication.py
@@ -92,7 +92,9 @@
     watchers of their records were cut off from the store.
     """
 
-    def check(self, count: int, bounds: DispatchBounds, seed: int) -> None:
+    def check(
+        self, count: int, bounds: DispatchBounds, seed: int, data_centres: int = 1
+    ) -> None:
         async def scenario(model):
             for kind, limit in bounds.change_limits_by_kind.items():
                 await trio.sleep(model.random.uniform(6.0, 14.0))
@@ -109,7 +111,14 @@
                     instance.store.without_store = False
 
         written_version = 2
-        play_model(count, scenario, seed=seed, bounds=bounds, is_uniform=True)
+        play_model(
+            count,
+            scenario,
+            seed=seed,
+            bounds=bounds,
+            is_uniform=True,
+            data_centres=data_centres,
+        )
 
     def cut_watchers(self, model, kind: str) -> list:
         """Cut the instances that watch a kind off from the store."""
@@ -134,6 +143,44 @@
                 with self.subTest(count=count, seed=seed):
                     self.check(count, bounds, seed)
 
+    def test_data_centres_without_a_watcher_know_changes_in_time(self):
+        bounds = DispatchBounds(configuration_apply=2.5, target_departure=2.5)
+        self.check(32, bounds, 1, data_centres=4)
+
+
+class QuietHeartbeatTests(unittest.TestCase):
+    """Guard against data centres that pay for confirmations which they need not.
+
+    Heartbeats of all pairs were a third of the bytes between data centres.
+    """
+
+    BOUNDS = DispatchBounds(configuration_apply=2.5, target_departure=2.5)
+
+    def test_replicas_stay_confirmed_by_few_heartbeats(self):
+        async def scenario(model):
+            own = model.instances[-1]
+            remote = [i.id for i in model.instances if i.data_centre != own.data_centre]
+            for instance in model.instances:
+                instance.store.watched_kinds.clear()
+            confirmed = 0
+            for _ in range(50):
+                await trio.sleep(0.1)
+                confirmed += sum(map(own.membership.confirms_to, remote))
+                for kind, limit in self.BOUNDS.change_limits_by_kind.items():
+                    ages = [i.state.confirmation_age(kind) for i in model.instances]
+                    self.assertLess(max(ages), 0.84 * limit, kind)
+            for kind in KINDS:
+                watching = [
+                    i.id for i in model.instances if kind in i.store.watched_kinds
+                ]
+                self.assertLessEqual(len(watching), WATCHER_COUNT, kind)
+            self.assertLess(confirmed, 50 * len(remote) / 3)
+            # Without fresh confirmations an instance asks all of its peers for them.
+            own.state.replicas_by_kind[CONFIGURATION].confirmed_at = float("-inf")
+            self.assertTrue(all(map(own.membership.confirms_to, remote)))
+
+        play_model(40, scenario, seed=1, bounds=self.BOUNDS, data_centres=4)
+
 
 class StoreLoadTests(unittest.TestCase):
     """Guard against reads of the store that grow with the number of instances."""
