--- a/packages/testing/src/fireflystand_testing/experiment/model.py
+++ b/packages/testing/src/fireflystand_testing/experiment/model.py
@@ -7,11 +7,13 @@
 
 import attrs
 
+from fireflystand_core.admission import SharedRetryBudget
 from fireflystand_core.dispatch import (
     AdmissionQueue,
     QueuedRequest,
     SlotGranted,
     SlotResult,
+    TargetLoad,
 )
 from fireflystand_core.traffic import TargetRecord
 
@@ -21,6 +23,17 @@
 TICK = 0.1  # seconds between two looks of the admission queue at what waits
 WAY = 0.003  # seconds between an admission queue's decision and the target, and back
 NOISE_INTERVAL = 0.4  # seconds for which a machine's neighbours stay quiet or loud
+LOUD_FACTOR = 3.0  # by which loud neighbours lengthen work
+# A request beyond what a target runs well delays the others, so that the target ends
+# fewer requests the more it runs.
+CROWDING_EXPONENT = 2.0
+LATE_REFUSAL = 0.1  # seconds after which a refusal is not at once
+# What the router does with shed requests, as in its dispatch flow.
+MAX_ATTEMPTS = 3
+RETRY_DELAY = 0.02  # seconds
+SHED_RETRY_AFTER = 0.1  # seconds
+RETRY_SHARE = 0.1  # of the requests, half of what the operators allow
+RETRY_BURST = 43.0  # retries in 10 s, a half of what the operators allow one service
 
 
 @attrs.frozen
@@ -46,12 +59,30 @@
 
 @attrs.frozen
 class ModelTarget:
-    """Describe a target; for a part ``noise`` of the time work takes thrice as long."""
+    """Describe a target; for a part ``noise`` of the time work takes thrice as long.
+
+    Work takes longer with more than ``runs_well`` requests at once. ``slow_spans`` are
+    times of slower work: begin, end and factor. A part ``shed`` of the requests is
+    shed, and any that find ``queue_limit`` others waiting.
+    """
 
     id: str
     slots: int
     speed: float = 1.0
     noise: float = 0.2
+    runs_well: float = float("inf")
+    slow_spans: tuple[tuple[float, float, float], ...] = ()
+    shed: float = 0.0
+    queue_limit: float = float("inf")
+
+    def slowdown(self, is_loud: bool, running: int, now: float) -> float:
+        """Return how long work that starts now takes, relative to the usual."""
+        factor = (LOUD_FACTOR if is_loud else 1.0) / self.speed
+        factor *= max(1.0, running / self.runs_well) ** CROWDING_EXPONENT
+        for since, until, span_factor in self.slow_spans:
+            if since <= now < until:
+                factor *= span_factor
+        return factor
 
 
 @attrs.frozen
@@ -61,6 +92,7 @@
     targets: tuple[ModelTarget, ...]
     classes: tuple[CallerClass, ...]
     seconds: float = 30.0
+    reports_load: bool = False  # whether responses tell how slow their target is
 
 
 @attrs.define
@@ -72,6 +104,8 @@
     late: int = 0
     failed: int = 0
     refused: int = 0
+    refused_late: int = 0  # of the refused, those that had waited for it
+    resent: int = 0  # after they were shed
     held: float = 0.0  # seconds that refused requests were kept waiting
     credit: float = 0.0
     owed: float = 0.0
@@ -94,6 +128,7 @@
     tries: int = 0
     asked_at: float = 0.0
     started_at: float = 0.0
+    attempts: int = 0
 
 
 class _Play:
@@ -108,6 +143,7 @@
         self._numbers = count()
         self._requests_by_id: dict[str, _Request] = {}
         self._loud_by_target: dict[str, bool] = {}
+        self._retry_budget = SharedRetryBudget(RETRY_SHARE, RETRY_BURST, 0.5, 0.0)
         self._running_by_target = dict.fromkeys((t.id for t in load.targets), 0)
         self._queues_by_target: dict[str, list] = {t.id: [] for t in load.targets}
         self._targets_by_id = {target.id: target for target in load.targets}
@@ -158,10 +194,15 @@
             self._at(now + CALLER_DELAY, self._ask, _Request(item, now))
 
     def _ask(self, now: float, request: _Request) -> None:
-        item = request.caller
         request.tries += 1
+        request.attempts = 0
         request.asked_at = now
-        end = min(request.first_at + item.deadline, now + item.timeout)
+        self._retry_budget.note_request(1.0, now)
+        self._submit(now, request)
+
+    def _submit(self, now: float, request: _Request) -> None:
+        item = request.caller
+        end = min(request.first_at + item.deadline, request.asked_at + item.timeout)
         queued = QueuedRequest(
             id=str(next(self._numbers)),
             instance="a",
@@ -190,10 +231,27 @@
         self, now: float, granted: SlotGranted, request: _Request
     ) -> None:
         target = self._targets_by_id[granted.target]
-        if self._running_by_target[target.id] < target.slots:
+        queue = self._queues_by_target[target.id]
+        if target.shed and self._random.random() < target.shed:
+            self._at(now + WAY, self._shed, granted.number, request)
+        elif self._running_by_target[target.id] < target.slots:
             self._run(now, granted, request)
+        elif len(queue) >= target.queue_limit:
+            self._at(now + WAY, self._shed, granted.number, request)
+        else:
+            queue.append((granted, request))
+
+    def _shed(self, now: float, number: int, request: _Request) -> None:
+        """Send a shed request again as the router does, or refuse it."""
+        result = SlotResult(number, shed=True)
+        self._deliver(self._admission_queue.release(result, now), now)
+        request.attempts += 1
+        if request.attempts < MAX_ATTEMPTS and self._retry_budget.spend(1.0, now):
+            self.results_by_class[request.caller.name].resent += 1
+            self._at(now + RETRY_DELAY, self._submit, request)
         else:
-            self._queues_by_target[target.id].append((granted, request))
+            wait = SHED_RETRY_AFTER * (0.5 + self._random.random())
+            self._refuse(request, wait, now)
 
     def _run(self, now: float, granted: SlotGranted, request: _Request) -> None:
         target = self._targets_by_id[granted.target]
@@ -202,23 +260,35 @@
         seconds = item.work * self._random.lognormvariate(
             -(item.spread**2) / 2, item.spread
         )
-        seconds *= (3.0 if self._loud_by_target[target.id] else 1.0) / target.speed
+        seconds *= self._slowdown(target, now)
         end = max(now, min(now + seconds, granted.request.deadline_at))
         self._at(end, self._end_run, granted, request, end == now + seconds)
 
+    def _slowdown(self, target: ModelTarget, now: float) -> float:
+        running = self._running_by_target[target.id]
+        return target.slowdown(self._loud_by_target[target.id], running, now)
+
     def _end_run(
         self, now: float, granted: SlotGranted, request: _Request, done: bool
     ) -> None:
-        self._running_by_target[granted.target] -= 1
-        self._at(now + WAY, self._finish, granted.number, request, done)
+        target = self._targets_by_id[granted.target]
+        load = None
+        if self._load.reports_load:
+            running = self._running_by_target[target.id]
+            waiting = len(self._queues_by_target[target.id])
+            slowdown = self._slowdown(target, now)
+            load = TargetLoad(running, waiting, target.slots, slowdown)
+        self._running_by_target[target.id] -= 1
+        slot_result = SlotResult(granted.number, complete=done, load=load)
+        self._at(now + WAY, self._finish, slot_result, request)
         queue = self._queues_by_target[granted.target]
         if queue:
             self._run(now, *queue.pop(0))
 
-    def _finish(self, now: float, number: int, request: _Request, done: bool) -> None:
+    def _finish(self, now: float, given_back: SlotResult, request: _Request) -> None:
         result = self.results_by_class[request.caller.name]
         item = request.caller
-        if not done:
+        if not given_back.complete:
             result.failed += 1
         elif now + CALLER_DELAY <= request.first_at + item.aim:
             result.in_aim += 1
@@ -226,8 +296,7 @@
         else:
             result.late += 1
             result.credit += item.late_worth
-        seconds = now - request.started_at
-        given_back = SlotResult(number, seconds, complete=done)
+        given_back = attrs.evolve(given_back, seconds=now - request.started_at)
         self._deliver(self._admission_queue.release(given_back, now), now)
 
     def _refuse(self, request: _Request, retry_after: float, now: float) -> None:
@@ -238,6 +307,7 @@
         wait = min(retry_after, left / 3) if item.patient else 0.0
         if request.tries > item.retries or left <= 2 * CALLER_DELAY:
             result.refused += 1
+            result.refused_late += now - request.asked_at > LATE_REFUSAL
         else:
             self._at(now + 2 * CALLER_DELAY + wait, self._ask, request)
 
