Judge requests by their own target and plan when callers return

Estimates used the mean over targets of unlike speed, and a mean spoiled by slow responses refused every request that could have corrected it. Refused callers were told times that they do not honour, so most came back after a third of their time, together.

AdmissionPolicy holds the decisions; the default keeps today's, and SlotService passes the adaptive ones while the configuration in force has no client accounts (RoutingTable.limits_by_capacity).

Kept: the request that an idle target's estimate refuses probes the target; starts are estimated per slot by its own target; queued requests that can no longer end are refused in the tick; Retry-After comes from a schedule of returns, and places promised to them count as taken.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	$(BIN)/python -m fireflystand_testing.fuzz_check
 
 experiment: install
-	$(BIN)/python -m fireflystand_testing.experiment --load=$(LOAD)
+	$(BIN)/python -m fireflystand_testing.experiment --load=$(LOAD) --policy=$(POLICY)
 
 bench: install
 	$(BIN)/python -m fireflystand_testing.bench
--- a/packages/core/src/fireflystand_core/dispatch/__init__.py
+++ b/packages/core/src/fireflystand_core/dispatch/__init__.py
@@ -1,10 +1,21 @@
 """Decide which requests wait, which target runs each, and which are refused."""
 
-from . import admission_queue, estimates, owner_waits, pauses, slots, warmup
+from . import (
+    admission_queue,
+    estimates,
+    owner_waits,
+    pauses,
+    policy,
+    returns,
+    slots,
+    warmup,
+)
 from .admission_queue import *  # noqa: F403
 from .estimates import *  # noqa: F403
 from .owner_waits import *  # noqa: F403
 from .pauses import *  # noqa: F403
+from .policy import *  # noqa: F403
+from .returns import *  # noqa: F403
 from .slots import *  # noqa: F403
 from .warmup import *  # noqa: F403
 
@@ -13,6 +24,8 @@
     *estimates.__all__,
     *owner_waits.__all__,
     *pauses.__all__,
+    *policy.__all__,
+    *returns.__all__,
     *slots.__all__,
     *warmup.__all__,
 ]
--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -11,12 +11,15 @@
 
 from collections.abc import Callable, Iterable
 from functools import partial
+from heapq import nsmallest
 from itertools import count
 
 import attrs
 
 from ..traffic import TargetRecord
-from .estimates import MeanDuration, RouteDurations, start_delay
+from .estimates import MeanDuration, RouteDurations, start_delay, start_of_next
+from .policy import AdmissionPolicy
+from .returns import ReturnSchedule
 from .slots import HeldSlot, TargetLoad, TargetSlots
 from .warmup import WarmupPolicy
 
@@ -39,6 +42,13 @@
 USABLE_TIME_SHARE = 0.8  # of the time left, within which the request must end
 # A request with little time goes before those that can wait longer.
 MAX_SOFT_DEADLINE_SHARE = 0.5  # of the time left when the request arrives
+# Durations are skewed, so most requests take less than the mean. By the mean, requests
+# that would be in time go behind those that are late.
+TYPICAL_SHARE = 0.7  # of a target's mean duration
+# A queued request is refused early only if few requests like it would end in time.
+HOPELESS_SHARE = 0.5  # of the expected duration, which must fit before the deadline
+# An estimate takes time in proportion to the queue and the slots of its targets.
+MAX_RECHECKED = 16  # queued requests of one queue, ten times a second
 MIN_RETRY_AFTER = 0.05  # seconds
 EXPIRY_GRACE = 0.5  # seconds after its deadline at which an unreturned slot is freed
 # A target in another data centre is chosen only if it is expected to be this many
@@ -49,6 +59,7 @@
 # A new connection takes a round trip and the target's handshake, which holds a slot.
 CONNECT_SECONDS = 0.01
 NO_WARMUP = WarmupPolicy()
+USUAL_ADMISSION = AdmissionPolicy()
 
 
 @attrs.frozen
@@ -127,6 +138,7 @@
         rank: Callable[[str], int] = lambda target: 0,
         *,
         is_first_start: bool = True,
+        policy: AdmissionPolicy = USUAL_ADMISSION,
     ) -> None:
         """Create an empty queue.
 
@@ -134,6 +146,7 @@
         grant slots of a cold target. ``is_first_start`` tells that the targets start
         with this process, so that those added first cannot have restarted since.
         """
+        self.policy = policy
         self._rank = rank
         self._is_first_start = is_first_start
         self.targets_by_id: dict[str, TargetSlots] = {}
@@ -146,6 +159,7 @@
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
+        self._returns_by_target: dict[str, ReturnSchedule] = {}
         self._targets_by_slot: dict[int, TargetSlots] = {}
         self._slot_numbers = count(1)
         self._first_target_at: float | None = None
@@ -197,6 +211,7 @@
         """Remove a target and refuse the requests in its queue."""
         self.targets_by_id.pop(target, None)
         self._open_targets_by_id.pop(target, None)
+        self._returns_by_target.pop(target, None)
         queue = self._queues_by_target.pop(target, {})
         return [
             SlotRefused(request, TARGET_GONE, MIN_RETRY_AFTER)
@@ -235,9 +250,19 @@
     ) -> Decision:
         """Grant a free slot to a request that nothing is queued before."""
         duration = slots.mean.seconds * self.route_durations.ratio(request.route)
-        if duration > request.deadline_at - now:
-            return self._refusal(request, NO_ROOM, 0.0, now)
-        return self._grant(request, slots, now)
+        if duration <= request.deadline_at - now:
+            return self._grant(request, slots, now)
+        if self.policy.estimates_by_target and not slots.held_by_number:
+            return self._grant_probe(request, slots, now)
+        return self._refusal(request, NO_ROOM, 0.0, now)
+
+    def _grant_probe(
+        self, request: QueuedRequest, slots: TargetSlots, now: float
+    ) -> SlotGranted:
+        """Grant a slot of an idle target to measure whether it is still slow."""
+        granted = self._grant(request, slots, now)
+        slots.held_by_number[granted.number].is_probe = True
+        return granted
 
     def _estimate(self, request: QueuedRequest, now: float) -> tuple[float, float]:
         """Return the expected start delay and duration of a request, in seconds."""
@@ -247,6 +272,8 @@
         if wait := self._pause_left_for(request, now):
             return wait, self.mean.seconds
         targets = [t for t in targets if not t.pause_left_for(request.instance, now)]
+        if self.policy.estimates_by_target:
+            return self._estimate_by_target(request, targets, now)
         mean = sum(target.mean.seconds for target in targets) / len(targets)
         queue = self._queues_by_target.get(request.target, {})
         ahead = [mean] * self._count_ahead(request, queue.values(), now)
@@ -256,6 +283,24 @@
         delay = start_delay(running, free, ahead, mean) + pause
         return delay, mean * self.route_durations.ratio(request.route)
 
+    def _estimate_by_target(
+        self, request: QueuedRequest, targets: list[TargetSlots], now: float
+    ) -> tuple[float, float]:
+        """Return start delay and duration at the target that is expected to run it."""
+        queue = self._queues_by_target.get(request.target, {})
+        ahead = self._count_ahead(request, queue.values(), now)
+        ratio = self.route_durations.ratio(request.route)
+        starts = [start for target in targets for start in target.expected_starts(now)]
+        if starts:
+            delay, duration = start_of_next(starts, ahead)
+            if delay > 0 and self.policy.plans_returns:
+                promised = self._count_promised(request.target, delay, now)
+                delay, duration = start_of_next(starts, ahead + promised)
+            return delay, duration * ratio
+        duration = min(target.mean.seconds for target in targets)
+        pause = min(target.pause_left(now) for target in targets)
+        return pause + duration * (ahead + 1), duration * ratio
+
     def _count_ahead(
         self, request: QueuedRequest, queued: Iterable[QueuedRequest], now: float
     ) -> int:
@@ -263,7 +308,7 @@
 
         One with a later deadline counts only while it is at least as urgent.
         """
-        urgency = self._urgency(now)
+        urgency = self._urgency(now, request.target)
         own_urgency = urgency(request)
         return sum(
             other.priority <= request.priority
@@ -294,10 +339,32 @@
     ) -> SlotRefused:
         # Without jitter all refused callers would retry at the same time and meet
         # the same queue again.
+        if self.policy.plans_returns:
+            wait = self._plan_return(request, delay, now)
+            return SlotRefused(request, reason, wait)
         wait = delay if delay != float("inf") else request.deadline_at - now
         wait = max(MIN_RETRY_AFTER, wait) * (0.75 + 0.5 * self._jitter())
         return SlotRefused(request, reason, wait)
 
+    def _plan_return(self, request: QueuedRequest, delay: float, now: float) -> float:
+        """Return the seconds after which a refused request's caller comes back."""
+        schedule = self._returns_by_target.setdefault(request.target, ReturnSchedule())
+        targets = self._candidates(request.target)
+        rate = sum(target.record.slots / target.mean.seconds for target in targets)
+        return schedule.promise(
+            (request.priority, request.route),
+            now,
+            delay=delay,
+            gap=1 / rate if rate else 0.0,
+            left=request.deadline_at - now,
+            fraction=self._jitter(),
+        )
+
+    def _count_promised(self, target: str, delay: float, now: float) -> int:
+        """Count the refused callers that come back before a request can start."""
+        schedule = self._returns_by_target.get(target)
+        return schedule.count(now, now + delay) if schedule else 0
+
     def _dispatch(self, target: str, now: float) -> list[Decision]:
         """Grant free slots to the requests of a queue, the most urgent first."""
         queue = self._queues_by_target.get(target)
@@ -322,7 +389,7 @@
         self, queue: dict[str, QueuedRequest], target: str, now: float
     ) -> Iterable[QueuedRequest]:
         """Yield the requests of a queue while a target has a free slot."""
-        urgency = self._urgency(now)
+        urgency = self._urgency(now, target)
         if self._has_pauses:
             if self._has_free_slot(target, now):
                 yield from sorted(queue.values(), key=urgency)
@@ -347,12 +414,21 @@
         duration = mean.seconds * self.route_durations.ratio(request.route)
         return now + duration / 2 > request.deadline_at
 
-    def _urgency(self, now: float) -> Callable[[QueuedRequest], tuple]:
+    def _mean_of(self, target: str) -> MeanDuration:
+        """Return the mean duration by which the requests of a queue are judged."""
+        if target and self.policy.estimates_by_target:
+            return self.targets_by_id[target].mean
+        return self.mean
+
+    def _urgency(self, now: float, target: str) -> Callable[[QueuedRequest], tuple]:
         """Return a sort key: can meet its soft deadline, priority, soft deadline."""
         ratio = self.route_durations.ratio
+        mean = self._mean_of(target).seconds
+        if target and self.policy.estimates_by_target:
+            mean *= TYPICAL_SHARE
 
         def key(request: QueuedRequest) -> tuple:
-            earliest_end = now + self.mean.seconds * ratio(request.route)
+            earliest_end = now + mean * ratio(request.route)
             return (
                 request.soft_deadline_at < earliest_end,
                 request.priority,
@@ -440,7 +516,7 @@
             target.used_at = now
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
-            self._record_duration(target, slot.route, result)
+            self._record_duration(target, slot, result)
         if result.load is not None:
             target.record_load(result.load, now)
         if result.shed:
@@ -508,12 +584,14 @@
         return decisions
 
     def _record_duration(
-        self, target: TargetSlots, route: str, result: SlotResult
+        self, target: TargetSlots, slot: HeldSlot, result: SlotResult
     ) -> None:
         """Update the mean durations; an incomplete request took at least so long."""
         ratio = result.seconds / target.mean.seconds
-        if result.complete or ratio > self.route_durations.ratio(route):
-            self.route_durations.add(route, ratio)
+        if result.complete or ratio > self.route_durations.ratio(slot.route):
+            self.route_durations.add(slot.route, ratio)
+        if result.complete and slot.is_probe:
+            target.record_probe(result.seconds)
         if result.complete or result.seconds > target.mean.seconds:
             slowdown = result.load.slowdown if result.load is not None else 1.0
             target.record_duration(result.seconds, slowdown)
@@ -572,6 +650,8 @@
             if target.held_by_number[number].expires_at <= now
         ]
         self._drop_unused_connections(now)
+        for schedule in self._returns_by_target.values():
+            schedule.drop_past(now)
         if self._has_pauses:
             self._drop_ended_pauses(now)
         decisions = self._free_slots(expired, now)
@@ -580,7 +660,7 @@
                 continue
             warm_at = now + self._warmup_wait(target, now)
             for request in list(queue.values()):
-                if self._is_too_late(request, self.mean, now):
+                if self._is_too_late(request, self._mean_of(target), now):
                     del queue[request.id]
                     reason = "no slot before the deadline"
                     decisions.append(SlotRefused(request, reason, MIN_RETRY_AFTER))
@@ -590,6 +670,25 @@
                         self._refusal(request, NO_ROOM, warm_at - now, now)
                     )
             decisions += self._dispatch(target, now)
+            if self.policy.estimates_by_target:
+                decisions += self._refuse_hopeless(queue, now)
             if queue:
                 self._verify_unused(target, now)
         return decisions
+
+    def _refuse_hopeless(
+        self, queue: dict[str, QueuedRequest], now: float
+    ) -> list[Decision]:
+        """Refuse queued requests that can no longer be expected to end in time."""
+        decisions: list[Decision] = []
+        soonest = nsmallest(MAX_RECHECKED, queue.values(), key=_deadline)
+        for request in soonest:
+            delay, duration = self._estimate(request, now)
+            if delay + HOPELESS_SHARE * duration > request.deadline_at - now:
+                del queue[request.id]
+                decisions.append(self._refusal(request, NO_ROOM, delay, now))
+        return decisions
+
+
+def _deadline(request: QueuedRequest) -> float:
+    return request.deadline_at
--- a/packages/core/src/fireflystand_core/dispatch/estimates.py
+++ b/packages/core/src/fireflystand_core/dispatch/estimates.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-__all__ = ["MeanDuration", "RouteDurations", "remaining_work", "start_delay"]
+__all__ = [
+    "MeanDuration",
+    "RouteDurations",
+    "remaining_work",
+    "start_delay",
+    "start_of_next",
+]
 
 WEIGHT = 0.1  # of one sample; a change of speed shows after about ten requests
 # A request that has run for twice the mean duration is on a slow or unresponsive
@@ -30,6 +36,10 @@
         self._weight = weight
         self._prior = prior
 
+    def shift(self, seconds: float, weight: float) -> None:
+        """Move the mean toward a duration that outweighs the earlier ones."""
+        self.seconds += weight * (seconds - self.seconds)
+
     def add(self, seconds: float, count: int = 1) -> None:
         """Add a duration, or the mean of ``count`` durations."""
         self.samples += count
@@ -102,3 +112,19 @@
     for duration in queued:
         heapq.heapreplace(slots, slots[0] + duration)
     return slots[0]
+
+
+def start_of_next(
+    slots: Iterable[tuple[float, float]], ahead: int
+) -> tuple[float, float]:
+    """Return the seconds until the next request can start and how long it will run.
+
+    ``slots`` lists for each slot the seconds until it is free and the duration of the
+    requests there; ``ahead`` requests start before this one.
+    """
+    heap = list(slots)
+    heapq.heapify(heap)
+    for _ in range(ahead):
+        free_at, duration = heap[0]
+        heapq.heapreplace(heap, (free_at + duration, duration))
+    return heap[0]
--- /dev/null
+++ b/packages/core/src/fireflystand_core/dispatch/policy.py
@@ -0,0 +1,26 @@
+"""State which decisions of the admission queue adapt to what the targets can take.
+
+They handle services without client accounts, where nothing but the targets' capacity
+bounds the load: targets of unequal speed, keys with more load than their target can
+take, and targets that slow down or shed before all their slots are used.
+"""
+
+import attrs
+
+__all__ = ["ADAPTIVE_ADMISSION", "AdmissionPolicy"]
+
+
+@attrs.frozen
+class AdmissionPolicy:
+    """Switch adaptive decisions on, each by itself; by default all are off.
+
+    ``estimates_by_target`` uses the speed of the targets that can run a request, and
+    has a target measured again whose estimate refuses all its requests.
+    ``plans_returns`` spreads the times at which refused callers come back.
+    """
+
+    estimates_by_target: bool = False
+    plans_returns: bool = False
+
+
+ADAPTIVE_ADMISSION = AdmissionPolicy(estimates_by_target=True, plans_returns=True)
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -28,6 +28,8 @@
 # Reported slowdowns are clamped to between 1 / MAX_SLOWDOWN and MAX_SLOWDOWN.
 MAX_SLOWDOWN = 10.0
 MAX_TRANSIT = 1.0  # seconds from the grant of a slot to the arrival of its request
+# Requests that an estimate refuses cannot correct it, so a probe has to.
+PROBE_WEIGHT = 0.5  # of one probe's duration in the means
 COLD_WINDOW = 1.0  # seconds over which the requests to a cold target are counted
 
 
@@ -60,6 +62,7 @@
     expires_at: float
     route: str = ""
     counted: bool = False
+    is_probe: bool = False  # granted only to measure the target again
 
 
 class TargetSlots:
@@ -184,6 +187,12 @@
         self.mean.add(seconds)
         self._nominal_mean.add(seconds / _clamp_slowdown(slowdown))
 
+    def record_probe(self, seconds: float) -> None:
+        """Apply a response that came although the target was expected to be slow."""
+        if seconds < self.mean.seconds:
+            self.mean.shift(seconds, PROBE_WEIGHT)
+            self._nominal_mean.shift(seconds, PROBE_WEIGHT)
+
     def record_load(self, load: TargetLoad, now: float) -> None:
         """Store the slowdown that the target reported."""
         self._slowdown = _clamp_slowdown(load.slowdown)
@@ -237,6 +246,20 @@
             for slot in self.held_by_number.values()
         ]
 
+    def expected_starts(self, now: float) -> list[tuple[float, float]]:
+        """Return for each slot when it is free, and how long a request takes there.
+
+        The reported slowdown is that of the moment, which mostly ends before a queued
+        request starts, so the mean says more.
+        """
+        duration = self.mean.seconds
+        pause = self.pause_left(now)
+        starts = [
+            (max(pause, remaining_work(now - slot.since, duration)), duration)
+            for slot in self.held_by_number.values()
+        ]
+        return starts + [(pause, duration)] * self.free_slots(now)
+
     def pause_left(self, now: float) -> float:
         """Return the seconds until shed pause and warm-up rate allow a request."""
         wait = max(0.0, self._paused_until - now)
--- /dev/null
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -0,0 +1,164 @@
+"""Test the decisions that adapt to what targets of unequal speed can take."""
+
+import unittest
+
+from fireflystand_core.dispatch import (
+    ADAPTIVE_ADMISSION,
+    AdmissionPolicy,
+    AdmissionQueue,
+    QueuedRequest,
+    ReturnSchedule,
+    SlotGranted,
+    SlotRefused,
+    SlotResult,
+)
+from fireflystand_core.traffic import TargetRecord
+
+DEADLINE = 1.51  # seconds, of the keyed services
+
+
+def slot_request(name: str, now: float = 0.0, **fields) -> QueuedRequest:
+    """Return a slot request for the target t1."""
+    values = {
+        "instance": "i",
+        "target": "t1",
+        "priority": 1,
+        "soft_deadline_at": now + 0.604,
+        "deadline_at": now + DEADLINE,
+        "data_centre": "a",
+        "route": "r",
+    }
+    return QueuedRequest(id=name, **(values | fields))
+
+
+def queue_of(
+    slots: int = 1, names: tuple[str, ...] = ("t1",), policy=ADAPTIVE_ADMISSION
+) -> AdmissionQueue:
+    """Return an admission queue with targets that have so many slots each."""
+    queue = AdmissionQueue(policy=policy)
+    for name in names:
+        record = TargetRecord(
+            id=name, service="s", address=name, data_centre="a", slots=slots
+        )
+        queue.set_target(record, 0.0)
+    return queue
+
+
+def run(queue: AdmissionQueue, name: str, now: float, seconds: float, **fields) -> bool:
+    """Submit a request and end it after some seconds; tell whether it was granted."""
+    fields = {"deadline_at": now + max(DEADLINE, 2 * seconds)} | fields
+    (decision,) = queue.submit(slot_request(name, now, **fields), now)
+    if not isinstance(decision, SlotGranted):
+        return False
+    queue.release(SlotResult(decision.number, seconds), now + seconds)
+    return True
+
+
+class RecoveringEstimateTests(unittest.TestCase):
+    """Guard against estimates that refuse the requests that would correct them."""
+
+    def refusals(self, policy: AdmissionPolicy) -> int:
+        """Return the refusals in 60 s after six responses that took 4 s."""
+        queue = queue_of(slots=6, policy=policy)
+        granted = [queue.submit(slot_request(f"b{i}"), 0.0) for i in range(6)]
+        for (decision,) in granted:
+            queue.release(SlotResult(decision.number, 4.0, complete=False), 4.0)
+        return sum(
+            not run(queue, f"r{second}", 5.0 + second, 0.2, deadline_at=6.5 + second)
+            for second in range(60)
+        )
+
+    def test_six_bad_first_responses_cause_no_lasting_refusals(self):
+        self.assertEqual(self.refusals(AdmissionPolicy()), 60)
+        self.assertEqual(self.refusals(ADAPTIVE_ADMISSION), 0)
+
+    def test_slow_target_is_probed_by_one_request_at_a_time(self):
+        """A target that is still slow must not be given all its slots again."""
+        queue = queue_of(slots=6)
+        run(queue, "bad", 0.0, 9.0)
+        run(queue, "worse", 10.0, 9.0)
+        decisions = [queue.submit(slot_request(f"r{i}", 20.0), 20.0) for i in range(3)]
+        granted = [isinstance(decision, SlotGranted) for (decision,) in decisions]
+        self.assertEqual(granted, [True, False, False])
+
+
+class OwnTargetTests(unittest.TestCase):
+    """Guard against estimates from the mean of targets of unequal speed."""
+
+    def test_queued_request_is_judged_by_the_slots_that_free_first(self):
+        """The mean of a fast and a slow target refused what the fast one can run."""
+        queue = queue_of(names=("fast", "slow"))
+        for target, seconds in (("fast", 0.1), ("slow", 2.4)):
+            for count in range(8):
+                run(queue, f"{target}{count}", 3.0 * count, seconds, target=target)
+        self.fill(queue, 30.0)
+        self.assertEqual(queue.submit(slot_request("r", 30.0, target=""), 30.0), [])
+
+    def fill(self, queue: AdmissionQueue, now: float) -> None:
+        for target in queue.targets_by_id:
+            for count in range(4):
+                queue.submit(slot_request(f"{target}-{count}", now, target=target), now)
+
+    def test_request_that_cannot_end_in_time_is_refused_before_its_deadline(self):
+        """Requests behind one that never ends were refused at their deadline."""
+        queue = queue_of()
+        for count in range(9):
+            run(queue, f"r{count}", float(count), 0.3)
+        queue.submit(slot_request("stuck", 10.0), 10.0)
+        self.assertEqual(queue.submit(slot_request("queued", 10.0), 10.0), [])
+        for step in range(1, 10):
+            decisions = queue.tick(10.0 + step / 10)
+            if decisions:
+                break
+        self.assertIsInstance(decisions[0], SlotRefused)
+        self.assertLess(step / 10, DEADLINE - 0.6)
+
+
+class PlannedReturnTests(unittest.TestCase):
+    """Guard against refused callers that come back together or too late."""
+
+    def refusals(self, count: int, policy=ADAPTIVE_ADMISSION) -> list[float]:
+        """Return the Retry-After of requests that are refused at the same moment."""
+        queue = queue_of(slots=4, policy=policy)
+        for number in range(20):
+            run(queue, f"m{number}", number / 2, 0.3)
+        decisions = []
+        for number in range(count):
+            decisions += queue.submit(slot_request(f"r{number}", 20.0), 20.0)
+        return sorted(d.retry_after for d in decisions if isinstance(d, SlotRefused))
+
+    def test_no_caller_is_told_more_than_it_honours(self):
+        """All callers came back after a third of their time, at the same moment."""
+        waits = self.refusals(40)
+        self.assertGreater(len(waits), 15)
+        self.assertLessEqual(waits[-1], DEADLINE / 3)
+        self.assertGreater(max(self.refusals(40, AdmissionPolicy())), DEADLINE / 3)
+
+    def test_returns_are_spaced_by_what_the_targets_run(self):
+        schedule = ReturnSchedule()
+        waits = [self.promise(schedule, 0.0) for _ in range(4)]
+        for wait, expected in zip(waits, (0.1, 0.2, 0.3, 0.4), strict=True):
+            self.assertAlmostEqual(wait, expected)
+        self.assertEqual(schedule.count(0.15, 0.35), 2)
+
+    def test_returns_without_room_are_spread(self):
+        schedule = ReturnSchedule()
+        waits = [self.promise(schedule, i / 10, delay=9.0) for i in range(10)]
+        self.assertLessEqual(max(waits), 0.5)
+        self.assertGreater(max(waits) - min(waits), 0.2)
+
+    def promise(self, schedule, fraction: float, delay: float = 0.1) -> float:
+        return schedule.promise(
+            "kind", 0.0, delay=delay, gap=0.1, left=1.5, fraction=fraction
+        )
+
+    def test_caller_that_repeats_at_once_does_not_take_a_promised_place(self):
+        """Those that repeated at once got the room of those that waited as told."""
+        schedule = ReturnSchedule()
+        self.promise(schedule, 0.0)
+        self.assertEqual(schedule.count(0.01, 0.2), 1)
+        self.assertEqual(schedule.count(0.1, 0.2), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -571,7 +571,10 @@
             if context.limit.shortened:
                 # Another instance has more time for the request.
                 raise context.limit.refusal()
-            wait = slot.retry_after * (0.75 + 0.5 * self._random.random())
+            wait = slot.retry_after
+            if not self._state.table.limits_by_capacity:
+                # Else the admission queue has planned a time for each caller.
+                wait *= 0.75 + 0.5 * self._random.random()
             raise RequestRefusedError(503, slot.reason, retry_after=wait)
         return slot
 
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -139,6 +139,7 @@
             settings.data_centre,
             self.pauses,
             self.metrics,
+            jitter=random.random,
         )
         self.membership.set_callbacks(
             self.replica_sync.handle_confirmations, self.slot_service.release_instance
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -8,7 +8,9 @@
 import trio
 
 from fireflystand_core.dispatch import (
+    ADAPTIVE_ADMISSION,
     COLD_GRANT_LIFETIME,
+    AdmissionPolicy,
     AdmissionQueue,
     QueuedRequest,
     SlotGranted,
@@ -232,9 +234,16 @@
                 self._random.random,
                 partial(self._rank, service),
                 is_first_start=self._is_first_start,
+                policy=self._admission_policy(),
             )
         return queue
 
+    def _admission_policy(self) -> AdmissionPolicy:
+        table = self._state.table
+        if table is not None and table.limits_by_capacity:
+            return ADAPTIVE_ADMISSION
+        return AdmissionPolicy()
+
     def _rank(self, service: str, target: str) -> int:
         """Return this instance's position for the slots of a target."""
         name = target if self._state.is_keyed(service) else ""
@@ -253,6 +262,7 @@
             return
         if kind == CONFIGURATION:
             for queue in self.queues_by_service.values():
+                queue.policy = self._admission_policy()
                 queue.route_durations.keep(self._state.table.routes_by_name.keys())
         self._on_targets_change(None)
 
@@ -455,8 +465,10 @@
         pauses: TargetPauses | None = None,
         metrics: Metrics | None = None,
         clock: Callable[[], float] = lease_clock,
+        jitter: Callable[[], float] | None = None,
     ) -> None:
         self._clock = clock
+        self._jitter = jitter
         self._metrics = metrics or Metrics()
         self._pauses = pauses or TargetPauses()
         self._slot_service = slot_service
@@ -492,7 +504,7 @@
         queue_name = f"{service}/{target}"
         cached = self._refusals_by_queue_and_route.get((queue_name, route))
         if cached and cached.applies(priority, deadline_at, trio.current_time()):
-            return cached.refusal
+            return self._spread(cached.refusal)
         queued = QueuedRequest(
             id=self._next_id(),
             instance=self._membership.own_id,
@@ -510,6 +522,13 @@
             self._cache_refusal((queue_name, route), refusal)
         return answer
 
+    def _spread(self, refusal: SlotRefusal) -> SlotRefusal:
+        """Return a reused refusal with a time of its own where times are planned."""
+        if self._jitter is None or not self._state.table.limits_by_capacity:
+            return refusal
+        wait = refusal.retry_after * (0.75 + 0.5 * self._jitter())
+        return attrs.evolve(refusal, retry_after=wait)
+
     def _cache_refusal(self, key: tuple[str, str], refusal: _CachedRefusal) -> None:
         if self.cached_refusal_count >= MAX_CACHED_REFUSALS:
             now = trio.current_time()
--- a/packages/testing/src/fireflystand_testing/experiment/__main__.py
+++ b/packages/testing/src/fireflystand_testing/experiment/__main__.py
@@ -3,16 +3,20 @@
 import fire
 
 from .loads import loads_by_name
-from .model import ClassResult, play
+from .model import ClassResult, play, policy_by_name
 
 
-def main(load: str = "", seeds: int = 5) -> None:
-    """Print the mean results of a load pattern, or of all, over some seeds."""
+def main(load: str = "", seeds: int = 5, policy: str = "") -> None:
+    """Print the mean results of a load pattern, or of all, over some seeds.
+
+    ``policy`` is ``adaptive``, or names of single decisions joined by plus signs.
+    """
     names = [load] if load else list(loads_by_name)
+    chosen = policy_by_name(policy)
     print(f"{'load':<20}{'class':<10}{'earned':>7}{'aim':>7}{'late':>7}", end="")
     print(f"{'refused':>9}{'of late':>9}{'failed':>8}{'held s':>8}{'resent':>8}")
     for name in names:
-        plays = [play(loads_by_name[name](), seed) for seed in range(seeds)]
+        plays = [play(loads_by_name[name](), seed, chosen) for seed in range(seeds)]
         for item in plays[0]:
             _print_class(name, item, [results[item] for results in plays])
 
--- a/packages/testing/src/fireflystand_testing/experiment/loads.py
+++ b/packages/testing/src/fireflystand_testing/experiment/loads.py
@@ -260,5 +260,7 @@
     first = CallerClass(
         "first", 20.0, 0.18, 1.009, 4.036, 4.036, retries=0, target="t", until=0.4
     )
-    hurried = attrs.evolve(_on("t", KEYED, 13.0), name="hurried", since=5.0)
+    hurried = attrs.evolve(
+        _on("t", KEYED, 13.0), name="hurried", route="first", since=5.0
+    )
     return Load((target,), (first, hurried), reports_load=True)
--- a/packages/testing/src/fireflystand_testing/experiment/model.py
+++ b/packages/testing/src/fireflystand_testing/experiment/model.py
@@ -9,6 +9,8 @@
 
 from fireflystand_core.admission import SharedRetryBudget
 from fireflystand_core.dispatch import (
+    ADAPTIVE_ADMISSION,
+    AdmissionPolicy,
     AdmissionQueue,
     QueuedRequest,
     SlotGranted,
@@ -17,7 +19,14 @@
 )
 from fireflystand_core.traffic import TargetRecord
 
-__all__ = ["CallerClass", "ClassResult", "Load", "ModelTarget", "play"]
+__all__ = [
+    "CallerClass",
+    "ClassResult",
+    "Load",
+    "ModelTarget",
+    "play",
+    "policy_by_name",
+]
 
 CALLER_DELAY = 0.008  # seconds one way between callers and instances
 TICK = 0.1  # seconds between two looks of the admission queue at what waits
@@ -55,6 +64,7 @@
     target: str = ""  # empty if any target may run it
     since: float = 0.0
     until: float = float("inf")
+    route: str = ""  # the name if it is empty
 
 
 @attrs.frozen
@@ -134,11 +144,11 @@
 class _Play:
     """Own the events of one play."""
 
-    def __init__(self, load: Load, seed: int) -> None:
+    def __init__(self, load: Load, seed: int, policy: AdmissionPolicy) -> None:
         self.results_by_class = {item.name: ClassResult() for item in load.classes}
         self._load = load
         self._random = Random(seed)
-        self._admission_queue = AdmissionQueue(Random(seed + 1).random)
+        self._admission_queue = AdmissionQueue(Random(seed + 1).random, policy=policy)
         self._events: list[tuple[float, int, Callable, tuple]] = []
         self._numbers = count()
         self._requests_by_id: dict[str, _Request] = {}
@@ -210,7 +220,7 @@
             priority=item.priority,
             soft_deadline_at=request.first_at + item.aim - CALLER_DELAY,
             deadline_at=end - CALLER_DELAY,
-            route=item.name,
+            route=item.route or item.name,
         )
         self._requests_by_id[queued.id] = request
         self._deliver(self._admission_queue.submit(queued, now), now)
@@ -312,6 +322,16 @@
             self._at(now + 2 * CALLER_DELAY + wait, self._ask, request)
 
 
-def play(load: Load, seed: int = 1) -> dict[str, ClassResult]:
+def policy_by_name(name: str) -> AdmissionPolicy:
+    """Return the usual policy, the adaptive one, or one with a single decision."""
+    if name == "adaptive":
+        return ADAPTIVE_ADMISSION
+    names = [part for part in name.split("+") if part]
+    return AdmissionPolicy(**dict.fromkeys(names, True))
+
+
+def play(
+    load: Load, seed: int = 1, policy: AdmissionPolicy | None = None
+) -> dict[str, ClassResult]:
     """Play a load against an admission queue and return the results by class."""
-    return _Play(load, seed).run()
+    return _Play(load, seed, policy or AdmissionPolicy()).run()
