Place keys by what cold targets and slow machines can run

Placement counted a cold target like a warm one, so keys that moved to a target which had just started or returned were refused there for 3 s. Ranges without an owner were divided by the number of their keys, and the first ones without regard to the speed of targets.

While no client account bounds what callers send, a cold target now counts with its warm-up rate times the mean duration. Ranges without an owner are divided by known work and capacity. New targets are asked for their health before they get keys, which tells whether they are cold and how fast they are. A key with more work than any one target can run is placed alone on a fast warm target once it has been so for a second.

Cold targets without any keys were ruled out: they would be idle, and all keys that they can serve would have to move to them later. So was a division by relative need for all pieces: it cut one lost range into 60 pieces.

--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -1,16 +1,24 @@
-"""Choose which key ranges move, from the load of targets and keys."""
+"""Choose which key ranges move, from the load of targets and keys.
+
+With ``LoadView.by_load`` the choice also covers the load pattern of services whose
+callers are bounded by nothing but the targets' capacity: cold targets, targets of
+unequal speed, and single keys with more traffic than one target can run.
+"""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
+from .key_weights import KeyWeights
 from .record import KEY_SPACE, KeyRange, RangeRecord
 
 __all__ = [
+    "HotKeys",
     "LoadView",
     "PlannedMove",
     "initial_moves",
+    "isolating_moves",
     "moves_to_idle_targets",
     "rebalancing_moves",
     "work_cost",
@@ -33,6 +41,17 @@
 # A key that overloads its owner alone gains nothing on another target unless that is
 # clearly faster. Measured speeds of equal targets differ by less than this factor.
 CLEARLY_FASTER = 1.25
+COLD_SLOWDOWN = 2.0  # duration of a request on a cold target over that on a warm one
+# Each piece of a divided range is a separate grant, and a fragment of the record.
+MAX_PIECES = 8  # of a target's mean part, unless targets lack smaller pieces
+MIN_PIECE_KEYS = 64
+# Work expected at keys without known work, as a fraction of all work that is known.
+UNSEEN_WORK = 0.1
+MIN_KNOWN_WORK = 0.05  # busy slots; below this, ranges are divided by their keys
+HOT_AFTER = 1.0  # seconds; shorter peaks move no keys
+COOLED = 0.7  # of the fastest target's capacity; below it, a hot key is so no longer
+# Neighbours of a hot key move if their work exceeds this share of its owner's capacity.
+MIN_NEIGHBOUR_LOAD = 0.05
 
 
 @attrs.frozen
@@ -47,20 +66,46 @@
 
 @attrs.define
 class LoadView:
-    """Hold recent work in busy slots, that is, seconds of work per second."""
+    """Hold recent work in busy slots, that is, seconds of work per second.
+
+    ``limits_by_target`` holds the work that cold targets can take at their warm-up
+    rate. Targets in ``soon_warm`` are warm again before their keys could move, so
+    these stay. Keys in ``fixed_keys`` are moved by ``isolating_moves`` only.
+    ``by_load`` divides ranges by their work instead of by their keys.
+    """
 
     slots_by_target: Mapping[str, int]
     work_by_key: Mapping[int, float]
     speeds_by_target: Mapping[str, float] = attrs.field(factory=dict)
+    limits_by_target: Mapping[str, float] = attrs.field(factory=dict)
+    soon_warm: Collection[str] = ()
+    fixed_keys: Collection[int] = ()
+    by_load: bool = False
 
     def capacity(self, target: str) -> float:
         """Return a target's capacity in slots of mean speed."""
-        return self.slots_by_target[target] * self.speeds_by_target.get(target, 1.0)
+        capacity = self.slots_by_target[target] * self.speeds_by_target.get(target, 1.0)
+        return min(capacity, self.limits_by_target.get(target, capacity))
+
+    def is_cold(self, target: str) -> bool:
+        """Tell whether a target gets no more than its warm-up rate."""
+        return target in self.limits_by_target
 
     def cost(self, target: str, work: float) -> float:
         """Return the cost to callers of an amount of work at a target."""
         speed = self.speeds_by_target.get(target, 1.0)
-        return work_cost(work, self.slots_by_target[target], speed)
+        slots = self.slots_by_target[target]
+        if self.is_cold(target):
+            speed /= COLD_SLOWDOWN
+            return _queue_cost(work, work / self.capacity(target), slots, speed)
+        return work_cost(work, slots, speed)
+
+    def weights(self) -> KeyWeights:
+        """Return how much work to expect at each key."""
+        total = sum(self.work_by_key.values())
+        if total < MIN_KNOWN_WORK:
+            return KeyWeights({}, 1 / KEY_SPACE)
+        return KeyWeights(self.work_by_key, UNSEEN_WORK * total / KEY_SPACE)
 
     def work_of(self, item: KeyRange) -> float:
         """Return the work of a range."""
@@ -81,7 +126,10 @@
     1977). The square accounts for late responses: their share grows
     about twice as fast as the duration.
     """
-    load = work / (slots * speed)
+    return _queue_cost(work, work / (slots * speed), slots, speed)
+
+
+def _queue_cost(work: float, load: float, slots: int, speed: float) -> float:
     steady = min(load, SATURATED)
     waiting = steady ** math.sqrt(2 * (slots + 1)) / (slots * (1 - steady))
     if load > SATURATED:
@@ -98,6 +146,8 @@
     targets = sorted(load.slots_by_target)
     if not targets:
         return []
+    if load.by_load:
+        return _initial_moves_by_load(record, load)
     sizes = dict.fromkeys(targets, 0)
     for item in record.ranges:
         if item.target in sizes:
@@ -118,8 +168,8 @@
         target = max(wanted, key=lambda t: (wanted[t], t))
         left = item.last - first + 1
         size = max(1, round(wanted[target])) if wanted[target] > 0 else left
-        # A remainder of fewer than 64 keys is not worth a separate grant.
-        if left - size < 64:
+        # A smaller remainder is not worth a separate grant.
+        if left - size < MIN_PIECE_KEYS:
             size = left
         last = first + size - 1
         moves.append(PlannedMove(first, last, "", target))
@@ -128,6 +178,73 @@
     return moves
 
 
+def _initial_moves_by_load(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
+    """Divide the ranges without an owner in proportion to work and capacity."""
+    vacant = [item for item in record.ranges if not item.target]
+    if not vacant:
+        return []
+    weights = load.weights()
+    wanted = _wanted_work(record, load, weights)
+    mean = weights.weight(0, KEY_SPACE - 1) / len(wanted)
+    moves = []
+    for item in vacant:
+        moves.extend(_divide_by_work(item, wanted, load, weights, mean / MAX_PIECES))
+    return moves
+
+
+def _wanted_work(
+    record: RangeRecord, load: LoadView, weights: KeyWeights
+) -> dict[str, float]:
+    """Return how much each target has less than its part of all work."""
+    total = sum(load.capacity(t) for t in load.slots_by_target)
+    all_work = weights.weight(0, KEY_SPACE - 1)
+    wanted = {
+        t: all_work * load.capacity(t) / total for t in sorted(load.slots_by_target)
+    }
+    for item in record.ranges:
+        if item.target in wanted:
+            wanted[item.target] -= weights.weight(item.first, item.last)
+    return wanted
+
+
+def _divide_by_work(
+    item: KeyRange,
+    wanted: dict[str, float],
+    load: LoadView,
+    weights: KeyWeights,
+    smallest: float,
+) -> list[PlannedMove]:
+    """Divide a range into pieces; cold targets get no more than they want."""
+    moves: list[PlannedMove] = []
+    first = item.first
+    while first <= item.last:
+        target = _next_target(wanted, load, max(smallest, weights.weight(first, first)))
+        amount = wanted[target]
+        if not load.is_cold(target):
+            amount = max(amount, smallest)
+        last = weights.last_within(first, item.last, amount)
+        rest = weights.weight(last + 1, item.last)
+        if item.last - last < MIN_PIECE_KEYS and rest < smallest:
+            last = item.last
+        wanted[target] -= weights.weight(first, last)
+        if moves and moves[-1].destination == target:
+            moves[-1] = attrs.evolve(moves[-1], last=last)
+        else:
+            moves.append(PlannedMove(first, last, "", target))
+        first = last + 1
+    return moves
+
+
+def _next_target(wanted: Mapping[str, float], load: LoadView, piece: float) -> str:
+    """Return the target that gets the next piece of a range."""
+    target = max(wanted, key=lambda t: (wanted[t], t))
+    if wanted[target] >= piece:
+        return target
+    # No target lacks a whole piece. Work beyond its part hurts a warm target less.
+    warm = [t for t in wanted if not load.is_cold(t)] or list(wanted)
+    return max(warm, key=lambda t: (wanted[t] / load.capacity(t), t))
+
+
 def moves_to_idle_targets(
     record: RangeRecord, load: LoadView, limit: int = MOVES_PER_ROUND
 ) -> list[PlannedMove]:
@@ -143,6 +260,10 @@
     idle = [t for t in sorted(owned) if not owned[t]]
     sources = {t: items for t, items in owned.items() if items}
     moves = []
+    total = sum(load.capacity(t) for t in owned)
+    if load.by_load:
+        # Warm targets can take most.
+        idle.sort(key=lambda t: (-load.capacity(t), t))
     for target in idle[:limit]:
         if not sources:
             break
@@ -150,11 +271,35 @@
         widest = max(sources.pop(source), key=lambda item: _weight([item], load))
         if widest.size < 2:
             continue
+        if load.by_load:
+            move = _part_for(target, widest, load, load.capacity(target) / total)
+            if move is not None:
+                moves.append(move)
+            continue
         first = _middle(widest, load)
         moves.append(PlannedMove(first, widest.last, source, target))
     return moves
 
 
+def _part_for(
+    target: str, item: KeyRange, load: LoadView, share: float
+) -> PlannedMove | None:
+    """Return the end of a range with a target's share of all work, at most a half.
+
+    A busy key at the end of the range is left out, so the other end is tried too.
+    """
+    weights = load.weights()
+    half = weights.weight(item.first, item.last) / 2
+    amount = min(half, share * weights.weight(0, KEY_SPACE - 1))
+    first = weights.first_within(item.first + 1, item.last, amount)
+    if weights.weight(first, item.last) <= amount:
+        return PlannedMove(first, item.last, item.target, target)
+    last = weights.last_within(item.first, item.last - 1, amount)
+    if weights.weight(item.first, last) <= amount:
+        return PlannedMove(item.first, last, item.target, target)
+    return None
+
+
 def _weight(items: list[KeyRange], load: LoadView) -> float:
     """Return the work of ranges, plus their width so that idle ranges differ."""
     work = sum(load.work_of(item) for item in items)
@@ -192,12 +337,12 @@
     """
     work, keys_by_target = _work_by_target(record, load)
     moves: list[PlannedMove] = []
-    settled: set[str] = set()
+    settled: set[str] = set(load.soon_warm)
     while True:
         sources = [
             t
             for t in work
-            if t not in settled and work[t] > min_load * load.capacity(t)
+            if t not in settled and work[t] > _kept_load(load, t, min_load)
         ]
         if not sources or len(work) < 2:
             break
@@ -216,6 +361,15 @@
     return moves
 
 
+def _kept_load(load: LoadView, target: str, min_load: float) -> float:
+    """Return the work up to which a target keeps its keys.
+
+    A cold target serves what its warm-up rate lets through, and is warm again soon.
+    """
+    share = 1.0 if load.is_cold(target) else min_load
+    return share * load.capacity(target)
+
+
 def _best_move(
     record: RangeRecord,
     load: LoadView,
@@ -239,11 +393,18 @@
 def _unmovable_keys(
     load: LoadView, keys: list[int], source: str, destination: str
 ) -> frozenset[int]:
-    """Return the keys that each saturate the source; none for a faster destination."""
+    """Return the keys that stay at the source.
+
+    A key that saturates the source moves only to a faster destination.
+    """
     capacity = load.capacity(source)
     if load.capacity(destination) >= CLEARLY_FASTER * capacity:
-        return frozenset()
-    return frozenset(k for k in keys if load.work_by_key[k] >= SATURATED * capacity)
+        return frozenset(load.fixed_keys)
+    return frozenset(
+        k
+        for k in keys
+        if k in load.fixed_keys or load.work_by_key[k] >= SATURATED * capacity
+    )
 
 
 def _apply_move(
@@ -331,3 +492,102 @@
         if error < best_error:
             best, best_error = PlannedMove(keys[start], key, "", ""), error
     return best
+
+
+@attrs.define
+class HotKeys:
+    """Track the keys with more work than any one warm target can run."""
+
+    _since_by_key: dict[int, float] = attrs.field(factory=dict)
+
+    def update(self, load: LoadView, now: float) -> frozenset[int]:
+        """Return the keys that have been hot for some time, and still are."""
+        largest = _largest_warm(load)
+        since_by_key = {}
+        for key, work in load.work_by_key.items():
+            least = COOLED if key in self._since_by_key else SATURATED
+            if largest and work >= least * largest:
+                since_by_key[key] = self._since_by_key.get(key, now)
+        self._since_by_key = since_by_key
+        return frozenset(
+            key for key, since in since_by_key.items() if now - since >= HOT_AFTER
+        )
+
+
+def _largest_warm(load: LoadView) -> float:
+    """Return the capacity of the fastest warm target; 0 if all are cold."""
+    warm = [load.capacity(t) for t in load.slots_by_target if not load.is_cold(t)]
+    return max(warm, default=0.0)
+
+
+def isolating_moves(
+    record: RangeRecord, load: LoadView, keys: Collection[int]
+) -> list[PlannedMove]:
+    """Place each hot key alone on one of the fastest targets.
+
+    A hot key moves once: an owner that is nearly as fast as the fastest keeps it. The
+    other keys of its owner move to targets that have room for them.
+    """
+    work, _ = _work_by_target(record, load)
+    owners = {key: record.owner(key).target for key in keys}
+    least = _largest_warm(load) / CLEARLY_FASTER
+    taken: set[str] = set()
+    moves: list[PlannedMove] = []
+    for key in sorted(keys, key=lambda k: (-load.work_by_key.get(k, 0.0), k)):
+        owner = owners[key]
+        if owner not in work or owner in load.soon_warm:
+            continue
+        is_fast = not load.is_cold(owner) and load.capacity(owner) >= least
+        if is_fast and owner not in taken:
+            taken.add(owner)
+            moves.extend(_clearing_moves(record, load, work, owner, keys))
+            continue
+        busy = taken | set(owners.values())
+        fast = [
+            t
+            for t in work
+            if t not in busy and not load.is_cold(t) and load.capacity(t) >= least
+        ]
+        if not fast:
+            continue
+        best = min(fast, key=lambda t: (work[t], t))
+        taken.add(best)
+        moves.append(PlannedMove(key, key, owner, best))
+        amount = load.work_by_key[key]
+        work[owner] -= amount
+        work[best] += amount
+    return moves
+
+
+def _clearing_moves(
+    record: RangeRecord,
+    load: LoadView,
+    work: dict[str, float],
+    owner: str,
+    keys: Collection[int],
+) -> list[PlannedMove]:
+    """Move the other keys of a hot key's owner to the targets with most room."""
+    hot = [(key, key) for key in keys]
+    items = [
+        part for item in record.owned_by(owner) for part in item.without(sorted(hot))
+    ]
+    if sum(map(load.work_of, items)) < MIN_NEIGHBOUR_LOAD * load.capacity(owner):
+        return []
+    hot_owners = {record.owner(key).target for key in keys}
+    room = {
+        t: RELIEF_LOAD * load.capacity(t) - work[t]
+        for t in sorted(work)
+        if t not in hot_owners and not load.is_cold(t)
+    }
+    if not room:
+        return []
+    weights = load.weights()
+    smallest = sum(weights.weight(i.first, i.last) for i in items) / MAX_PIECES
+    moves = []
+    for item in items:
+        for move in _divide_by_work(item, room, load, weights, smallest):
+            amount = load.work_of(KeyRange(move.first, move.last))
+            work[owner] -= amount
+            work[move.destination] += amount
+            moves.append(attrs.evolve(move, source=owner))
+    return moves
--- a/packages/core/src/fireflystand_core/traffic/table.py
+++ b/packages/core/src/fireflystand_core/traffic/table.py
@@ -39,6 +39,11 @@
         """Tell whether requests on routes that are not public need an API key."""
         return bool(self.accounts_by_name)
 
+    @property
+    def limits_by_capacity(self) -> bool:
+        """Tell whether only the targets' capacity bounds what callers send."""
+        return not self.accounts_by_name
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path.
 
--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -11,7 +11,7 @@
 from fireflystand_core.ranges import LoadView
 from fireflystand_core.traffic import TargetRecord
 
-__all__ = ["ServiceLoad"]
+__all__ = ["ColdTarget", "ServiceLoad"]
 
 # Time constants in seconds of the decaying loads by key. The short one shows keys that
 # became busy, the long one averages out random variation.
@@ -26,6 +26,24 @@
 TARGET_WEIGHT = 0.03  # of one request, in the mean of a target
 PRIOR_REQUESTS = 10  # a new target starts with the service's mean, with this weight
 SLOWDOWNS_KEPT = 20  # of a target, one for each plan of moves
+# A fifth of the health responses come while neighbours disturb the target.
+HEALTH_SAMPLES_KEPT = 5
+# Factor by which the requests of one interval may exceed a target's mean. Without it,
+# a target that is 8 times as slow for a second looks 2.5 times as slow afterwards.
+MAX_INTERVAL_RATIO = 2.0
+# A target that is warm again sooner is so by the time of the next plan.
+MIN_COLD = 0.5  # seconds
+# Keys that leave a cold target pause twice, as they return when it is warm: for the
+# requests that run, and for up to half a second until the next plan.
+MIN_COLD_TO_MOVE = 1.5  # seconds
+
+
+@attrs.frozen
+class ColdTarget:
+    """Hold for how many seconds a target stays cold, and its requests a second."""
+
+    seconds: float
+    rate: float
 
 
 class TargetDurationEstimate:
@@ -37,18 +55,22 @@
     33rd percentile of the recent slowdowns is used.
     """
 
-    def __init__(self, initial_mean: float) -> None:
+    def __init__(
+        self, initial_mean: float, slowdown: float = 1.0, max_ratio: float = math.inf
+    ) -> None:
+        self._max_ratio = max_ratio
         self._nominal_mean = MeanDuration(
             initial_mean, weight=TARGET_WEIGHT, prior=PRIOR_REQUESTS
         )
         self._slowdowns: deque[float] = deque(maxlen=SLOWDOWNS_KEPT)
         self._seconds = 0.0
         self._nominal_seconds = 0.0
-        self._slowdown = 1.0
+        self._slowdown = slowdown
 
     def add(self, count: int, seconds: float, nominal_seconds: float) -> None:
         """Add requests, with their total seconds as measured and at slowdown 1."""
-        self._nominal_mean.add(nominal_seconds / count, count)
+        most = self._max_ratio * self._nominal_mean.seconds
+        self._nominal_mean.add(min(nominal_seconds / count, most), count)
         self._seconds += seconds
         self._nominal_seconds += nominal_seconds
 
@@ -67,7 +89,11 @@
 
 @attrs.define
 class ServiceLoad:
-    """Hold the load of one service, as reported by the instances."""
+    """Hold the load of one service, as reported by the instances.
+
+    With ``by_load`` the view serves placement by load: cold targets, speeds by health
+    responses, and ranges that are divided by work.
+    """
 
     mean: MeanDuration = attrs.field(
         factory=lambda: MeanDuration(INITIAL_MEAN, weight=SERVICE_WEIGHT)
@@ -83,15 +109,21 @@
     durations_by_target: dict[str, TargetDurationEstimate] = attrs.field(factory=dict)
     updated_at: float = 0.0
     observed_seconds: float = 0.0  # while keys had load
+    by_load: bool = False
+    cold_by_target: Mapping[str, ColdTarget] = attrs.field(factory=dict)
+    _health_slowdowns: dict[str, deque[float]] = attrs.field(factory=dict)
 
     def add_report(self, report: WorkReport) -> None:
         """Add a work report of an instance."""
         for target, count, seconds, nominal_seconds in report.targets:
+            if target in self.cold_by_target:
+                # The target is faster once it is warm.
+                continue
             self.mean.add(seconds / count, count)
             self.nominal_mean.add(nominal_seconds / count, count)
             known = self.durations_by_target.get(target)
             if known is None:
-                known = TargetDurationEstimate(self.nominal_mean.seconds)
+                known = self._new_estimate(target)
                 self.durations_by_target[target] = known
             known.add(count, seconds, nominal_seconds)
             self.expected_mean.add(known.expected, count)
@@ -101,6 +133,34 @@
             short_term[key] = short_term.get(key, 0.0) + work / SHORT_TIME_CONSTANT
             long_term[key] = long_term.get(key, 0.0) + work / self._long_time_constant()
 
+    def _new_estimate(self, target: str) -> TargetDurationEstimate:
+        if not self.by_load:
+            return TargetDurationEstimate(self.nominal_mean.seconds)
+        return TargetDurationEstimate(
+            self.nominal_mean.seconds,
+            self._health_slowdown(target) or 1.0,
+            MAX_INTERVAL_RATIO,
+        )
+
+    def add_health(self, target: str, slowdown: float) -> None:
+        """Add the slowdown that a target stated in a health response."""
+        samples = self._health_slowdowns.setdefault(
+            target, deque(maxlen=HEALTH_SAMPLES_KEPT)
+        )
+        samples.append(slowdown)
+
+    def _health_slowdown(self, target: str) -> float | None:
+        """Return the least of a target's recent slowdowns, None if it stated none.
+
+        Neighbours can only slow a machine down.
+        """
+        return min(self._health_slowdowns.get(target, ()), default=None)
+
+    def keep(self, targets: Collection[str]) -> None:
+        """Drop what health responses stated of all other targets."""
+        for target in self._health_slowdowns.keys() - targets:
+            del self._health_slowdowns[target]
+
     def _long_time_constant(self) -> float:
         """Return the long time constant, limited to the time observed so far."""
         return max(SHORT_TIME_CONSTANT, min(LONG_TIME_CONSTANT, self.observed_seconds))
@@ -123,13 +183,28 @@
     def speed(self, target: str) -> float:
         """Return a target's speed relative to the mean of the service."""
         known = self.durations_by_target.get(target)
-        if known is None:
+        if known is not None:
+            expected = known.expected
+        elif self.by_load and (slowdown := self._health_slowdown(target)):
+            expected = slowdown * self.nominal_mean.seconds
+        else:
             return 1.0
-        return min(
-            MAX_SPEED, max(MIN_SPEED, self.expected_mean.seconds / known.expected)
-        )
-
-    def view(self, targets: Mapping[str, TargetRecord], *, recent: bool) -> LoadView:
+        return min(MAX_SPEED, max(MIN_SPEED, self._usual_duration() / expected))
+
+    def _usual_duration(self) -> float:
+        """Return the seconds that a request takes on the service's mean target."""
+        if self.durations_by_target or not self._health_slowdowns:
+            return self.expected_mean.seconds
+        least = [min(samples) for samples in self._health_slowdowns.values()]
+        return self.nominal_mean.seconds * sum(least) / len(least)
+
+    def view(
+        self,
+        targets: Mapping[str, TargetRecord],
+        *,
+        recent: bool,
+        fixed_keys: Collection[int] = (),
+    ) -> LoadView:
         """Return the short-term or the long-term load of targets that may own keys."""
         slots_by_target = {t.id: t.slots for t in targets.values()}
         speeds_by_target = {t: self.speed(t) for t in targets}
@@ -143,6 +218,18 @@
             slots_by_target=slots_by_target,
             work_by_key={key: min(work, max_work) for key, work in work_by_key.items()},
             speeds_by_target=speeds_by_target,
+            limits_by_target={
+                target: cold.rate * self.mean.seconds
+                for target, cold in self.cold_by_target.items()
+                if target in slots_by_target and cold.seconds > MIN_COLD
+            },
+            soon_warm=[
+                target
+                for target, cold in self.cold_by_target.items()
+                if target in slots_by_target and cold.seconds <= MIN_COLD_TO_MOVE
+            ],
+            fixed_keys=fixed_keys,
+            by_load=self.by_load,
         )
 
 
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -184,8 +184,13 @@
             share=self.replica_sync.broadcast_record,
             store_age=lambda: self.replica_sync.store_age,
             is_first_start=self.settings.is_first_start,
+            places_by_load=self._limits_by_capacity,
         )
 
+    def _limits_by_capacity(self) -> bool:
+        table = self.state.table
+        return table is not None and table.limits_by_capacity
+
     def _new_entry_server(self) -> EntryServer:
         host, port = split_address(self.settings.caller_address)
         stop_period = self.settings.bounds.stop_grace * (1 - CLOSE_SHARE)
@@ -291,6 +296,12 @@
         if target is not None and self.state.table is not None:
             self.slots.report_cold(target, seconds)
 
+    def note_slowdown(self, target_id: str, slowdown: float) -> None:
+        """Use the speed that a target's health response states, to place keys."""
+        target = self.state.targets_by_id.get(target_id)
+        if target is not None:
+            self.ownership.add_health(target.service, target_id, slowdown)
+
     def summary(self) -> dict:
         """Return this instance's view of the fleet, for operators."""
         table = self.state.table
--- a/packages/router/src/fireflystand_router/dispatch/ownership.py
+++ b/packages/router/src/fireflystand_router/dispatch/ownership.py
@@ -60,6 +60,12 @@
         if coordinator is not None:
             coordinator.load.add_report(report)
 
+    def add_health(self, service: str, target: str, slowdown: float) -> None:
+        """Pass the slowdown in a health response to the service's coordinator."""
+        coordinator = self.coordinators_by_service.get(service)
+        if coordinator is not None:
+            coordinator.load.add_health(target, slowdown)
+
     async def stop(self) -> None:
         """Stop all coordinators, which resign their claims."""
         async with trio.open_nursery() as nursery:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -24,12 +24,14 @@
     RangesFrozen,
 )
 from fireflystand_core.ranges import (
+    HotKeys,
     KeyRange,
     LeaseLedger,
     LeaseTiming,
     PlannedMove,
     RangeRecord,
     initial_moves,
+    isolating_moves,
     moves_to_idle_targets,
     rebalancing_moves,
 )
@@ -52,7 +54,7 @@
 from ..http_client import ConnectionFailedError
 from .claim_watch import ClaimWatch
 from .clock import lease_clock, sleep_until_next
-from .load import ServiceLoad
+from .load import ColdTarget, ServiceLoad
 from .membership import Membership
 from .ports import RANGES, GrantRefusedError, StorePort, TargetControlPort
 from .record_writer import RecordWriter
@@ -134,11 +136,18 @@
         share: Callable[[ObjectChange, ObjectChange | None], None],
         store_age: Callable[[], float],
         is_first_start: bool = False,
+        places_by_load: Callable[[], bool] = lambda: False,
         clock: Callable[[], float] = lease_clock,
     ) -> None:
         self.service = service
         self._clock = clock
         self.load = ServiceLoad()
+        self._places_by_load = places_by_load
+        self._hot_keys = HotKeys()
+        # When the processes of targets were asked for their health, before they get
+        # keys; their ids with the starts of the processes.
+        self._asked_at_by_process: dict[tuple[str, int], float] = {}
+        self._answered_processes: set[tuple[str, int]] = set()
         self._store = store
         self._control = control
         self._state = state
@@ -720,13 +729,18 @@
         """Start the moves that changes of the targets or of their load require."""
         self.load.decay(now)
         usable = self._assignable()
-        if not usable or len(self._moving) >= MAX_CONCURRENT_MOVES:
-            return
-        if self._are_targets_appearing(usable, now):
+        are_appearing = bool(usable) and self._are_targets_appearing(usable, now)
+        self.load.by_load = self._places_by_load()
+        if self.load.by_load:
+            usable = self._known_in_health(usable, now)
+            self._update_cold_targets(usable)
+        if not usable or len(self._moving) >= MAX_CONCURRENT_MOVES or are_appearing:
             return
         record = self.record
         vacated = self._without_lost_owners(record, usable)
-        view = self.load.view(usable, recent=False)
+        recent = self.load.view(usable, recent=True)
+        hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
+        view = self.load.view(usable, recent=False, fixed_keys=hot)
         moves = initial_moves(vacated, view)
         if not moves and not self.writer.is_failing:
             # Moving keys are counted at their destination.
@@ -736,14 +750,69 @@
             moves = moves_to_idle_targets(
                 planned, view, MAX_CONCURRENT_MOVES - len(self._moving)
             )
+            recent = attrs.evolve(recent, fixed_keys=hot)
+            if not moves and hot:
+                moves = isolating_moves(planned, recent, hot)
             if not moves:
-                recent = self.load.view(usable, recent=True)
                 moves = rebalancing_moves(planned, recent, min_load=HIGH_LOAD_THRESHOLD)
             if not moves and now >= self._next_rebalancing:
                 self._next_rebalancing = now + REBALANCE_INTERVAL
                 moves = rebalancing_moves(planned, view, MAX_REBALANCE_MOVES)
         self._start_moves(record, moves)
 
+    def _known_in_health(
+        self, usable: dict[str, TargetRecord], now: float
+    ) -> dict[str, TargetRecord]:
+        """Return the targets that may get keys, and ask new ones for their health.
+
+        A new target states how fast it is and whether it is cold. It gets keys once it
+        has answered, or after the time limit of an answer. Owners of keys are not
+        asked: their control connections ask.
+        """
+        processes = {
+            target: (target.id, target.started_at) for target in usable.values()
+        }
+        for target, process in processes.items():
+            if process in self._asked_at_by_process:
+                continue
+            self._asked_at_by_process[process] = now
+            if self._owns_keys(target):
+                self._answered_processes.add(process)
+            else:
+                self._start_task(self._ask_for_health, target)
+        known = set(processes.values())
+        self._answered_processes &= known
+        for process in self._asked_at_by_process.keys() - known:
+            del self._asked_at_by_process[process]
+        self.load.keep(usable)
+        return {
+            target.id: target
+            for target, process in processes.items()
+            if process in self._answered_processes
+            or now - self._asked_at_by_process[process] > GRANT_TIMEOUT
+        }
+
+    def _owns_keys(self, target: TargetRecord) -> bool:
+        return any(
+            item.started_at == target.started_at
+            for item in self.record.owned_by(target.id)
+        )
+
+    async def _ask_for_health(self, target: TargetRecord) -> None:
+        with suppress(ConnectionFailedError), trio.move_on_after(GRANT_TIMEOUT):
+            await self._control.reach(target.address, target.id)
+        self._answered_processes.add((target.id, target.started_at))
+        if self._answered_processes >= self._asked_at_by_process.keys():
+            self._next_plan = self._clock()
+
+    def _update_cold_targets(self, usable: dict[str, TargetRecord]) -> None:
+        rate = self._state.warmup_rate(self.service)
+        self.load.cold_by_target = {
+            target.id: ColdTarget(seconds, rate)
+            for target in usable.values()
+            if (seconds := self._state.cold_for(target)) > 0
+        }
+
     def _are_targets_appearing(
         self, usable: dict[str, TargetRecord], now: float
     ) -> bool:
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -191,14 +191,20 @@
             cold_until = self._clock() + target.cold_for
             self._cold_processes_by_target[target.id] = (target.started_at, cold_until)
 
-    def is_cold(self, target: TargetRecord) -> bool:
-        """Tell whether a target gets its warm-up rate, as far as it has stated that."""
+    def cold_for(self, target: TargetRecord) -> float:
+        """Return for how many seconds a target stays cold; 0 if it is warm."""
         started_at, cold_until = self._cold_processes_by_target.get(
             target.id, (0, float("-inf"))
         )
-        if started_at != target.started_at or self._clock() >= cold_until:
-            return False
-        return self.limits_cold_targets(target.service)
+        if started_at != target.started_at:
+            return 0.0
+        if not self.limits_cold_targets(target.service):
+            return 0.0
+        return max(0.0, cold_until - self._clock())
+
+    def is_cold(self, target: TargetRecord) -> bool:
+        """Tell whether a target gets its warm-up rate, as far as it has stated that."""
+        return self.cold_for(target) > 0
 
     def is_keyed(self, service: str) -> bool:
         """Tell whether each request to a service has a key with one owner."""
@@ -207,8 +213,12 @@
 
     def limits_cold_targets(self, service: str) -> bool:
         """Tell whether the cold targets of a service get a limited rate."""
+        return self.warmup_rate(service) > 0
+
+    def warmup_rate(self, service: str) -> float:
+        """Return the requests a second that a cold target gets; 0 for no limit."""
         policy = self.table and self.table.services_by_name.get(service)
-        return policy is not None and policy.warmup_rate > 0
+        return policy.warmup_rate if policy is not None else 0.0
 
     def has_stated_leaving(self, target: TargetRecord) -> bool:
         """Tell whether the process of a record stated that it leaves."""
