Give keys only to targets that have answered since the claim

After a loss of all power the store still holds the records of targets that have not registered again. They look warm, so the keys of cold targets that had registered went to them, although nothing answers there.

Where placement goes by load, a coordinator asks each target for its health after its claim, in the time in which it waits for further targets. A target that has not answered keeps its keys until it is known to be lost, and gets none. Waiting for all records was ruled out: targets that do not return would delay the others.

test_records_from_before_a_loss_of_power_get_no_keys fails without it. make unit ONLY=test_placement

--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -73,9 +73,11 @@
 
     ``limits_by_target`` holds the work that cold targets can take at their warm-up
     rate. Targets in ``soon_warm`` are warm again before their keys could move, so
-    these stay. Keys in ``fixed_keys`` are moved by ``isolating_moves`` only.
-    ``by_load`` divides ranges by their work instead of by their keys. Random arrivals
-    vary an amount of work by the square root of its product with ``variance``.
+    these stay. Those in ``closed`` have not shown that they respond, so they keep
+    their keys and get none. Keys in ``fixed_keys`` are moved by ``isolating_moves``
+    only. ``by_load`` divides ranges by their work instead of by their keys. Random
+    arrivals vary an amount of work by the square root of its product with
+    ``variance``.
     """
 
     slots_by_target: Mapping[str, int]
@@ -83,6 +85,7 @@
     speeds_by_target: Mapping[str, float] = attrs.field(factory=dict)
     limits_by_target: Mapping[str, float] = attrs.field(factory=dict)
     soon_warm: Collection[str] = ()
+    closed: Collection[str] = ()
     fixed_keys: Collection[int] = ()
     by_load: bool = False
     variance: float = 0.0
@@ -92,6 +95,11 @@
         capacity = self.slots_by_target[target] * self.speeds_by_target.get(target, 1.0)
         return min(capacity, self.limits_by_target.get(target, capacity))
 
+    @property
+    def open_targets(self) -> list[str]:
+        """Return the targets that may get keys."""
+        return [t for t in self.slots_by_target if t not in self.closed]
+
     def is_cold(self, target: str) -> bool:
         """Tell whether a target gets no more than its warm-up rate."""
         return target in self.limits_by_target
@@ -186,11 +194,11 @@
 def _initial_moves_by_load(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
     """Divide the ranges without an owner in proportion to work and capacity."""
     vacant = [item for item in record.ranges if not item.target]
-    if not vacant:
+    if not vacant or not load.open_targets:
         return []
     weights = load.weights()
     wanted = _wanted_work(record, load, weights)
-    mean = weights.weight(0, KEY_SPACE - 1) / len(wanted)
+    mean = weights.weight(0, KEY_SPACE - 1) / len(load.slots_by_target)
     moves = []
     for item in vacant:
         moves.extend(_divide_by_work(item, wanted, load, weights, mean / MAX_PIECES))
@@ -203,9 +211,7 @@
     """Return how much each target has less than its part of all work."""
     total = sum(load.capacity(t) for t in load.slots_by_target)
     all_work = weights.weight(0, KEY_SPACE - 1)
-    wanted = {
-        t: all_work * load.capacity(t) / total for t in sorted(load.slots_by_target)
-    }
+    wanted = {t: all_work * load.capacity(t) / total for t in sorted(load.open_targets)}
     for item in record.ranges:
         if item.target in wanted:
             wanted[item.target] -= weights.weight(item.first, item.last)
@@ -262,7 +268,7 @@
     for item in record.ranges:
         if item.target in owned:
             owned[item.target].append(item)
-    idle = [t for t in sorted(owned) if not owned[t]]
+    idle = [t for t in sorted(owned) if not owned[t] and t not in load.closed]
     sources = {t: items for t, items in owned.items() if items}
     moves = []
     total = sum(load.capacity(t) for t in owned)
@@ -358,7 +364,9 @@
         relieves = _is_overloaded(load, source, work[source])
         if len(moves) >= (max(limit, RELIEF_MOVES) if relieves else limit):
             break
-        free = [t for t in work if t != source]
+        free = [t for t in work if t != source and t not in load.closed]
+        if not free:
+            break
         destination = min(free, key=lambda t: (_marginal_cost(load, t, work[t]), t))
         move = _best_move(record, load, work, keys_by_target, source, destination)
         if move is None:
@@ -570,6 +578,7 @@
     """
     work, _ = _work_by_target(record, load)
     owners = {key: record.owner(key).target for key in keys}
+    open_targets = load.open_targets
     least = _largest_warm(load) / CLEARLY_FASTER
     taken: set[str] = set()
     moves: list[PlannedMove] = []
@@ -585,7 +594,7 @@
         busy = taken | set(owners.values())
         fast = [
             t
-            for t in work
+            for t in open_targets
             if t not in busy and not load.is_cold(t) and load.capacity(t) >= least
         ]
         if not fast:
@@ -616,7 +625,7 @@
     hot_owners = {record.owner(key).target for key in keys}
     room = {
         t: RELIEF_LOAD * load.capacity(t) - work[t]
-        for t in sorted(work)
+        for t in sorted(load.open_targets)
         if t not in hot_owners and not load.is_cold(t)
     }
     if not room:
--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -122,6 +122,7 @@
     observed_seconds: float = 0.0  # while keys had load
     by_load: bool = False
     cold_by_target: Mapping[str, ColdTarget] = attrs.field(factory=dict)
+    closed_targets: Collection[str] = ()  # those that get no further keys
     _health_slowdowns: dict[str, deque[float]] = attrs.field(factory=dict)
 
     def add_report(self, report: WorkReport) -> None:
@@ -240,6 +241,7 @@
                 for target, cold in self.cold_by_target.items()
                 if target in slots_by_target and cold.seconds <= MIN_COLD_TO_MOVE
             ],
+            closed=self.closed_targets,
             fixed_keys=fixed_keys,
             by_load=self.by_load,
             variance=self.mean.seconds / (2 * time_constant),
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -147,10 +147,10 @@
         self._places_by_load = places_by_load
         self._hot_keys = HotKeys()
         self._risen_loads = RisenLoads()
-        # When the processes of targets were asked for their health, before they get
-        # keys; their ids with the starts of the processes.
-        self._asked_at_by_process: dict[tuple[str, int], float] = {}
+        # The processes of targets that have stated their health since the claim; their
+        # ids and starts.
         self._answered_processes: set[tuple[str, int]] = set()
+        self._asked_processes: set[tuple[str, int]] = set()  # without an answer yet
         self._store = store
         self._control = control
         self._state = state
@@ -320,6 +320,7 @@
             self._grants_from = previous_until + self._max_validity()
         self._ledger.timing = self._scaled_timing()
         self._status_by_target.clear()
+        self._answered_processes.clear()
         self._moving.clear()
         self._unsent_freezes.clear()
         self._is_claim_lost = False
@@ -735,7 +736,7 @@
         are_appearing = bool(usable) and self._are_targets_appearing(usable, now)
         self.load.by_load = self._places_by_load()
         if self.load.by_load:
-            usable = self._known_in_health(usable, now)
+            usable = self._known_in_health(usable)
             self._update_cold_targets(usable)
             if are_appearing:
                 settled_at = self._usable_since + APPEARING_PAUSE
@@ -780,36 +781,30 @@
         return self._risen_loads.update(record, recent, usual, now)
 
     def _known_in_health(
-        self, usable: dict[str, TargetRecord], now: float
+        self, usable: dict[str, TargetRecord]
     ) -> dict[str, TargetRecord]:
-        """Return the targets that may get keys, and ask new ones for their health.
+        """Return the targets that have keys or may get some; ask the others.
 
-        A new target states how fast it is and whether it is cold. It gets keys once it
-        has answered, or after the time limit of an answer. Owners of keys are not
-        asked: their control connections ask.
+        A target states in its health how fast it is and whether it is cold. One that
+        does not answer could not take a grant either: its record may be left over from
+        before a loss of power. It keeps its keys until it is known to be lost.
         """
-        processes = {
-            target: (target.id, target.started_at) for target in usable.values()
-        }
-        for target, process in processes.items():
-            if process in self._asked_at_by_process:
+        known, closed = {}, []
+        for target in usable.values():
+            process = target.id, target.started_at
+            if process in self._answered_processes:
+                known[target.id] = target
                 continue
-            self._asked_at_by_process[process] = now
-            if self._owns_keys(target):
-                self._answered_processes.add(process)
-            else:
+            if process not in self._asked_processes:
+                self._asked_processes.add(process)
                 self._start_task(self._ask_for_health, target)
-        known = set(processes.values())
-        self._answered_processes &= known
-        for process in self._asked_at_by_process.keys() - known:
-            del self._asked_at_by_process[process]
+            if self._owns_keys(target):
+                known[target.id] = target
+                closed.append(target.id)
+        self._answered_processes &= {(t.id, t.started_at) for t in usable.values()}
+        self.load.closed_targets = closed
         self.load.keep(usable)
-        return {
-            target.id: target
-            for target, process in processes.items()
-            if process in self._answered_processes
-            or now - self._asked_at_by_process[process] > GRANT_TIMEOUT
-        }
+        return known
 
     def _owns_keys(self, target: TargetRecord) -> bool:
         return any(
@@ -818,10 +813,16 @@
         )
 
     async def _ask_for_health(self, target: TargetRecord) -> None:
-        with suppress(ConnectionFailedError), trio.move_on_after(GRANT_TIMEOUT):
-            await self._control.reach(target.address, target.id)
-        self._answered_processes.add((target.id, target.started_at))
-        if self._answered_processes >= self._asked_at_by_process.keys():
+        process = target.id, target.started_at
+        try:
+            with trio.fail_after(GRANT_TIMEOUT):
+                await self._control.reach(target.address, target.id)
+        except (ConnectionFailedError, trio.TooSlowError):
+            return  # asked again in the next plan
+        finally:
+            self._asked_processes.discard(process)
+        self._answered_processes.add(process)
+        if not self._asked_processes:
             self._next_plan = self._clock()
 
     def _update_cold_targets(self, usable: dict[str, TargetRecord]) -> None:
