Leave a fresh claim alone until its holder has contacted all instances

After a loss of all power the instance that held a service claims it again as soon as it has read the store. If it started after the others, another one, which had no heartbeat from it yet, claimed the service 0.13 s later. The second coordinator has to assume that the first one still acts, so it waits for its authority (6 s) before it moves keys of targets that do not respond.

Where placement goes by load, an instance that sees a new claim now waits for the period in which a new process contacts all others.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -176,6 +176,8 @@
         self._tasks: set[trio.CancelScope] = set()
         self._claimable_since: float | None = None
         self._claimable_epoch = 0
+        self._known_epoch: int | None = None
+        self._known_epoch_since = float("-inf")
         self._resigned_epoch = -1
         self._stopping = False
         self._is_claim_lost = False
@@ -241,9 +243,12 @@
             return
         settling = self._clock() - self._started_at < DISCOVERY_PERIOD
         record = self._state.records_by_service.get(self.service)
+        is_fresh = self._is_claim_fresh(record)
         if settling and record is not None and record.holder != self._membership.own_id:
             # Not all peers are connected yet, so the holder may be live.
             return
+        if is_fresh:
+            return
         delay = self._claim_delay(record)
         if delay is None:
             self._claimable_since = None
@@ -258,6 +263,25 @@
             self._claimable_since = None
             await self._claim(record)
 
+    def _is_claim_fresh(self, record: RangeRecord | None) -> bool:
+        """Tell whether another process claimed the service a moment ago.
+
+        It may have started just now and not have contacted its peers yet. A claim in
+        its place would have to wait until its authority has ended.
+        """
+        if record is None or not self._places_by_load():
+            return False
+        now = self._clock()
+        if self._known_epoch != record.epoch:
+            # The claim that the first record names may be of any age.
+            is_new = self._known_epoch is not None
+            self._known_epoch = record.epoch
+            self._known_epoch_since = now if is_new else float("-inf")
+        if record.epoch == self._resigned_epoch:
+            return False
+        is_own = record.holder == self._membership.own_id
+        return not is_own and now - self._known_epoch_since < DISCOVERY_PERIOD
+
     def _claim_delay(self, record: RangeRecord | None) -> float | None:
         """Return the seconds to wait before a claim, or None if the holder is live."""
         delay = (
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
@@ -15,6 +15,7 @@
 
 from ..load import ColdTarget, ServiceLoad
 from ..ranges import (
+    DISCOVERY_PERIOD,
     HIGH_LOAD_THRESHOLD,
     LOOP_INTERVAL,
     MAX_REBALANCE_MOVES,
@@ -237,6 +238,44 @@
         run_scenario(scenario)
 
 
+class FreshClaimTests(unittest.TestCase):
+    """Guard against a second claim just after that of a holder that has restarted.
+
+    After a loss of all power the holder started last and claimed its service again.
+    Another instance, which had no heartbeat from it yet, claimed it 0.13 s later and
+    then had to wait until the authority of the first had ended.
+    """
+
+    def claimed_after(self, by_load: bool) -> float:
+        """Return how long after the holder's claim another instance claims."""
+        times = []
+
+        async def scenario(cluster, nursery):
+            record = RangeRecord(SERVICE).claim("a", "a1")
+            await cluster.store.put("ranges", SERVICE, record.to_value(), 0)
+            other = cluster.new_coordinator("b", places_by_load=lambda: by_load)
+            other.membership.live.append("a")
+            other.state.apply("ranges", 1, 1, cluster.store.history[-1:], 0.0)
+            nursery.start_soon(other.run)
+            await trio.sleep(2.0)
+            again = record.claim("a", "a2")
+            await cluster.store.put("ranges", SERVICE, again.to_value(), 1)
+            other.membership.live.remove("a")
+            other.state.apply("ranges", 1, 2, cluster.store.history[-1:], 0.0)
+            began_at = trio.current_time()
+            with trio.fail_after(5.0):
+                while not other.is_coordinator:
+                    await trio.sleep(0.05)
+            times.append(trio.current_time() - began_at)
+
+        run_scenario(scenario)
+        return times[0]
+
+    def test_fresh_claim_is_left_alone_until_its_holder_has_contacted_all(self):
+        self.assertLess(self.claimed_after(by_load=False), 0.5)
+        self.assertGreaterEqual(self.claimed_after(by_load=True), DISCOVERY_PERIOD)
+
+
 class ReplacedTargetTests(unittest.TestCase):
     """Guard against the keys of a leaving target that all go to its cold successor."""
 
