--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -24,12 +24,16 @@
     RangesFrozen,
 )
 from fireflystand_core.ranges import (
+    HotKeys,
     KeyRange,
     LeaseLedger,
     LeaseTiming,
+    LoadView,
     PlannedMove,
     RangeRecord,
+    RisenLoads,
     initial_moves,
+    isolating_moves,
     moves_to_idle_targets,
     rebalancing_moves,
 )
@@ -52,7 +56,7 @@
 from ..http_client import ConnectionFailedError
 from .claim_watch import ClaimWatch
 from .clock import lease_clock, sleep_until_next
-from .load import ServiceLoad
+from .load import ColdTarget, ServiceLoad
 from .membership import Membership
 from .ports import RANGES, GrantRefusedError, StorePort, TargetControlPort
 from .record_writer import RecordWriter
@@ -134,11 +138,19 @@
         share: Callable[[ObjectChange, ObjectChange | None], None],
         store_age: Callable[[], float],
         is_first_start: bool = False,
+        places_by_load: Callable[[], bool] = lambda: False,
         clock: Callable[[], float] = lease_clock,
     ) -> None:
         self.service = service
         self._clock = clock
         self.load = ServiceLoad()
+        self._places_by_load = places_by_load
+        self._hot_keys = HotKeys()
+        self._risen_loads = RisenLoads()
+        # The processes of targets that have stated their health since the claim; their
+        # ids and starts.
+        self._answered_processes: set[tuple[str, int]] = set()
+        self._asked_processes: set[tuple[str, int]] = set()  # without an answer yet
         self._store = store
         self._control = control
         self._state = state
@@ -164,6 +176,8 @@
         self._tasks: set[trio.CancelScope] = set()
         self._claimable_since: float | None = None
         self._claimable_epoch = 0
+        self._known_epoch: int | None = None
+        self._known_epoch_since = float("-inf")
         self._resigned_epoch = -1
         self._stopping = False
         self._is_claim_lost = False
@@ -229,9 +243,12 @@
             return
         settling = self._clock() - self._started_at < DISCOVERY_PERIOD
         record = self._state.records_by_service.get(self.service)
+        is_fresh = self._is_claim_fresh(record)
         if settling and record is not None and record.holder != self._membership.own_id:
             # Not all peers are connected yet, so the holder may be live.
             return
+        if is_fresh:
+            return
         delay = self._claim_delay(record)
         if delay is None:
             self._claimable_since = None
@@ -246,6 +263,25 @@
             self._claimable_since = None
             await self._claim(record)
 
+    def _is_claim_fresh(self, record: RangeRecord | None) -> bool:
+        """Tell whether another process claimed the service a moment ago.
+
+        It may have started just now and not have contacted its peers yet. A claim in
+        its place would have to wait until its authority has ended.
+        """
+        if record is None or not self._places_by_load():
+            return False
+        now = self._clock()
+        if self._known_epoch != record.epoch:
+            # The claim that the first record names may be of any age.
+            is_new = self._known_epoch is not None
+            self._known_epoch = record.epoch
+            self._known_epoch_since = now if is_new else float("-inf")
+        if record.epoch == self._resigned_epoch:
+            return False
+        is_own = record.holder == self._membership.own_id
+        return not is_own and now - self._known_epoch_since < DISCOVERY_PERIOD
+
     def _claim_delay(self, record: RangeRecord | None) -> float | None:
         """Return the seconds to wait before a claim, or None if the holder is live."""
         delay = (
@@ -308,6 +344,7 @@
             self._grants_from = previous_until + self._max_validity()
         self._ledger.timing = self._scaled_timing()
         self._status_by_target.clear()
+        self._answered_processes.clear()
         self._moving.clear()
         self._unsent_freezes.clear()
         self._is_claim_lost = False
@@ -720,13 +757,21 @@
         """Start the moves that changes of the targets or of their load require."""
         self.load.decay(now)
         usable = self._assignable()
-        if not usable or len(self._moving) >= MAX_CONCURRENT_MOVES:
-            return
-        if self._are_targets_appearing(usable, now):
+        are_appearing = bool(usable) and self._are_targets_appearing(usable, now)
+        self.load.by_load = self._places_by_load()
+        if self.load.by_load:
+            usable = self._known_in_health(usable)
+            self._update_cold_targets(usable)
+            if are_appearing:
+                settled_at = self._usable_since + APPEARING_PAUSE
+                self._next_plan = min(self._next_plan, settled_at)
+        if not usable or len(self._moving) >= MAX_CONCURRENT_MOVES or are_appearing:
             return
         record = self.record
         vacated = self._without_lost_owners(record, usable)
-        view = self.load.view(usable, recent=False)
+        recent = self.load.view(usable, recent=True)
+        hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
+        view = self.load.view(usable, recent=False, fixed_keys=hot)
         moves = initial_moves(vacated, view)
         if not moves and not self.writer.is_failing:
             # Moving keys are counted at their destination.
@@ -736,14 +781,82 @@
             moves = moves_to_idle_targets(
                 planned, view, MAX_CONCURRENT_MOVES - len(self._moving)
             )
+            recent = attrs.evolve(recent, fixed_keys=hot)
+            if not moves and hot:
+                moves = isolating_moves(planned, recent, hot)
             if not moves:
-                recent = self.load.view(usable, recent=True)
-                moves = rebalancing_moves(planned, recent, min_load=HIGH_LOAD_THRESHOLD)
+                moves = rebalancing_moves(
+                    planned,
+                    recent,
+                    min_load=HIGH_LOAD_THRESHOLD,
+                    sources=self._risen_targets(planned, recent, view, now),
+                )
             if not moves and now >= self._next_rebalancing:
                 self._next_rebalancing = now + REBALANCE_INTERVAL
                 moves = rebalancing_moves(planned, view, MAX_REBALANCE_MOVES)
         self._start_moves(record, moves)
 
+    def _risen_targets(
+        self, record: RangeRecord, recent: LoadView, usual: LoadView, now: float
+    ) -> frozenset[str] | None:
+        """Return the targets that may give keys away for their recent load."""
+        if not recent.by_load:
+            return None
+        return self._risen_loads.update(record, recent, usual, now)
+
+    def _known_in_health(
+        self, usable: dict[str, TargetRecord]
+    ) -> dict[str, TargetRecord]:
+        """Return the targets that have keys or may get some; ask the others.
+
+        A target states in its health how fast it is and whether it is cold. One that
+        does not answer could not take a grant either: its record may be left over from
+        before a loss of power. It keeps its keys until it is known to be lost.
+        """
+        known, closed = {}, []
+        for target in usable.values():
+            process = target.id, target.started_at
+            if process in self._answered_processes:
+                known[target.id] = target
+                continue
+            if process not in self._asked_processes:
+                self._asked_processes.add(process)
+                self._start_task(self._ask_for_health, target)
+            if self._owns_keys(target):
+                known[target.id] = target
+                closed.append(target.id)
+        self._answered_processes &= {(t.id, t.started_at) for t in usable.values()}
+        self.load.closed_targets = closed
+        self.load.keep(usable)
+        return known
+
+    def _owns_keys(self, target: TargetRecord) -> bool:
+        return any(
+            item.started_at == target.started_at
+            for item in self.record.owned_by(target.id)
+        )
+
+    async def _ask_for_health(self, target: TargetRecord) -> None:
+        process = target.id, target.started_at
+        try:
+            with trio.fail_after(GRANT_TIMEOUT):
+                await self._control.reach(target.address, target.id)
+        except (ConnectionFailedError, trio.TooSlowError):
+            return  # asked again in the next plan
+        finally:
+            self._asked_processes.discard(process)
+        self._answered_processes.add(process)
+        if not self._asked_processes:
+            self._next_plan = self._clock()
+
+    def _update_cold_targets(self, usable: dict[str, TargetRecord]) -> None:
+        rate = self._state.warmup_rate(self.service)
+        self.load.cold_by_target = {
+            target.id: ColdTarget(seconds, rate)
+            for target in usable.values()
+            if (seconds := self._state.cold_for(target)) > 0
+        }
+
     def _are_targets_appearing(
         self, usable: dict[str, TargetRecord], now: float
     ) -> bool:
