Let restarted targets keep the keys that they can run

After a loss of all power every range has lost its owner's process, and a division of all of them in order of need gave most keys to other targets than before. A target that has restarted under its id now keeps what its part, or its warm-up rate, allows of its former keys; only the rest is divided.

--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -150,17 +150,20 @@
     return work * ((1 + waiting) / speed) ** 2
 
 
-def initial_moves(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
+def initial_moves(
+    record: RangeRecord, load: LoadView, former: RangeRecord | None = None
+) -> list[PlannedMove]:
     """Divide the ranges without an owner among the targets by capacity.
 
     This is needed when a service starts or many targets are lost at once. Each range
-    is divided into few pieces to keep the number of grants low.
+    is divided into few pieces to keep the number of grants low. ``former`` names the
+    owners before; by load, one that has restarted keeps what it can run of its keys.
     """
     targets = sorted(load.slots_by_target)
     if not targets:
         return []
     if load.by_load:
-        return _initial_moves_by_load(record, load)
+        return _initial_moves_by_load(record, load, former or record)
     sizes = dict.fromkeys(targets, 0)
     for item in record.ranges:
         if item.target in sizes:
@@ -191,20 +194,45 @@
     return moves
 
 
-def _initial_moves_by_load(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
+def _initial_moves_by_load(
+    record: RangeRecord, load: LoadView, former: RangeRecord
+) -> list[PlannedMove]:
     """Divide the ranges without an owner in proportion to work and capacity."""
     vacant = [item for item in record.ranges if not item.target]
     if not vacant or not load.open_targets:
         return []
     weights = load.weights()
     wanted = _wanted_work(record, load, weights)
-    mean = weights.weight(0, KEY_SPACE - 1) / len(load.slots_by_target)
-    moves = []
+    smallest = weights.weight(0, KEY_SPACE - 1) / len(load.slots_by_target) / MAX_PIECES
+    moves, rest = [], []
     for item in vacant:
-        moves.extend(_divide_by_work(item, wanted, load, weights, mean / MAX_PIECES))
+        kept = _kept_part(item, former, wanted, weights)
+        if kept is not None:
+            moves.append(kept)
+            wanted[kept.destination] -= weights.weight(kept.first, kept.last)
+            item = attrs.evolve(item, first=kept.last + 1)
+        if item.size:
+            rest.append(item)
+    for item in rest:
+        moves.extend(_divide_by_work(item, wanted, load, weights, smallest))
     return moves
 
 
+def _kept_part(
+    item: KeyRange,
+    former: RangeRecord,
+    wanted: Mapping[str, float],
+    weights: KeyWeights,
+) -> PlannedMove | None:
+    """Return the part of a range that its restarted owner can run, if any."""
+    owner = former.owner(item.first)
+    amount = wanted.get(owner.target, 0.0)
+    last = weights.last_within(item.first, min(item.last, owner.last), amount)
+    if weights.weight(item.first, last) > amount:
+        return None
+    return PlannedMove(item.first, last, "", owner.target)
+
+
 def _wanted_work(
     record: RangeRecord, load: LoadView, weights: KeyWeights
 ) -> dict[str, float]:
--- a/packages/core/src/fireflystand_core/ranges/tests/test_placement.py
+++ b/packages/core/src/fireflystand_core/ranges/tests/test_placement.py
@@ -163,6 +163,41 @@
         self.assertGreater(min(work.values()), 0.8 * mean)
 
 
+class RestartedTargetTests(unittest.TestCase):
+    """Guard against keys that change hands because their owners have restarted.
+
+    After a loss of all power nearly all keys went to other targets than before.
+    """
+
+    TARGETS = 67
+
+    def changed(self, restarted: list[str], *, is_known=True) -> tuple[float, Replay]:
+        """Return the share of keys with other owners after targets restart cold."""
+        replay = Replay(self.TARGETS, by_load=True)
+        former = replay.record
+        replay.replace(restarted, restarted)
+        known = former if is_known else None
+        replay.apply(initial_moves(replay.record, replay.load, known))
+        keys = range(0, KEY_SPACE, 16)
+        changed = sum(
+            former.owner(k).target != replay.record.owner(k).target for k in keys
+        )
+        return changed / len(keys), replay
+
+    def test_all_restart(self):
+        names = [f"t{n:02}" for n in range(self.TARGETS)]
+        share, replay = self.changed(names)
+        self.assertLess(share, 0.25)
+        self.assertGreater(self.changed(names, is_known=False)[0], 0.5)
+        work = replay.work_by_target()
+        self.assertLess(max(work.values()), 1.2 * sum(work.values()) / len(work))
+
+    def test_one_restarts(self):
+        share, replay = self.changed(["t07"])
+        self.assertEqual(replay.refused(), 0.0)
+        self.assertLess(share, 1.1 / self.TARGETS)
+
+
 class TurnedColdTests(unittest.TestCase):
     """Guard against moves that cost more than a short warm-up does."""
 
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -772,7 +772,7 @@
         recent = self.load.view(usable, recent=True)
         hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
         view = self.load.view(usable, recent=False, fixed_keys=hot)
-        moves = initial_moves(vacated, view)
+        moves = initial_moves(vacated, view, record)
         if not moves and not self.writer.is_failing:
             # Moving keys are counted at their destination.
             planned = record
