Tell operators of keys with more load than one target can run

Refusals at one target while all others have room look like a fault of placement. Event 6070 names the key and its owner once it is found, and the metric dispatch.hot_keys counts such keys at the coordinating instance.

--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -30,6 +30,7 @@
     CONFIGURATION_VERSION,
     COORDINATED,
     HELD_SLOTS,
+    HOT_KEYS,
     KNOWN_TARGETS,
     LEAVING_TARGETS,
     LIVE_PEERS,
@@ -268,6 +269,9 @@
         gauge(PAUSING_TARGETS, self.pauses.count(trio.current_time()))
         gauge(LEAVING_TARGETS, self.state.leaving_count)
         gauge(COORDINATED, len(self.summary()["coordinates"]))
+        coordinators = self.ownership.coordinators_by_service.values()
+        hot_keys = sum(len(c.hot_keys) for c in coordinators if c.is_coordinator)
+        gauge(HOT_KEYS, hot_keys)
 
     def _not_ready_reason(self) -> str:
         if self.state.table is None:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -46,6 +46,7 @@
     COORDINATOR_CLAIMED,
     COORDINATOR_ENDED,
     GRANT_REFUSED,
+    HOT_KEY_FOUND,
     RANGE_ASSIGNED,
     RANGE_RELEASED,
     RECORD_WRITE_FAILED,
@@ -146,6 +147,7 @@
         self.load = ServiceLoad()
         self._places_by_load = places_by_load
         self._hot_keys = HotKeys()
+        self.hot_keys: frozenset[int] = frozenset()
         self._risen_loads = RisenLoads()
         # The processes of targets that have stated their health since the claim; their
         # ids and starts.
@@ -770,7 +772,7 @@
         record = self.record
         vacated = self._without_lost_owners(record, usable)
         recent = self.load.view(usable, recent=True)
-        hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
+        hot = self._update_hot_keys(recent, now)
         view = self.load.view(usable, recent=False, fixed_keys=hot)
         moves = initial_moves(vacated, view, record)
         if not moves and not self.writer.is_failing:
@@ -796,6 +798,14 @@
                 moves = rebalancing_moves(planned, view, MAX_REBALANCE_MOVES)
         self._start_moves(record, moves)
 
+    def _update_hot_keys(self, recent: LoadView, now: float) -> frozenset[int]:
+        hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
+        for key in sorted(hot - self.hot_keys):
+            target = self.record.owner(key).target
+            emit(HOT_KEY_FOUND, service=self.service, key=key, target=target)
+        self.hot_keys = hot
+        return hot
+
     def _risen_targets(
         self, record: RangeRecord, recent: LoadView, usual: LoadView, now: float
     ) -> frozenset[str] | None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
@@ -11,6 +11,7 @@
     RisenLoads,
     rebalancing_moves,
 )
+from fireflystand_core.ranges.planning import MIN_NEIGHBOUR_LOAD
 from fireflystand_core.traffic import EntryLimits, RoutingTable, ServicePolicy
 
 from ..load import ColdTarget, ServiceLoad
@@ -238,6 +239,41 @@
         run_scenario(scenario)
 
 
+class HotKeyOwnerTests(unittest.TestCase):
+    """Guard against a key beyond any one target that stays with others, or wanders."""
+
+    KEY = 40_000
+
+    def test_hot_key_moves_once_to_a_fast_target_alone(self):
+        async def scenario(cluster, nursery):
+            slowdowns = {f"t{n}": (0.7, 0.7, 1.6)[n % 3] for n in range(6)}
+            coordinator = await started(cluster, nursery, slowdowns_by_target=slowdowns)
+            await trio.sleep(3)
+            owners = []
+            for number in range(24):
+                self.report(coordinator, number, slowdowns, cluster.record())
+                await trio.sleep(0.5)
+                owners.append(cluster.record().owner(self.KEY).target)
+            self.assertEqual(coordinator.hot_keys, {self.KEY})
+            self.assertEqual(slowdowns[owners[-1]], 0.7, owners)
+            changes = sum(a != b for a, b in zip(owners, owners[1:], strict=False))
+            self.assertLessEqual(changes, 1, owners)
+            usable = coordinator.state.usable_targets(SERVICE)
+            view = coordinator.load.view({t.id: t for t in usable}, recent=True)
+            held = map(view.work_of, cluster.record().owned_by(owners[-1]))
+            others = sum(held) - view.work_by_key[self.KEY]
+            self.assertLess(others, MIN_NEIGHBOUR_LOAD * view.capacity(owners[-1]))
+
+        run_scenario(scenario, targets=6)
+
+    def report(self, coordinator, number: int, slowdowns, record) -> None:
+        """Report 60 requests a second for the hot key, and 40 for all others."""
+        keys = [[key + number, 1] for key in range(0, KEY_SPACE, KEY_SPACE // 20)]
+        targets = [[t, 8, 8 * 0.2 * s, 8 * 0.2] for t, s in slowdowns.items()]
+        report = WorkReport(SERVICE, 0.5, [*keys, [self.KEY, 30]], targets)
+        coordinator.load.add_report(report)
+
+
 class FreshClaimTests(unittest.TestCase):
     """Guard against a second claim just after that of a holder that has restarted.
 
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -495,6 +495,14 @@
 TARGET_PAUSED = define_event(
     6044, "INFO", "target asked for a pause", "target", "service", "seconds"
 )
+HOT_KEY_FOUND = define_event(
+    6070,
+    "INFO",
+    "key has more load than any one target can run",
+    "service",
+    "key",
+    "target",
+)
 PEER_REPLY_DROPPED = define_event(
     6041,
     "INFO",
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -294,6 +294,12 @@
     "targets",
     "targets that asked this instance for a pause",
 )
+HOT_KEYS = define_metric(
+    "dispatch.hot_keys",
+    "gauge",
+    "keys",
+    "keys with more load than any one target can run, of services coordinated here",
+)
 LEAVING_TARGETS = define_metric(
     "dispatch.leaving_targets",
     "gauge",
