Fill targets with keys once they have become warm

A cold target now gets few keys, and nothing but the load of the others brought it more afterwards: six moves in 1.5 s by the usual load, so that 22 returned targets stayed nearly idle for five seconds while the others ran at 0.8 of their capacity. A target that has become warm is now filled in the next plan like a target without keys, with what it lacks of its share. Filling each target with less than half of its share at any time was ruled out: slow targets have less for good reason, and would get and lose keys in turn.

--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -74,7 +74,8 @@
     ``limits_by_target`` holds the work that cold targets can take at their warm-up
     rate. Targets in ``soon_warm`` are warm again before their keys could move, so
     these stay. Those in ``closed`` have not shown that they respond, so they keep
-    their keys and get none. Keys in ``fixed_keys`` are moved by ``isolating_moves``
+    their keys and get none. Those in ``joining`` have just become warm and hold few
+    keys. Keys in ``fixed_keys`` are moved by ``isolating_moves``
     only. ``by_load`` divides ranges by their work instead of by their keys. Random
     arrivals vary an amount of work by the square root of its product with
     ``variance``.
@@ -86,6 +87,7 @@
     limits_by_target: Mapping[str, float] = attrs.field(factory=dict)
     soon_warm: Collection[str] = ()
     closed: Collection[str] = ()
+    joining: Collection[str] = ()
     fixed_keys: Collection[int] = ()
     by_load: bool = False
     variance: float = 0.0
@@ -287,7 +289,7 @@
 def moves_to_idle_targets(
     record: RangeRecord, load: LoadView, limit: int = MOVES_PER_ROUND
 ) -> list[PlannedMove]:
-    """Move a part of the widest or busiest ranges to targets without keys.
+    """Move a part of the widest or busiest ranges to targets without or with few keys.
 
     Targets that were added or have returned would otherwise stay idle until another
     target is overloaded.
@@ -296,8 +298,12 @@
     for item in record.ranges:
         if item.target in owned:
             owned[item.target].append(item)
-    idle = [t for t in sorted(owned) if not owned[t] and t not in load.closed]
-    sources = {t: items for t, items in owned.items() if items}
+    idle = [
+        t
+        for t in sorted(owned)
+        if t not in load.closed and (not owned[t] or t in load.joining)
+    ]
+    sources = {t: items for t, items in owned.items() if items and t not in idle}
     moves = []
     total = sum(load.capacity(t) for t in owned)
     if load.by_load:
@@ -311,7 +317,8 @@
         if widest.size < 2:
             continue
         if load.by_load:
-            move = _part_for(target, widest, load, load.capacity(target) / total)
+            share = load.capacity(target) / total
+            move = _part_for(target, widest, load, share, owned[target])
             if move is not None:
                 moves.append(move)
             continue
@@ -321,15 +328,19 @@
 
 
 def _part_for(
-    target: str, item: KeyRange, load: LoadView, share: float
+    target: str, item: KeyRange, load: LoadView, share: float, owned: list[KeyRange]
 ) -> PlannedMove | None:
-    """Return the end of a range with a target's share of all work, at most a half.
+    """Return the end of a range with what a target lacks of its share of all work.
 
-    A busy key at the end of the range is left out, so the other end is tried too.
+    It is at most half of the range. A busy key at the end of the range is left out, so
+    the other end is tried too.
     """
     weights = load.weights()
-    half = weights.weight(item.first, item.last) / 2
-    amount = min(half, share * weights.weight(0, KEY_SPACE - 1))
+    wanted = share * weights.weight(0, KEY_SPACE - 1)
+    lacking = wanted - sum(weights.weight(part.first, part.last) for part in owned)
+    if lacking < wanted / MAX_PIECES:
+        return None
+    amount = min(weights.weight(item.first, item.last) / 2, lacking)
     first = weights.first_within(item.first + 1, item.last, amount)
     if weights.weight(first, item.last) <= amount:
         return PlannedMove(first, item.last, item.target, target)
--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -123,6 +123,7 @@
     by_load: bool = False
     cold_by_target: Mapping[str, ColdTarget] = attrs.field(factory=dict)
     closed_targets: Collection[str] = ()  # those that get no further keys
+    joining_targets: Collection[str] = ()  # those that have just become warm
     _health_slowdowns: dict[str, deque[float]] = attrs.field(factory=dict)
 
     def add_report(self, report: WorkReport) -> None:
@@ -242,6 +243,7 @@
                 if target in slots_by_target and cold.seconds <= MIN_COLD_TO_MOVE
             ],
             closed=self.closed_targets,
+            joining=self.joining_targets,
             fixed_keys=fixed_keys,
             by_load=self.by_load,
             variance=self.mean.seconds / (2 * time_constant),
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -153,6 +153,7 @@
         # ids and starts.
         self._answered_processes: set[tuple[str, int]] = set()
         self._asked_processes: set[tuple[str, int]] = set()  # without an answer yet
+        self._joining: set[str] = set()  # warm since the last move to such targets
         self._store = store
         self._control = control
         self._state = state
@@ -783,6 +784,7 @@
             moves = moves_to_idle_targets(
                 planned, view, MAX_CONCURRENT_MOVES - len(self._moving)
             )
+            self._joining.clear()
             recent = attrs.evolve(recent, fixed_keys=hot)
             if not moves and hot:
                 moves = isolating_moves(planned, recent, hot)
@@ -860,12 +862,17 @@
             self._next_plan = self._clock()
 
     def _update_cold_targets(self, usable: dict[str, TargetRecord]) -> None:
+        """Note which targets are cold, and which have become warm."""
         rate = self._state.warmup_rate(self.service)
-        self.load.cold_by_target = {
+        former = self.load.cold_by_target
+        cold = self.load.cold_by_target = {
             target.id: ColdTarget(seconds, rate)
             for target in usable.values()
             if (seconds := self._state.cold_for(target)) > 0
         }
+        self._joining |= former.keys() - cold.keys()
+        self._joining &= usable.keys() - cold.keys()
+        self.load.joining_targets = frozenset(self._joining)
 
     def _are_targets_appearing(
         self, usable: dict[str, TargetRecord], now: float
