--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -160,7 +160,7 @@
         samples = self._health_slowdowns.setdefault(
             target, deque(maxlen=HEALTH_SAMPLES_KEPT)
         )
-        samples.append(slowdown)
+        samples.append(min(1 / MIN_SPEED, max(1 / MAX_SPEED, slowdown)))
 
     def _health_slowdown(self, target: str) -> float | None:
         """Return the least of a target's recent slowdowns, None if it stated none.
