--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -74,7 +74,8 @@
     ``limits_by_target`` holds the work that cold targets can take at their warm-up
     rate. Targets in ``soon_warm`` are warm again before their keys could move, so
     these stay. Those in ``closed`` have not shown that they respond, so they keep
-    their keys and get none. Keys in ``fixed_keys`` are moved by ``isolating_moves``
+    their keys and get none. Those in ``joining`` have just become warm and hold few
+    keys. Keys in ``fixed_keys`` are moved by ``isolating_moves``
     only. ``by_load`` divides ranges by their work instead of by their keys. Random
     arrivals vary an amount of work by the square root of its product with
     ``variance``.
@@ -86,6 +87,7 @@
     limits_by_target: Mapping[str, float] = attrs.field(factory=dict)
     soon_warm: Collection[str] = ()
     closed: Collection[str] = ()
+    joining: Collection[str] = ()
     fixed_keys: Collection[int] = ()
     by_load: bool = False
     variance: float = 0.0
@@ -150,17 +152,20 @@
     return work * ((1 + waiting) / speed) ** 2
 
 
-def initial_moves(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
+def initial_moves(
+    record: RangeRecord, load: LoadView, former: RangeRecord | None = None
+) -> list[PlannedMove]:
     """Divide the ranges without an owner among the targets by capacity.
 
     This is needed when a service starts or many targets are lost at once. Each range
-    is divided into few pieces to keep the number of grants low.
+    is divided into few pieces to keep the number of grants low. ``former`` names the
+    owners before; by load, one that has restarted keeps what it can run of its keys.
     """
     targets = sorted(load.slots_by_target)
     if not targets:
         return []
     if load.by_load:
-        return _initial_moves_by_load(record, load)
+        return _initial_moves_by_load(record, load, former or record)
     sizes = dict.fromkeys(targets, 0)
     for item in record.ranges:
         if item.target in sizes:
@@ -191,20 +196,45 @@
     return moves
 
 
-def _initial_moves_by_load(record: RangeRecord, load: LoadView) -> list[PlannedMove]:
+def _initial_moves_by_load(
+    record: RangeRecord, load: LoadView, former: RangeRecord
+) -> list[PlannedMove]:
     """Divide the ranges without an owner in proportion to work and capacity."""
     vacant = [item for item in record.ranges if not item.target]
     if not vacant or not load.open_targets:
         return []
     weights = load.weights()
     wanted = _wanted_work(record, load, weights)
-    mean = weights.weight(0, KEY_SPACE - 1) / len(load.slots_by_target)
-    moves = []
+    smallest = weights.weight(0, KEY_SPACE - 1) / len(load.slots_by_target) / MAX_PIECES
+    moves, rest = [], []
     for item in vacant:
-        moves.extend(_divide_by_work(item, wanted, load, weights, mean / MAX_PIECES))
+        kept = _kept_part(item, former, wanted, weights)
+        if kept is not None:
+            moves.append(kept)
+            wanted[kept.destination] -= weights.weight(kept.first, kept.last)
+            item = attrs.evolve(item, first=kept.last + 1)
+        if item.size:
+            rest.append(item)
+    for item in rest:
+        moves.extend(_divide_by_work(item, wanted, load, weights, smallest))
     return moves
 
 
+def _kept_part(
+    item: KeyRange,
+    former: RangeRecord,
+    wanted: Mapping[str, float],
+    weights: KeyWeights,
+) -> PlannedMove | None:
+    """Return the part of a range that its restarted owner can run, if any."""
+    owner = former.owner(item.first)
+    amount = wanted.get(owner.target, 0.0)
+    last = weights.last_within(item.first, min(item.last, owner.last), amount)
+    if weights.weight(item.first, last) > amount:
+        return None
+    return PlannedMove(item.first, last, "", owner.target)
+
+
 def _wanted_work(
     record: RangeRecord, load: LoadView, weights: KeyWeights
 ) -> dict[str, float]:
@@ -259,7 +289,7 @@
 def moves_to_idle_targets(
     record: RangeRecord, load: LoadView, limit: int = MOVES_PER_ROUND
 ) -> list[PlannedMove]:
-    """Move a part of the widest or busiest ranges to targets without keys.
+    """Move a part of the widest or busiest ranges to targets without or with few keys.
 
     Targets that were added or have returned would otherwise stay idle until another
     target is overloaded.
@@ -268,8 +298,12 @@
     for item in record.ranges:
         if item.target in owned:
             owned[item.target].append(item)
-    idle = [t for t in sorted(owned) if not owned[t] and t not in load.closed]
-    sources = {t: items for t, items in owned.items() if items}
+    idle = [
+        t
+        for t in sorted(owned)
+        if t not in load.closed and (not owned[t] or t in load.joining)
+    ]
+    sources = {t: items for t, items in owned.items() if items and t not in idle}
     moves = []
     total = sum(load.capacity(t) for t in owned)
     if load.by_load:
@@ -283,7 +317,8 @@
         if widest.size < 2:
             continue
         if load.by_load:
-            move = _part_for(target, widest, load, load.capacity(target) / total)
+            share = load.capacity(target) / total
+            move = _part_for(target, widest, load, share, owned[target])
             if move is not None:
                 moves.append(move)
             continue
@@ -293,15 +328,19 @@
 
 
 def _part_for(
-    target: str, item: KeyRange, load: LoadView, share: float
+    target: str, item: KeyRange, load: LoadView, share: float, owned: list[KeyRange]
 ) -> PlannedMove | None:
-    """Return the end of a range with a target's share of all work, at most a half.
+    """Return the end of a range with what a target lacks of its share of all work.
 
-    A busy key at the end of the range is left out, so the other end is tried too.
+    It is at most half of the range. A busy key at the end of the range is left out, so
+    the other end is tried too.
     """
     weights = load.weights()
-    half = weights.weight(item.first, item.last) / 2
-    amount = min(half, share * weights.weight(0, KEY_SPACE - 1))
+    wanted = share * weights.weight(0, KEY_SPACE - 1)
+    lacking = wanted - sum(weights.weight(part.first, part.last) for part in owned)
+    if lacking < wanted / MAX_PIECES:
+        return None
+    amount = min(weights.weight(item.first, item.last) / 2, lacking)
     first = weights.first_within(item.first + 1, item.last, amount)
     if weights.weight(first, item.last) <= amount:
         return PlannedMove(first, item.last, item.target, target)
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -46,6 +46,7 @@
     COORDINATOR_CLAIMED,
     COORDINATOR_ENDED,
     GRANT_REFUSED,
+    HOT_KEY_FOUND,
     RANGE_ASSIGNED,
     RANGE_RELEASED,
     RECORD_WRITE_FAILED,
@@ -146,11 +147,13 @@
         self.load = ServiceLoad()
         self._places_by_load = places_by_load
         self._hot_keys = HotKeys()
+        self.hot_keys: frozenset[int] = frozenset()
         self._risen_loads = RisenLoads()
         # The processes of targets that have stated their health since the claim; their
         # ids and starts.
         self._answered_processes: set[tuple[str, int]] = set()
         self._asked_processes: set[tuple[str, int]] = set()  # without an answer yet
+        self._joining: set[str] = set()  # warm since the last move to such targets
         self._store = store
         self._control = control
         self._state = state
@@ -770,9 +773,9 @@
         record = self.record
         vacated = self._without_lost_owners(record, usable)
         recent = self.load.view(usable, recent=True)
-        hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
+        hot = self._update_hot_keys(recent, now)
         view = self.load.view(usable, recent=False, fixed_keys=hot)
-        moves = initial_moves(vacated, view)
+        moves = initial_moves(vacated, view, record)
         if not moves and not self.writer.is_failing:
             # Moving keys are counted at their destination.
             planned = record
@@ -781,6 +784,7 @@
             moves = moves_to_idle_targets(
                 planned, view, MAX_CONCURRENT_MOVES - len(self._moving)
             )
+            self._joining.clear()
             recent = attrs.evolve(recent, fixed_keys=hot)
             if not moves and hot:
                 moves = isolating_moves(planned, recent, hot)
@@ -796,6 +800,14 @@
                 moves = rebalancing_moves(planned, view, MAX_REBALANCE_MOVES)
         self._start_moves(record, moves)
 
+    def _update_hot_keys(self, recent: LoadView, now: float) -> frozenset[int]:
+        hot = self._hot_keys.update(recent, now) if recent.by_load else frozenset()
+        for key in sorted(hot - self.hot_keys):
+            target = self.record.owner(key).target
+            emit(HOT_KEY_FOUND, service=self.service, key=key, target=target)
+        self.hot_keys = hot
+        return hot
+
     def _risen_targets(
         self, record: RangeRecord, recent: LoadView, usual: LoadView, now: float
     ) -> frozenset[str] | None:
@@ -850,12 +862,17 @@
             self._next_plan = self._clock()
 
     def _update_cold_targets(self, usable: dict[str, TargetRecord]) -> None:
+        """Note which targets are cold, and which have become warm."""
         rate = self._state.warmup_rate(self.service)
-        self.load.cold_by_target = {
+        former = self.load.cold_by_target
+        cold = self.load.cold_by_target = {
             target.id: ColdTarget(seconds, rate)
             for target in usable.values()
             if (seconds := self._state.cold_for(target)) > 0
         }
+        self._joining |= former.keys() - cold.keys()
+        self._joining &= usable.keys() - cold.keys()
+        self.load.joining_targets = frozenset(self._joining)
 
     def _are_targets_appearing(
         self, usable: dict[str, TargetRecord], now: float
