Learn how many requests at once each target runs well

A target that slows down long before all its slots are used ends fewer requests the more it gets: at six slots, with two run well, most requests ran until their time limit.

ConcurrencyLimit lowers the limit of a target on trial when two windows of at least a second show it slow or losing requests, and keeps the lower limit only if the target then ends as many. It is raised by trials too, at once to a limit at which the present median was usual before. Medians of windows keep disturbances of 0.4 s out.

--- a/packages/core/src/fireflystand_core/dispatch/__init__.py
+++ b/packages/core/src/fireflystand_core/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from . import (
     admission_queue,
+    concurrency,
     estimates,
     owner_waits,
     pauses,
@@ -11,6 +12,7 @@
     warmup,
 )
 from .admission_queue import *  # noqa: F403
+from .concurrency import *  # noqa: F403
 from .estimates import *  # noqa: F403
 from .owner_waits import *  # noqa: F403
 from .pauses import *  # noqa: F403
@@ -21,6 +23,7 @@
 
 __all__ = [
     *admission_queue.__all__,
+    *concurrency.__all__,
     *estimates.__all__,
     *owner_waits.__all__,
     *pauses.__all__,
--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -185,11 +185,14 @@
     ) -> None:
         """Add a target or apply its newer record."""
         known = self.targets_by_id.get(record.id)
+        learns = self.policy.learns_concurrency
         if known is not None and known.record.started_at == record.started_at:
+            known.learn_concurrency(learns, now)
             self._open_targets_by_id[record.id] = known
             return known.update(record, warmup, now)
         rank = partial(self._rank, record.id)
         slots = TargetSlots(record, warmup, now, self.mean.seconds, rank)
+        slots.learn_concurrency(learns, now)
         if self._first_target_at is None:
             self._first_target_at = now
         if now > self._first_target_at or not self._is_first_start:
@@ -517,6 +520,7 @@
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
             self._record_duration(target, slot, result)
+            self._learn_concurrency(target, slot, result, now)
         if result.load is not None:
             target.record_load(result.load, now)
         if result.shed:
@@ -533,6 +537,20 @@
             return decisions + self._refuse_queue(target, now)
         return decisions + self._dispatch_freed(target, now)
 
+    def _learn_concurrency(
+        self, target: TargetSlots, slot: HeldSlot, result: SlotResult, now: float
+    ) -> None:
+        """Add a response, unless it is of a route of shorter work or of a cold target.
+
+        A request that was not complete took at least so long.
+        """
+        if target.concurrency is None or target.is_cold(now):
+            return
+        if self.route_durations.ratio(slot.route) == 1.0:
+            target.concurrency.record(
+                result.seconds, slot.level, slot.since, now, complete=result.complete
+            )
+
     def _suspect_restart(self, target: TargetSlots, now: float) -> None:
         """Limit a target that may have restarted to its warm-up rate."""
         if self.targets_by_id.get(target.record.id) is not target:
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -6,6 +6,7 @@
 import attrs
 
 from ..traffic import TargetRecord
+from .concurrency import ConcurrencyLimit
 from .estimates import MeanDuration, remaining_work
 from .warmup import WarmupLimit, WarmupPolicy
 
@@ -62,6 +63,7 @@
     expires_at: float
     route: str = ""
     counted: bool = False
+    level: int = 0  # requests that held a slot of the target with it, this one included
     is_probe: bool = False  # granted only to measure the target again
 
 
@@ -87,6 +89,7 @@
         self._slowdown_at = float("-inf")
         self.warmup = WarmupLimit(warmup, record.cold_for, now, rank)
         self.used_at = now  # when a request was last sent or answered, as far as known
+        self.concurrency: ConcurrencyLimit | None = None  # None if it is not learned
         self._cold_grants: deque[float] = deque()  # times of the last second
 
     def update(self, record: TargetRecord, warmup: WarmupPolicy, now: float) -> None:
@@ -94,11 +97,28 @@
         cold_for = record.cold_for if record is not self.record else 0.0
         self.warmup.update(warmup, cold_for, now)
         self.record = record
+        if self.concurrency is not None:
+            self.concurrency.set_slots(record.slots)
+
+    def learn_concurrency(self, enabled: bool, now: float) -> None:
+        """Begin or end to learn how many requests at once the target runs well."""
+        if not enabled:
+            self.concurrency = None
+        elif self.concurrency is None:
+            self.concurrency = ConcurrencyLimit(self.record.slots, now)
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests the target may hold."""
+        if self.concurrency is not None and self.concurrency.is_lowered:
+            # A slot that is not to be used would run what is to queue at the target.
+            return self.concurrency.limit
+        return self.record.slots + self._queue_allowance
 
     @property
     def is_full(self) -> bool:
         """Tell whether only a returned slot can make room."""
-        return len(self.held_by_number) >= self.record.slots + self._queue_allowance
+        return len(self.held_by_number) >= self.limit
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the target takes requests only at its warm-up rate."""
@@ -134,9 +154,7 @@
             self._paused_until, self._unreachable_until
         ):
             return 0
-        free = max(
-            0, self.record.slots + self._queue_allowance - len(self.held_by_number)
-        )
+        free = max(0, self.limit - len(self.held_by_number))
         if free and self.is_cold(now):
             free = min(free, self.warmup.available(now, self._count_in_transit(now)))
         return free
@@ -162,6 +180,7 @@
     def occupy(self, slot: HeldSlot, now: float) -> None:
         """Mark a slot as held."""
         self.held_by_number[slot.number] = slot
+        slot.level = len(self.held_by_number)
         if self.is_cold(now):
             slot.counted = True
             self.warmup.spend(now)
@@ -258,6 +277,9 @@
             (max(pause, remaining_work(now - slot.since, duration)), duration)
             for slot in self.held_by_number.values()
         ]
+        if len(starts) > self.limit:
+            # After the limit was lowered, the first ones to end make no room.
+            starts = sorted(starts)[len(starts) - self.limit :]
         return starts + [(pause, duration)] * self.free_slots(now)
 
     def pause_left(self, now: float) -> float:
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -160,5 +160,32 @@
         self.assertEqual(schedule.count(0.1, 0.2), 0)
 
 
+class LearnedConcurrencyTests(unittest.TestCase):
+    """Guard against limits that the queue does not apply, or applies when off."""
+
+    def granted(self, queue: AdmissionQueue) -> int:
+        decisions = []
+        for number in range(6):
+            decisions += queue.submit(slot_request(f"g{number}"), 0.0)
+        return sum(isinstance(decision, SlotGranted) for decision in decisions)
+
+    def test_target_holds_no_more_than_its_learned_limit(self):
+        queue = queue_of(slots=4)
+        queue.targets_by_id["t1"].concurrency.limit = 2
+        self.assertEqual(self.granted(queue), 2)
+
+    def test_usual_policy_learns_no_limit(self):
+        queue = queue_of(slots=4, policy=AdmissionPolicy())
+        self.assertIsNone(queue.targets_by_id["t1"].concurrency)
+        self.assertGreaterEqual(self.granted(queue), 4)
+
+    def test_policy_that_changes_applies_with_the_next_record(self):
+        queue = queue_of(slots=4)
+        queue.targets_by_id["t1"].concurrency.limit = 2
+        queue.policy = AdmissionPolicy()
+        queue.set_target(queue.targets_by_id["t1"].record, 0.0)
+        self.assertGreaterEqual(self.granted(queue), 4)
+
+
 if __name__ == "__main__":
     unittest.main()
