Pause only targets that shed several requests in a row

A target that sheds a share of its requests at random was left without new ones for 30 ms after each, also while all its slots were free. With the adaptive policy it pauses from the second request in a row on, for twice as long each time up to 0.24 s, as a target that is full sheds all.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -516,6 +516,7 @@
         slot = self._free(target, result.number)
         if result.complete and result.seconds is not None:
             target.count_arrival(slot, now)
+            target.note_response()
             target.used_at = now
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
@@ -523,7 +524,9 @@
             self._learn_concurrency(target, slot, result, now)
         if result.load is not None:
             target.record_load(result.load, now)
-        if result.shed:
+        if result.shed and self.policy.tolerates_shedding:
+            target.pause_after_sheds_in_row(now)
+        elif result.shed:
             target.pause_after_shed(now)
         if result.unreachable or result.may_have_restarted:
             self._suspect_restart(target, now)
--- a/packages/core/src/fireflystand_core/dispatch/policy.py
+++ b/packages/core/src/fireflystand_core/dispatch/policy.py
@@ -17,14 +17,19 @@
     ``estimates_by_target`` uses the speed of the targets that can run a request, and
     has a target measured again whose estimate refuses all its requests.
     ``plans_returns`` spreads the times at which refused callers come back.
+    ``tolerates_shedding`` pauses only targets that shed several requests in a row.
     ``learns_concurrency`` gives targets no more requests at once than they run well.
     """
 
     estimates_by_target: bool = False
     plans_returns: bool = False
+    tolerates_shedding: bool = False
     learns_concurrency: bool = False
 
 
 ADAPTIVE_ADMISSION = AdmissionPolicy(
-    estimates_by_target=True, plans_returns=True, learns_concurrency=True
+    estimates_by_target=True,
+    plans_returns=True,
+    tolerates_shedding=True,
+    learns_concurrency=True,
 )
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -18,6 +18,7 @@
 # A target may shed a request by chance while it has free capacity, most of which a
 # long pause would waste.
 SHED_PAUSE = 0.03  # seconds without new requests for a target that shed one
+MAX_SHED_PAUSE = 0.24  # seconds, after several requests shed in a row
 # A target that refuses connections has stopped or is still starting.
 UNREACHABLE_PAUSE = 0.5  # seconds until the next request is sent to the target
 MAX_LOAD_AGE = 0.5  # seconds after which a target's load report is ignored
@@ -83,6 +84,7 @@
         self.mean = MeanDuration(mean)
         self._nominal_mean = MeanDuration(mean)  # at slowdown 1
         self._paused_until = float("-inf")
+        self._shed_in_row = 0  # requests since the last response
         self._unreachable_until = float("-inf")
         self._pause_ends_by_instance: dict[str, float] = {}
         self._slowdown = 1.0
@@ -221,6 +223,20 @@
         """Pause after the target refused a request for lack of free capacity."""
         self._paused_until = now + SHED_PAUSE
 
+    def pause_after_sheds_in_row(self, now: float) -> None:
+        """Pause after requests shed without a response in between, longer for more.
+
+        One shed by chance tells nothing about the next request.
+        """
+        self._shed_in_row += 1
+        if self._shed_in_row > 1:
+            pause = SHED_PAUSE * 2 ** min(self._shed_in_row - 2, 8)
+            self._paused_until = now + min(MAX_SHED_PAUSE, pause)
+
+    def note_response(self) -> None:
+        """Apply that the target ran a request."""
+        self._shed_in_row = 0
+
     def pause_for(self, instance: str, until: float) -> None:
         """Send the target nothing from an instance until the given time."""
         known = self._pause_ends_by_instance.get(instance, until)
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -187,5 +187,40 @@
         self.assertGreaterEqual(self.granted(queue), 4)
 
 
+class SheddingTests(unittest.TestCase):
+    """Guard against idle targets after one shed request, and floods of full ones."""
+
+    def shed(self, queue: AdmissionQueue, now: float) -> bool:
+        """Have one request shed; tell whether the target was given one."""
+        request = slot_request(f"r{now}", now)
+        (decision,) = queue.submit(request, now) or (None,)
+        if decision is None:
+            queue.withdraw(request.id, now)
+            return False
+        queue.release(SlotResult(decision.number, shed=True), now)
+        return True
+
+    def test_target_that_shed_one_request_is_given_the_next(self):
+        """It paused for 30 ms after each request that it shed by chance."""
+        queue = queue_of()
+        self.assertTrue(self.shed(queue, 0.0))
+        self.assertTrue(self.shed(queue, 0.001))
+
+    def test_target_that_sheds_all_requests_pauses_for_longer_times(self):
+        queue = queue_of()
+        count = sum(self.shed(queue, step / 1000) for step in range(1000))
+        self.assertLess(count, 10)
+        queue = queue_of(policy=AdmissionPolicy())
+        count = sum(self.shed(queue, step / 1000) for step in range(1000))
+        self.assertGreater(count, 30)
+
+    def test_response_ends_the_row(self):
+        queue = queue_of()
+        self.shed(queue, 0.0)
+        run(queue, "served", 0.1, 0.1)
+        self.shed(queue, 0.3)
+        self.assertTrue(self.shed(queue, 0.301))
+
+
 if __name__ == "__main__":
     unittest.main()
