Give each waiting kind of request a turn

More urgent requests than a target can run left less urgent kinds a sixth of their requests served. With the adaptive policy a kind that waits, by priority and route, gets the next slot after six grants to others, and estimates count no more requests ahead than that allows. Data centres have no turns of their own: the order of a queue does not depend on them.

--- a/packages/core/src/fireflystand_core/dispatch/__init__.py
+++ b/packages/core/src/fireflystand_core/dispatch/__init__.py
@@ -9,6 +9,7 @@
     policy,
     returns,
     slots,
+    turns,
     warmup,
 )
 from .admission_queue import *  # noqa: F403
@@ -19,6 +20,7 @@
 from .policy import *  # noqa: F403
 from .returns import *  # noqa: F403
 from .slots import *  # noqa: F403
+from .turns import *  # noqa: F403
 from .warmup import *  # noqa: F403
 
 __all__ = [
@@ -30,5 +32,6 @@
     *policy.__all__,
     *returns.__all__,
     *slots.__all__,
+    *turns.__all__,
     *warmup.__all__,
 ]
--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -21,6 +21,7 @@
 from .policy import AdmissionPolicy
 from .returns import ReturnSchedule
 from .slots import HeldSlot, TargetLoad, TargetSlots
+from .turns import KindTurns, most_ahead
 from .warmup import WarmupPolicy
 
 __all__ = [
@@ -160,6 +161,7 @@
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
         self._returns_by_target: dict[str, ReturnSchedule] = {}
+        self._turns_by_target: dict[str, KindTurns] = {}
         self._targets_by_slot: dict[int, TargetSlots] = {}
         self._slot_numbers = count(1)
         self._first_target_at: float | None = None
@@ -215,6 +217,7 @@
         self.targets_by_id.pop(target, None)
         self._open_targets_by_id.pop(target, None)
         self._returns_by_target.pop(target, None)
+        self._turns_by_target.pop(target, None)
         queue = self._queues_by_target.pop(target, {})
         return [
             SlotRefused(request, TARGET_GONE, MIN_RETRY_AFTER)
@@ -292,6 +295,9 @@
         """Return start delay and duration at the target that is expected to run it."""
         queue = self._queues_by_target.get(request.target, {})
         ahead = self._count_ahead(request, queue.values(), now)
+        if self.policy.bounds_passing_over and ahead:
+            own = [other for other in queue.values() if _kind(other) == _kind(request)]
+            ahead = most_ahead(self._count_ahead(request, own, now), ahead)
         ratio = self.route_durations.ratio(request.route)
         starts = [start for target in targets for start in target.expected_starts(now)]
         if starts:
@@ -355,7 +361,7 @@
         targets = self._candidates(request.target)
         rate = sum(target.record.slots / target.mean.seconds for target in targets)
         return schedule.promise(
-            (request.priority, request.route),
+            _kind(request),
             now,
             delay=delay,
             gap=1 / rate if rate else 0.0,
@@ -399,7 +405,19 @@
             return
         # Mostly one slot is free, so the others need not be sorted.
         while queue and self._has_free_slot(target, now):
-            yield min(queue.values(), key=urgency)
+            if self.policy.bounds_passing_over:
+                yield self._next_by_turns(queue, target, urgency)
+            else:
+                yield min(queue.values(), key=urgency)
+
+    def _next_by_turns(
+        self, queue: dict[str, QueuedRequest], target: str, urgency: Callable
+    ) -> QueuedRequest:
+        """Return the request to start next, and count the kinds that it goes before."""
+        turns = self._turns_by_target.setdefault(target, KindTurns())
+        request = turns.choose(queue.values(), _kind, urgency)
+        turns.note_grant(_kind(request), map(_kind, queue.values()))
+        return request
 
     def _has_free_slot(self, target: str, now: float) -> bool:
         return any(slots.free_slots(now) > 0 for slots in self._open_targets(target))
@@ -713,3 +731,7 @@
 
 def _deadline(request: QueuedRequest) -> float:
     return request.deadline_at
+
+
+def _kind(request: QueuedRequest) -> tuple[int, str]:
+    return request.priority, request.route
--- a/packages/core/src/fireflystand_core/dispatch/policy.py
+++ b/packages/core/src/fireflystand_core/dispatch/policy.py
@@ -17,12 +17,14 @@
     ``estimates_by_target`` uses the speed of the targets that can run a request, and
     has a target measured again whose estimate refuses all its requests.
     ``plans_returns`` spreads the times at which refused callers come back.
+    ``bounds_passing_over`` gives each kind of request that waits a turn.
     ``tolerates_shedding`` pauses only targets that shed several requests in a row.
     ``learns_concurrency`` gives targets no more requests at once than they run well.
     """
 
     estimates_by_target: bool = False
     plans_returns: bool = False
+    bounds_passing_over: bool = False
     tolerates_shedding: bool = False
     learns_concurrency: bool = False
 
@@ -30,6 +32,7 @@
 ADAPTIVE_ADMISSION = AdmissionPolicy(
     estimates_by_target=True,
     plans_returns=True,
+    bounds_passing_over=True,
     tolerates_shedding=True,
     learns_concurrency=True,
 )
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -4,13 +4,16 @@
 
 from fireflystand_core.dispatch import (
     ADAPTIVE_ADMISSION,
+    MAX_PASSED_OVER,
     AdmissionPolicy,
     AdmissionQueue,
+    KindTurns,
     QueuedRequest,
     ReturnSchedule,
     SlotGranted,
     SlotRefused,
     SlotResult,
+    most_ahead,
 )
 from fireflystand_core.traffic import TargetRecord
 
@@ -222,5 +225,40 @@
         self.assertTrue(self.shed(queue, 0.301))
 
 
+class PassingOverTests(unittest.TestCase):
+    """Guard against kinds of request that get no slot while others ask for all."""
+
+    def grants_before(self, policy: AdmissionPolicy) -> int:
+        """Return how many urgent requests start before a less urgent one."""
+        queue = queue_of(policy=policy)
+        (held,) = queue.submit(slot_request("first", priority=0), 0.0)
+        later = {"soft_deadline_at": 20.0, "deadline_at": 40.0}
+        queue.submit(slot_request("other", priority=3, route="o", **later), 0.0)
+        for count in range(100):
+            queue.submit(slot_request(f"u{count}", priority=0, **later), 0.0)
+            result = SlotResult(held.number, 0.1)
+            (held,) = queue.release(result, 0.1 * count)
+            if held.request.id == "other":
+                return count
+        return 100
+
+    def test_waiting_kind_gets_a_turn(self):
+        self.assertEqual(self.grants_before(AdmissionPolicy()), 100)
+        self.assertEqual(self.grants_before(ADAPTIVE_ADMISSION), MAX_PASSED_OVER)
+
+    def test_estimate_counts_the_turns(self):
+        """Requests that would get a turn were refused for those ahead of them."""
+        self.assertEqual(most_ahead(0, 100), MAX_PASSED_OVER)
+        self.assertEqual(most_ahead(1, 100), 1 + 2 * MAX_PASSED_OVER)
+        self.assertEqual(most_ahead(1, 2), 2)
+
+    def test_kind_that_no_longer_waits_has_no_turn(self):
+        turns = KindTurns()
+        for _ in range(MAX_PASSED_OVER):
+            turns.note_grant("a", ["a", "b"])
+        self.assertEqual(turns.choose(["a"], str, str), "a")
+        self.assertEqual(turns.choose(["a", "b"], str, str), "a")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/testing/src/fireflystand_testing/experiment/loads.py
+++ b/packages/testing/src/fireflystand_testing/experiment/loads.py
@@ -264,3 +264,12 @@
         _on("t", KEYED, 13.0), name="hurried", route="first", since=5.0
     )
     return Load((target,), (first, hurried), reports_load=True)
+
+
+@load_pattern("passed-over")
+def passed_over() -> Load:
+    """Return a target that urgent requests alone overload, and a less urgent kind."""
+    target = ModelTarget("t", 4, queue_limit=2)
+    urgent = attrs.evolve(_on("t", KEYED, 22.0), name="urgent", priority=0)
+    other = attrs.evolve(_on("t", KEYED, 4.0), name="other", priority=3)
+    return Load((target,), (urgent, other), reports_load=True)
