--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -21,6 +21,7 @@
 from .policy import AdmissionPolicy
 from .returns import ReturnSchedule
 from .slots import HeldSlot, TargetLoad, TargetSlots
+from .turns import KindTurns, most_ahead
 from .warmup import WarmupPolicy
 
 __all__ = [
@@ -160,6 +161,7 @@
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
         self._returns_by_target: dict[str, ReturnSchedule] = {}
+        self._turns_by_target: dict[str, KindTurns] = {}
         self._targets_by_slot: dict[int, TargetSlots] = {}
         self._slot_numbers = count(1)
         self._first_target_at: float | None = None
@@ -185,11 +187,14 @@
     ) -> None:
         """Add a target or apply its newer record."""
         known = self.targets_by_id.get(record.id)
+        learns = self.policy.learns_concurrency
         if known is not None and known.record.started_at == record.started_at:
+            known.learn_concurrency(learns, now)
             self._open_targets_by_id[record.id] = known
             return known.update(record, warmup, now)
         rank = partial(self._rank, record.id)
         slots = TargetSlots(record, warmup, now, self.mean.seconds, rank)
+        slots.learn_concurrency(learns, now)
         if self._first_target_at is None:
             self._first_target_at = now
         if now > self._first_target_at or not self._is_first_start:
@@ -212,6 +217,7 @@
         self.targets_by_id.pop(target, None)
         self._open_targets_by_id.pop(target, None)
         self._returns_by_target.pop(target, None)
+        self._turns_by_target.pop(target, None)
         queue = self._queues_by_target.pop(target, {})
         return [
             SlotRefused(request, TARGET_GONE, MIN_RETRY_AFTER)
@@ -289,6 +295,9 @@
         """Return start delay and duration at the target that is expected to run it."""
         queue = self._queues_by_target.get(request.target, {})
         ahead = self._count_ahead(request, queue.values(), now)
+        if self.policy.bounds_passing_over and ahead:
+            own = [other for other in queue.values() if _kind(other) == _kind(request)]
+            ahead = most_ahead(self._count_ahead(request, own, now), ahead)
         ratio = self.route_durations.ratio(request.route)
         starts = [start for target in targets for start in target.expected_starts(now)]
         if starts:
@@ -352,7 +361,7 @@
         targets = self._candidates(request.target)
         rate = sum(target.record.slots / target.mean.seconds for target in targets)
         return schedule.promise(
-            (request.priority, request.route),
+            _kind(request),
             now,
             delay=delay,
             gap=1 / rate if rate else 0.0,
@@ -396,7 +405,19 @@
             return
         # Mostly one slot is free, so the others need not be sorted.
         while queue and self._has_free_slot(target, now):
-            yield min(queue.values(), key=urgency)
+            if self.policy.bounds_passing_over:
+                yield self._next_by_turns(queue, target, urgency)
+            else:
+                yield min(queue.values(), key=urgency)
+
+    def _next_by_turns(
+        self, queue: dict[str, QueuedRequest], target: str, urgency: Callable
+    ) -> QueuedRequest:
+        """Return the request to start next, and count the kinds that it goes before."""
+        turns = self._turns_by_target.setdefault(target, KindTurns())
+        request = turns.choose(queue.values(), _kind, urgency)
+        turns.note_grant(_kind(request), map(_kind, queue.values()))
+        return request
 
     def _has_free_slot(self, target: str, now: float) -> bool:
         return any(slots.free_slots(now) > 0 for slots in self._open_targets(target))
@@ -513,13 +534,17 @@
         slot = self._free(target, result.number)
         if result.complete and result.seconds is not None:
             target.count_arrival(slot, now)
+            target.note_response()
             target.used_at = now
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
             self._record_duration(target, slot, result)
+            self._learn_concurrency(target, slot, result, now)
         if result.load is not None:
             target.record_load(result.load, now)
-        if result.shed:
+        if result.shed and self.policy.tolerates_shedding:
+            target.pause_after_sheds_in_row(now)
+        elif result.shed:
             target.pause_after_shed(now)
         if result.unreachable or result.may_have_restarted:
             self._suspect_restart(target, now)
@@ -533,6 +558,20 @@
             return decisions + self._refuse_queue(target, now)
         return decisions + self._dispatch_freed(target, now)
 
+    def _learn_concurrency(
+        self, target: TargetSlots, slot: HeldSlot, result: SlotResult, now: float
+    ) -> None:
+        """Add a response, unless it is of a route of shorter work or of a cold target.
+
+        A request that was not complete took at least so long.
+        """
+        if target.concurrency is None or target.is_cold(now):
+            return
+        if self.route_durations.ratio(slot.route) == 1.0:
+            target.concurrency.record(
+                result.seconds, slot.level, slot.since, now, complete=result.complete
+            )
+
     def _suspect_restart(self, target: TargetSlots, now: float) -> None:
         """Limit a target that may have restarted to its warm-up rate."""
         if self.targets_by_id.get(target.record.id) is not target:
@@ -692,3 +731,7 @@
 
 def _deadline(request: QueuedRequest) -> float:
     return request.deadline_at
+
+
+def _kind(request: QueuedRequest) -> tuple[int, str]:
+    return request.priority, request.route
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -4,13 +4,16 @@
 
 from fireflystand_core.dispatch import (
     ADAPTIVE_ADMISSION,
+    MAX_PASSED_OVER,
     AdmissionPolicy,
     AdmissionQueue,
+    KindTurns,
     QueuedRequest,
     ReturnSchedule,
     SlotGranted,
     SlotRefused,
     SlotResult,
+    most_ahead,
 )
 from fireflystand_core.traffic import TargetRecord
 
@@ -160,5 +163,102 @@
         self.assertEqual(schedule.count(0.1, 0.2), 0)
 
 
+class LearnedConcurrencyTests(unittest.TestCase):
+    """Guard against limits that the queue does not apply, or applies when off."""
+
+    def granted(self, queue: AdmissionQueue) -> int:
+        decisions = []
+        for number in range(6):
+            decisions += queue.submit(slot_request(f"g{number}"), 0.0)
+        return sum(isinstance(decision, SlotGranted) for decision in decisions)
+
+    def test_target_holds_no_more_than_its_learned_limit(self):
+        queue = queue_of(slots=4)
+        queue.targets_by_id["t1"].concurrency.limit = 2
+        self.assertEqual(self.granted(queue), 2)
+
+    def test_usual_policy_learns_no_limit(self):
+        queue = queue_of(slots=4, policy=AdmissionPolicy())
+        self.assertIsNone(queue.targets_by_id["t1"].concurrency)
+        self.assertGreaterEqual(self.granted(queue), 4)
+
+    def test_policy_that_changes_applies_with_the_next_record(self):
+        queue = queue_of(slots=4)
+        queue.targets_by_id["t1"].concurrency.limit = 2
+        queue.policy = AdmissionPolicy()
+        queue.set_target(queue.targets_by_id["t1"].record, 0.0)
+        self.assertGreaterEqual(self.granted(queue), 4)
+
+
+class SheddingTests(unittest.TestCase):
+    """Guard against idle targets after one shed request, and floods of full ones."""
+
+    def shed(self, queue: AdmissionQueue, now: float) -> bool:
+        """Have one request shed; tell whether the target was given one."""
+        request = slot_request(f"r{now}", now)
+        (decision,) = queue.submit(request, now) or (None,)
+        if decision is None:
+            queue.withdraw(request.id, now)
+            return False
+        queue.release(SlotResult(decision.number, shed=True), now)
+        return True
+
+    def test_target_that_shed_one_request_is_given_the_next(self):
+        """It paused for 30 ms after each request that it shed by chance."""
+        queue = queue_of()
+        self.assertTrue(self.shed(queue, 0.0))
+        self.assertTrue(self.shed(queue, 0.001))
+
+    def test_target_that_sheds_all_requests_pauses_for_longer_times(self):
+        queue = queue_of()
+        count = sum(self.shed(queue, step / 1000) for step in range(1000))
+        self.assertLess(count, 10)
+        queue = queue_of(policy=AdmissionPolicy())
+        count = sum(self.shed(queue, step / 1000) for step in range(1000))
+        self.assertGreater(count, 30)
+
+    def test_response_ends_the_row(self):
+        queue = queue_of()
+        self.shed(queue, 0.0)
+        run(queue, "served", 0.1, 0.1)
+        self.shed(queue, 0.3)
+        self.assertTrue(self.shed(queue, 0.301))
+
+
+class PassingOverTests(unittest.TestCase):
+    """Guard against kinds of request that get no slot while others ask for all."""
+
+    def grants_before(self, policy: AdmissionPolicy) -> int:
+        """Return how many urgent requests start before a less urgent one."""
+        queue = queue_of(policy=policy)
+        (held,) = queue.submit(slot_request("first", priority=0), 0.0)
+        later = {"soft_deadline_at": 20.0, "deadline_at": 40.0}
+        queue.submit(slot_request("other", priority=3, route="o", **later), 0.0)
+        for count in range(100):
+            queue.submit(slot_request(f"u{count}", priority=0, **later), 0.0)
+            result = SlotResult(held.number, 0.1)
+            (held,) = queue.release(result, 0.1 * count)
+            if held.request.id == "other":
+                return count
+        return 100
+
+    def test_waiting_kind_gets_a_turn(self):
+        self.assertEqual(self.grants_before(AdmissionPolicy()), 100)
+        self.assertEqual(self.grants_before(ADAPTIVE_ADMISSION), MAX_PASSED_OVER)
+
+    def test_estimate_counts_the_turns(self):
+        """Requests that would get a turn were refused for those ahead of them."""
+        self.assertEqual(most_ahead(0, 100), MAX_PASSED_OVER)
+        self.assertEqual(most_ahead(1, 100), 1 + 2 * MAX_PASSED_OVER)
+        self.assertEqual(most_ahead(1, 2), 2)
+
+    def test_kind_that_no_longer_waits_has_no_turn(self):
+        turns = KindTurns()
+        for _ in range(MAX_PASSED_OVER):
+            turns.note_grant("a", ["a", "b"])
+        self.assertEqual(turns.choose(["a"], str, str), "a")
+        self.assertEqual(turns.choose(["a", "b"], str, str), "a")
+
+
 if __name__ == "__main__":
     unittest.main()
