Refuse responses with a status above 599

Cause: h11 accepts the statuses 200 to 999 in final responses. A target that sent 600 or 999 had its response delivered to the caller, and HttpClient returned such a response to health checks, grants, releases and store calls.

Ruled out: 000, 099, statuses that are not three digits, and 100, 101 and 199 with no response after them. h11 or the end of the connection already made them failures. They are in the test nevertheless.

Change: forward/exchange.py and http_client.py treat a final status outside 200 to 599 as a malformed response: 502, or another attempt where the request may run twice; a failed exchange for control and store calls.

Measured with `make unit ONLY=test_invalid_statuses`: before, 32 sub-cases failed, all with the statuses 600 and 999: in the first line and after a 1xx, on new connections with and without the request's id, on kept ones with it (without it the name check refused them), and all 8 through HttpClient. After, 4 tests pass. test_http_client (7) and test_faulty_targets (19) pass.

--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -9,7 +9,7 @@
 from fireflystand_core.exceptions import FireflystandError
 
 from ..fields import VIA, Fields, end_to_end_fields
-from ..framing import MalformedMessageError, parse_framing_fields
+from ..framing import FINAL_STATUSES, MalformedMessageError, parse_framing_fields
 from .pool import MAX_REFUSALS, PooledConnection, TargetPool
 from .target_options import TargetOptions
 
@@ -164,6 +164,8 @@
             self._http.receive_data(head)
             event = self._http.next_event()
             if isinstance(event, h11.Response):
+                if event.status_code not in FINAL_STATUSES:
+                    raise MalformedMessageError("invalid status")
                 self.names_request = response_id is not None
                 self._store_response_head(event, found)
                 self._check_name()
--- a/packages/router/src/fireflystand_router/framing.py
+++ b/packages/router/src/fireflystand_router/framing.py
@@ -5,6 +5,7 @@
 from fireflystand_core.exceptions import ProtocolError
 
 __all__ = [
+    "FINAL_STATUSES",
     "HEADER_LIMIT",
     "MalformedMessageError",
     "RequestFramer",
@@ -13,6 +14,8 @@
 ]
 
 HEADER_LIMIT = 16 * 1024  # bytes
+# RFC 9110 section 15: others are invalid. h11 accepts statuses up to 999.
+FINAL_STATUSES = range(200, 600)  # of final responses
 CHUNK_LINE_LIMIT = 256  # bytes
 TRAILER_LIMIT = 4 * 1024  # bytes
 
--- a/packages/router/src/fireflystand_router/http_client.py
+++ b/packages/router/src/fireflystand_router/http_client.py
@@ -10,6 +10,7 @@
 
 from fireflystand_core.exceptions import FireflystandError
 
+from .framing import FINAL_STATUSES
 from .streams import DirectStream, connect
 
 __all__ = [
@@ -140,6 +141,8 @@
         data += connection.send(h11.EndOfMessage())
         await self._stream.send_all(data)
         response = await self._next_event()
+        if response.status_code not in FINAL_STATUSES:
+            raise OSError(f"invalid status {response.status_code}")
         # Chunks may be as short as a byte, so they are not kept as separate objects.
         content = bytearray()
         while True:
