Bound the memory for callers' bytes and the bytes sent to targets

Cause: bodies, unparsed bytes and responses were bounded per connection only, so their sum could exceed limits.memoryMb. A response whose caller read slowly was not read further than 64 KiB, and targets cut such responses off. Nothing kept the load under which a target had crashed from being sent to it again.

Change, only where the settings have limits.memoryMb: core's admission/memory.py decides (MemoryBudget, TargetByteLimits); bodies beyond the budget get 503 before they are read; connections are read ahead only below it; ReadAhead receives responses while callers take nothing; CrashNotice carries the size of a body (default 0); the kernel keeps 128 KiB of unread bytes a connection.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -245,7 +245,11 @@
 @message("crash-notice")
 @attrs.frozen
 class CrashNotice:
-    """Report a request whose target ended while running it."""
+    """Report a request whose target ended while running it.
+
+    ``size`` is the number of bytes of its body if they may have ended the target.
+    """
 
     fingerprint: int
     target: str
+    size: int = 0
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -7,7 +7,12 @@
 import h11
 import trio
 
-from fireflystand_core.admission import SharedRetryBudget
+from fireflystand_core.admission import (
+    ByteReservation,
+    MemoryBudget,
+    SharedRetryBudget,
+    TargetByteLimits,
+)
 from fireflystand_core.dispatch import (
     TARGET_GONE,
     TARGET_PAUSES,
@@ -21,6 +26,7 @@
 from ..entry import RequestRefusedError, ResponseWriter
 from ..entry.body import CallerBody
 from ..entry.refusals import failed_body_refusal
+from ..entry.response_writer import FLUSH_THRESHOLD
 from ..entry.time_limits import STOPPING, TimeLimit, TimeLimits
 from ..events import (
     CALLER_LEFT,
@@ -59,6 +65,7 @@
 from .loop_lag import LoopLag
 from .ports import CONFIGURATION, DispatchSettings
 from .rate_limits import SharedRateLimiter
+from .read_ahead import ReadAhead
 from .requests import IncomingRequest, RequestReader
 from .slots import Slot, SlotClient
 from .state import RoutingState
@@ -94,6 +101,13 @@
 MAX_UNFRAMED_OVERRUN = 5.0  # seconds
 RETURN_SPREAD = 0.1  # of the Retry-After of a request that a pause refuses
 BROKEN_OFF = "response broke off"
+# A shorter response is queued whole, so that its caller cannot hold its reading up.
+READ_AHEAD_FROM = FLUSH_THRESHOLD // 2  # bytes
+# Memory becomes free as responses end, and those usually take less than this.
+MEMORY_RETRY_AFTER = 0.3  # seconds
+MEMORY_FULL = "instance holds too many request bytes"
+MAX_UNFIT_TARGETS = 3  # that a request is not sent to before it is refused
+TARGET_FULL = "target cannot hold the request's bytes"
 RETRY_DELAY = 0.02  # seconds before a request is sent again
 REPORTED_LATENESS = 0.25  # seconds past the deadline at which a response ends
 
@@ -124,7 +138,9 @@
     service: str = ""
     body_prefix: bytes = b""
     fingerprint: int = 0
+    unfit_targets: int = 0  # that could not hold the request's bytes
     slots_used: int = 0  # granted slots with which a target was tried
+    sent_bytes: int = 0  # of the body, counted as in flight to the target
     attempts: int = 0  # times that a target may have received the request
     may_have_run: bool = False  # a target may have run the request
     target: str = ""
@@ -138,6 +154,13 @@
         """Return when the request has to end."""
         return self.limit.ends_at
 
+    @property
+    def size(self) -> int:
+        """Return the bytes of the body, as far as they are known."""
+        if self.body.complete or self.body.length is None:
+            return len(self.body_prefix)
+        return self.body.length
+
     @property
     def priority(self) -> int:
         """Return the account's priority or, without one, the route's."""
@@ -172,7 +195,11 @@
         random: Random,
         loop_lag: LoopLag,
         pauses: TargetPauses,
+        memory: MemoryBudget | None = None,
+        byte_limits: TargetByteLimits | None = None,
     ) -> None:
+        self._memory = memory or MemoryBudget()
+        self._byte_limits = byte_limits
         self._pauses = pauses
         self._settings = settings
         self._state = state
@@ -210,7 +237,11 @@
                 writer.request_id = request.id
                 context = self._admit(request, body, received_at)
                 with self._time_limits.open(context.limit, received_at):
-                    await self._serve(context, writer)
+                    reservation = self._reserve_body(body)
+                    try:
+                        await self._serve(context, writer, reservation)
+                    finally:
+                        reservation.release()
             except MalformedMessageError as error:
                 raise RequestRefusedError(
                     error.status, error.message, close=True
@@ -373,10 +404,28 @@
             raise RequestRefusedError(401, "no or unknown API key")
         return account
 
-    async def _serve(self, context: _RequestContext, writer: ResponseWriter) -> None:
+    def _reserve_body(self, body: CallerBody) -> ByteReservation:
+        """Reserve memory for the part of a body that is kept for retries."""
+        size = REPLAYABLE_BODY_BYTES
+        if body.length is not None:
+            size = min(size, body.length)
+        reservation = self._memory.requests.reserve(size)
+        if reservation is None:
+            wait = MEMORY_RETRY_AFTER * (0.5 + self._random.random())
+            raise RequestRefusedError(503, MEMORY_FULL, retry_after=wait)
+        return reservation
+
+    async def _serve(
+        self,
+        context: _RequestContext,
+        writer: ResponseWriter,
+        reservation: ByteReservation,
+    ) -> None:
         response = None
         with context.limit.scope:
             await writer.send_continue()
+            await self._read_prefix(context)
+            reservation.resize(len(context.body_prefix))
             await self._prepare(context)
             response = await self._send_with_retries(context, writer)
         # Outside the time limit: a response that has arrived is delivered, even if it
@@ -392,10 +441,12 @@
             503, "no target in time", retry_after=NO_TARGET_RETRY_AFTER
         )
 
-    async def _prepare(self, context: _RequestContext) -> None:
+    async def _read_prefix(self, context: _RequestContext) -> None:
         context.body_prefix = await context.body.read_prefix(REPLAYABLE_BODY_BYTES)
         if context.body_prefix:
             self._time_limits.check(context.limit, trio.current_time())
+
+    async def _prepare(self, context: _RequestContext) -> None:
         account = context.account.name if context.account else ""
         context.fingerprint = context.request.fingerprint(account, context.body_prefix)
         if self._crash_detector.is_refused(context.fingerprint):
@@ -454,6 +505,10 @@
             if target is None or must_wait:
                 self._slots.release(slot, SlotReturn(slot.service, slot.number))
                 continue
+            if not self._can_hold(context, target):
+                self._slots.release(slot, SlotReturn(slot.service, slot.number))
+                await self._try_another_target(context)
+                continue
             result = await self._send_once(context, slot, target)
             if isinstance(result, _TargetResponse):
                 return result
@@ -477,6 +532,26 @@
             else:
                 await trio.sleep(RETRY_DELAY)
 
+    def _can_hold(self, context: _RequestContext, target: TargetRecord) -> bool:
+        """Tell whether a target can be expected to hold the request's bytes."""
+        return self._byte_limits is None or self._byte_limits.may_send(
+            target.id,
+            context.size,
+            part=self._state.registered_share,
+            slots=target.slots,
+            now=trio.current_time(),
+        )
+
+    async def _try_another_target(self, context: _RequestContext) -> None:
+        """Wait before another target is asked for; refuse if there is none."""
+        context.unfit_targets += 1
+        if (
+            not self._state.is_keyed(context.service)
+            and context.unfit_targets < MAX_UNFIT_TARGETS
+        ):
+            return await trio.sleep(RETRY_DELAY)
+        self._raise_no_target(context, TARGET_FULL)
+
     async def _wait_for_owner(self, context: _RequestContext) -> str:
         """Return the target that owns the request's key, empty for unkeyed services."""
         context.phase = _Phase.OWNER
@@ -620,6 +695,7 @@
         may_have_run_before = context.may_have_run
         result = SlotReturn(slot.service, slot.number)
         opened: Exchange | Failure | None = None
+        self._begin_bytes(context, target.id)
         try:
             opened = await self._open(context, forward)
             self._note_response(target, opened)
@@ -628,6 +704,7 @@
         finally:
             context.attempts += forward.may_have_been_sent
             if not isinstance(opened, Exchange):
+                self._end_bytes(context, completed=False)
                 if isinstance(opened, Failure):
                     unreachable = not (forward.may_have_been_sent or opened.withdrawn)
                     result = attrs.evolve(
@@ -645,6 +722,17 @@
             return opened
         return _TargetResponse(opened, slot, began_at)
 
+    def _begin_bytes(self, context: _RequestContext, target: str) -> None:
+        if self._byte_limits is not None:
+            context.sent_bytes = context.size
+            self._byte_limits.begin(target, context.sent_bytes)
+
+    def _end_bytes(self, context: _RequestContext, *, completed: bool) -> None:
+        if self._byte_limits is not None:
+            self._byte_limits.end(
+                context.target, context.sent_bytes, completed=completed
+            )
+
     async def _finish(
         self,
         context: _RequestContext,
@@ -672,6 +760,7 @@
         except (RequestRefusedError, MalformedMessageError) as error:
             refusal = failed_body_refusal(error)
         finally:
+            self._end_bytes(context, completed=delivered)
             suspected = response.exchange.may_have_restarted
             result = attrs.evolve(result, may_have_restarted=suspected)
             self._slots.release(response.slot, result)
@@ -726,7 +815,7 @@
             context.may_have_run = may_have_run_before
         if failure.broken:
             self._crash_detector.record_broken_connection(
-                target.id, context.fingerprint
+                target.id, context.fingerprint, context.sent_bytes
             )
         if failure.refused:
             self._crash_detector.record_exit(target.id)
@@ -774,6 +863,8 @@
     ) -> bool:
         """Deliver a response; return whether the caller got all of it."""
         context.status = exchange.status
+        source = ReadAhead(exchange, self._memory.responses, self._forwarder.start_soon)
+        size = 0
         try:
             writer.start(
                 exchange.status,
@@ -781,9 +872,12 @@
                 exchange.length,
                 close=not exchange.upload_done,
             )
-            while part := await self._next_part(context, exchange, writer):
+            while part := await self._next_part(context, source, writer):
                 if self._is_overdue(context, exchange):
                     raise trio.TooSlowError
+                size += len(part)
+                if size >= READ_AHEAD_FROM:
+                    self._read_ahead(source)
                 await writer.write(part)
         except (BrokenExchangeError, trio.TooSlowError) as error:
             self._log(
@@ -799,6 +893,7 @@
             self._metrics.count_reason(FAILURE_REASONS, BROKEN_OFF)
             return False
         finally:
+            source.close()
             self._forwarder.cancel(exchange)
         self._metrics.count(ANSWERED)
         if self._state.is_added_route(context.route.name):
@@ -813,19 +908,26 @@
             exchange.length is None and overrun > MAX_UNFRAMED_OVERRUN
         )
 
+    def _read_ahead(self, source: ReadAhead) -> None:
+        """Receive a response from now on even while its caller takes nothing."""
+        if self._memory.is_bounded:
+            source.start()
+
     async def _next_part(
-        self, context: _RequestContext, exchange: Exchange, writer: ResponseWriter
+        self, context: _RequestContext, source: ReadAhead, writer: ResponseWriter
     ) -> bytes:
-        part = exchange.receive_nowait()
+        part = source.receive_nowait()
         if part is None and not writer.partly_sent:
+            if not writer.has_turn:
+                self._read_ahead(source)
             # If the response has broken off, another one can be sent in its place.
             await writer.wait_for_turn()
-            part = await exchange.receive_arrived()
+            part = await source.receive_arrived()
         if part is None:
             await writer.flush()
             late_since = max(context.deadline_at, trio.current_time())
             with trio.fail_at(late_since + MAX_LATE_WAIT - context.late_wait):
-                part = await exchange.receive()
+                part = await source.receive()
             context.late_wait += max(0.0, trio.current_time() - late_since)
         return part
 
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from fireflystand_core.admission import MemoryBudget, TargetByteLimits
 from fireflystand_core.dispatch import TargetPauses
 from fireflystand_core.exceptions import (
     ProtocolError,
@@ -17,6 +18,7 @@
 from fireflystand_core.replica import ObjectChange
 
 from ..entry import CallerOptions, EntryServer
+from ..entry.server import RECEIVE_BUFFER_BYTES
 from ..events import (
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
@@ -27,6 +29,7 @@
 from ..forward import Forwarder
 from ..health import HealthServer, Readiness
 from ..metrics import (
+    BYTE_LIMITED_TARGETS,
     CONFIGURATION_VERSION,
     COORDINATED,
     HELD_SLOTS,
@@ -36,6 +39,8 @@
     LOOP_LAG,
     PAUSING_TARGETS,
     PROOF_AGE,
+    REQUEST_BYTES,
+    RESPONSE_BYTES,
     STORE_AGE,
     STORE_ERA,
     WAITING,
@@ -144,13 +149,20 @@
             self.replica_sync.handle_confirmations, self.slot_service.release_instance
         )
         self.rate_limiter = SharedRateLimiter(self.state, self.membership)
-        self.crash_detector = CrashDetector(self.membership)
+        self.memory = MemoryBudget(settings.buffered_bytes)
+        # The switch for limits on what targets hold, too.
+        self.byte_limits = TargetByteLimits() if self.memory.is_bounded else None
+        self.crash_detector = CrashDetector(self.membership, self.byte_limits)
         self.work_reporter = WorkReporter(self.state, self.membership)
         self.ownership = RangeCoordinators(
             self.state, self.membership, self._new_coordinator
         )
         self.work_reporter.on_own_report = self.ownership.add_work_report
-        self.forwarder = Forwarder(CONNECTIONS_PER_TARGET, settings.target_options)
+        self.forwarder = Forwarder(
+            CONNECTIONS_PER_TARGET,
+            settings.target_options,
+            RECEIVE_BUFFER_BYTES if self.memory.is_bounded else None,
+        )
         self.loop_lag = LoopLag()
         self.flow = DispatchFlow(
             settings=settings,
@@ -164,6 +176,8 @@
             random=random,
             loop_lag=self.loop_lag,
             pauses=self.pauses,
+            memory=self.memory,
+            byte_limits=self.byte_limits,
         )
         self.entry = self._new_entry_server()
         self.health = self._new_health_server()
@@ -198,6 +212,7 @@
             port=port,
             grace_period=notice,
             drain_timeout=stop_period - notice,
+            memory=self.memory,
         )
 
     def _caller_options(self) -> CallerOptions:
@@ -262,6 +277,11 @@
         gauge(KNOWN_TARGETS, len(self.state.targets_by_id))
         gauge(PAUSING_TARGETS, self.pauses.count(trio.current_time()))
         gauge(LEAVING_TARGETS, self.state.leaving_count)
+        gauge(REQUEST_BYTES, self.memory.requests.held)
+        gauge(RESPONSE_BYTES, self.memory.responses.held)
+        if self.byte_limits is not None:
+            limited = self.byte_limits.limited_count(trio.current_time())
+            gauge(BYTE_LIMITED_TARGETS, limited)
         gauge(COORDINATED, len(self.summary()["coordinates"]))
 
     def _not_ready_reason(self) -> str:
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -1,5 +1,6 @@
 """Define the interfaces to the platform and the settings of an instance."""
 
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -192,6 +193,8 @@
     target_options: TargetOptions = attrs.field(factory=TargetOptions)
     target_fields: TargetFields = attrs.field(factory=TargetFields)
     ready_path: str = "/fireflystand/v1/ready"
+    # For requests and responses of callers; infinite if the memory has no known limit.
+    buffered_bytes: float = math.inf
     # Whether the whole system starts for the first time, so that no lease of a target
     # can hold that the store does not tell of.
     is_first_start: bool = False
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -264,6 +264,7 @@
         self.bounds = DispatchBounds()
         self.caller_options = CallerOptions()
         self.target_fields = TargetFields()
+        self.buffered_bytes = float("inf")
 
     async def add_target(
         self, service: str = "keyed", *, target: HttpTarget | None = None, **fields
@@ -297,6 +298,7 @@
             bounds=self.bounds,
             caller_options=self.caller_options,
             target_fields=self.target_fields,
+            buffered_bytes=self.buffered_bytes,
             is_first_start=True,
         )
         control = SharedControl()
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -1,8 +1,12 @@
 """Serve the requests of one caller's connection."""
 
+import math
+
 import h11
 import trio
 
+from fireflystand_core.admission import MemoryBudget
+
 from ..events import CONNECTION_FAULT, MESSAGE_REFUSED, emit, emit_limited
 from ..framing import MalformedMessageError, RequestFramer
 from ..metrics import DEPARTED, MALFORMED, Metrics
@@ -17,6 +21,10 @@
 
 READ_SIZE = 65536
 BUFFER_LIMIT = 64 * 1024  # bytes that were received but not yet parsed
+# While the bytes held for requests are at their limit, connections are read only as far
+# as a request needs, in parts of this size.
+FULL_READ_SIZE = 4 * 1024  # bytes
+FULL_CHECK_INTERVAL = 0.1  # seconds between checks whether the limit still holds
 LINGER_TIMEOUT = 1.0  # seconds for which unread bytes are discarded
 PIPELINED_METHODS = frozenset([b"GET", b"HEAD"])
 
@@ -35,8 +43,15 @@
         flow: Flow,
         metrics: Metrics,
         options: CallerOptions | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.stream = stream
+        self.memory = memory or MemoryBudget()
+        self._counted = 0  # bytes of the buffer that are counted as held
+        self._check_interval = (
+            FULL_CHECK_INTERVAL if self.memory.is_bounded else math.inf
+        )
+        self._is_awaited = False  # whether a request needs more bytes
         self.options = options or CallerOptions()
         self.draining = False
         self.closing = False  # whether no further request is served
@@ -74,6 +89,14 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.stream.close()
+            self._framer.buffer.clear()
+            self._count_buffer()
+
+    def _count_buffer(self) -> None:
+        """Count the unparsed bytes as held."""
+        size = len(self._framer.buffer)
+        self.memory.requests.add(size - self._counted)
+        self._counted = size
 
     async def _serve_until_end(self) -> None:
         """Serve until the connection ends; close it here if it is idle."""
@@ -106,11 +129,14 @@
         # of the event loop before it is read.
         received_at = None if self.stream.is_idle() else trio.current_time()
         while True:
-            while len(buffer) >= BUFFER_LIMIT:
+            while not self._may_read():
                 self._buffer_has_space = trio.Event()
-                await self._buffer_has_space.wait()
+                with trio.move_on_after(self._check_interval):
+                    await self._buffer_has_space.wait()
+            is_full = self.memory.requests.is_full
+            read_size = FULL_READ_SIZE if is_full else READ_SIZE
             try:
-                received = await self.stream.receive_some(READ_SIZE)
+                received = await self.stream.receive_some(read_size)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 received = b""
             if not received:
@@ -119,13 +145,23 @@
             now = trio.current_time()
             self._received_at = now if received_at is None else received_at
             received_at = None
+            self._count_buffer()
+            self._is_awaited = False
             self._readable.set()
         self._disconnected = True
         self._readable.set()
         for writer in self._responses:
             writer.scope.cancel()
 
+    def _may_read(self) -> bool:
+        """Tell whether to read ahead, or what a request needs."""
+        if len(self._framer.buffer) >= BUFFER_LIMIT:
+            return False
+        return self._is_awaited or not self.memory.requests.is_full
+
     async def _wait_for_bytes(self) -> None:
+        self._count_buffer()
+        self._is_awaited = True
         self._buffer_has_space.set()
         if self._disconnected:
             raise MalformedMessageError("connection ended inside a request")
@@ -200,6 +236,7 @@
         if writer.scope.cancelled_caught:
             self._metrics.count(DEPARTED)
         writer.reset_if_cut()
+        writer.discard_queue()
         if writer.closes_connection or self._disconnected:
             self.closing = True
             for later in self._responses[self._responses.index(writer) + 1 :]:
@@ -253,6 +290,7 @@
             if not self._framer.buffer:
                 self._ends_idle = True
                 return None
+        self._count_buffer()
         self._buffer_has_space.set()
         return head
 
--- a/packages/router/src/fireflystand_router/entry/protocols.py
+++ b/packages/router/src/fireflystand_router/entry/protocols.py
@@ -18,6 +18,7 @@
     received_at: float  # seconds on trio's clock; when the request was received
     started: bool  # whether the header section is queued
     partly_sent: bool
+    has_turn: bool  # whether all earlier responses are sent
     caller_left: bool  # whether the request was cancelled for the end of its connection
     follows_delivery: bool  # whether an earlier response is being delivered
 
--- a/packages/router/src/fireflystand_router/entry/response_writer.py
+++ b/packages/router/src/fireflystand_router/entry/response_writer.py
@@ -43,6 +43,7 @@
         self._has_no_body = framer.complete
         self._previous = previous
         self._queued = bytearray()
+        self._held_bytes = connection.memory.responses
         self.partly_sent = False
         self._ends_with_connection = False  # until the last byte is sent
         self._head = b""
@@ -66,6 +67,11 @@
         """Tell whether the request was cancelled for the end of its connection."""
         return self.scope.cancel_called
 
+    @property
+    def has_turn(self) -> bool:
+        """Tell whether all earlier responses are sent."""
+        return self._previous is None or self._previous.done.is_set()
+
     async def wait_for_turn(self) -> None:
         """Wait until all earlier responses are sent."""
         if self._previous is not None:
@@ -119,7 +125,7 @@
 
     def _discard_response(self) -> None:
         """Discard a queued response of which nothing has been sent."""
-        self._queued.clear()
+        self.discard_queue()
         self.started = False
         self.http = h11.Connection(h11.SERVER)
         self.parse(self._head)
@@ -164,7 +170,14 @@
         self._enqueue(h11.Response(status_code=status, headers=headers))
 
     def _enqueue(self, event: h11.Event) -> None:
-        self._queued += self.http.send(event) or b""
+        data = self.http.send(event) or b""
+        self._queued += data
+        self._held_bytes.add(len(data))
+
+    def discard_queue(self) -> None:
+        """Discard the queued bytes."""
+        self._held_bytes.remove(len(self._queued))
+        self._queued.clear()
 
     async def write(self, part: bytes) -> None:
         """Queue a part of the body; send the queue if it has grown large."""
@@ -180,7 +193,10 @@
         if self._queued:
             data, self._queued = self._queued, bytearray()
             self.partly_sent = self.started
-            await self._connection.stream.send_all(data)
+            try:
+                await self._connection.stream.send_all(data)
+            finally:
+                self._held_bytes.remove(len(data))
 
     async def finish(self) -> None:
         """Send the end of the response."""
@@ -198,5 +214,5 @@
     def _abort(self) -> None:
         """Reset the connection so that the caller sees an incomplete response."""
         self.closes_connection = True
-        self._queued.clear()
+        self.discard_queue()
         self._connection.abort()
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from fireflystand_core.admission import MemoryBudget
+
 from ..events import (
     CONNECTION_FAULT,
     ENTRY_STARTED,
@@ -25,6 +27,9 @@
 PENDING_TIMEOUT = 0.5  # seconds for connections that wait to be accepted
 DRAIN_TIMEOUT = 60.0  # seconds for requests in flight
 FINAL_RESPONSE_PERIOD = 0.2  # seconds to write the responses to those that remain
+# Where memory is bounded. The kernel may keep several megabytes for a connection that
+# is not read, and they count as memory of the process.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 DRAIN_INTERVAL = 0.05  # seconds between checks for open connections
 
 
@@ -42,7 +47,9 @@
         connection_limit: int = CONNECTION_LIMIT,
         grace_period: float = GRACE_PERIOD,
         drain_timeout: float = DRAIN_TIMEOUT,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory or MemoryBudget()
         self._flow = flow
         self._metrics = metrics
         self._options = options
@@ -89,7 +96,11 @@
             return await trio.aclose_forcefully(stream)
         stream = DirectStream.from_trio(stream)
         options = self._options()
-        connection = CallerConnection(stream, self._flow, self._metrics, options)
+        if self._memory.is_bounded:
+            stream.limit_receive_buffer(RECEIVE_BUFFER_BYTES)
+        connection = CallerConnection(
+            stream, self._flow, self._metrics, options, self._memory
+        )
         self._connections.add(connection)
         self._metrics.gauge(CONNECTIONS, len(self._connections))
         try:
--- a/packages/router/src/fireflystand_router/forward/client.py
+++ b/packages/router/src/fireflystand_router/forward/client.py
@@ -59,13 +59,19 @@
         self,
         connections: int = CONNECTIONS_PER_TARGET,
         options: TargetOptions | None = None,
+        receive_buffer: int | None = None,
     ) -> None:
+        self._receive_buffer = receive_buffer
         self.pools_by_address: dict[str, TargetPool] = {}
         self._options = options or TargetOptions()
         self._connections_per_target = connections
         self._nursery: trio.Nursery | None = None
         self._cancel_semaphore = trio.Semaphore(MAX_CONCURRENT_CANCELS)
 
+    def start_soon(self, function, *args) -> None:
+        """Run a task that belongs to an exchange."""
+        self._nursery.start_soon(function, *args)
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Run uploads and cancellations in ``nursery``."""
         self._nursery = nursery
@@ -90,7 +96,7 @@
             limit = min(limit, connections)
         pool = self.pools_by_address.get(address)
         if pool is None:
-            pool = TargetPool(address, limit)
+            pool = TargetPool(address, limit, self._receive_buffer)
             self.pools_by_address[address] = pool
         pool.limit = limit
         return pool
--- a/packages/router/src/fireflystand_router/forward/pool.py
+++ b/packages/router/src/fireflystand_router/forward/pool.py
@@ -46,10 +46,16 @@
 
 
 class TargetPool:
-    """Own the connections to one target; at most ``limit`` are open."""
+    """Own the connections to one target; at most ``limit`` are open.
 
-    def __init__(self, address: str, limit: int) -> None:
+    The kernel keeps about ``receive_buffer`` unread bytes of each, if that is given.
+    """
+
+    def __init__(
+        self, address: str, limit: int, receive_buffer: int | None = None
+    ) -> None:
         self.address = address
+        self._receive_buffer = receive_buffer
         self._idle: list[PooledConnection] = []
         self._uses = trio.CapacityLimiter(limit)
         self._waiting = 0  # tasks that have yet to get a connection
@@ -129,6 +135,8 @@
         self._close_excess()
         with trio.fail_after(CONNECT_TIMEOUT):
             stream = await connect(self.address)
+        if self._receive_buffer is not None:
+            stream.limit_receive_buffer(self._receive_buffer)
         connection = PooledConnection(stream)
         if not connection.is_idle():
             connection.close()
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -300,6 +300,21 @@
     "targets",
     "targets with a record whose process has stated that it leaves",
 )
+BYTE_LIMITED_TARGETS = define_metric(
+    "dispatch.byte_limited_targets",
+    "gauge",
+    "targets",
+    "targets that crashed under a load of request bytes and get less since",
+)
+REQUEST_BYTES = define_metric(
+    "entry.request_bytes", "gauge", "bytes", "bytes held of callers' requests"
+)
+RESPONSE_BYTES = define_metric(
+    "entry.response_bytes",
+    "gauge",
+    "bytes",
+    "bytes held of responses that callers have not taken",
+)
 KNOWN_TARGETS = define_metric(
     "dispatch.targets", "gauge", "targets", "targets with a record in the store"
 )
--- a/packages/router/src/fireflystand_router/streams.py
+++ b/packages/router/src/fireflystand_router/streams.py
@@ -119,6 +119,11 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
         )
 
+    def limit_receive_buffer(self, size: int) -> None:
+        """Let the kernel keep about ``size`` unread bytes at most."""
+        with suppress(OSError):  # the connection is already broken
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def enable_keepalive(self) -> None:
         """Let the kernel end the connection if its peer is silent."""
         for option, value in (
