Let `fireflystand check` find warnings and differences

Cause: check reported faults only. Routes that never match, routes that nobody may call and limits that contradict each other were applied without a word, and a script could not tell a fault from wrong usage of another command.

Ruled out: checks of hosts, weights, priorities, target latency and timeouts. The files of this command have no such settings; the platform's configuration has, and its names may not be used in this package.

--- a/packages/core/src/fireflystand_core/configuration/__init__.py
+++ b/packages/core/src/fireflystand_core/configuration/__init__.py
@@ -12,6 +12,7 @@
     rendering,
     schema,
     units,
+    warnings,
 )
 from .checks import *  # noqa: F403
 from .document import *  # noqa: F403
@@ -24,6 +25,7 @@
 from .rendering import *  # noqa: F403
 from .schema import *  # noqa: F403
 from .units import *  # noqa: F403
+from .warnings import *  # noqa: F403
 
 __all__ = [
     *checks.__all__,
@@ -37,4 +39,5 @@
     *rendering.__all__,
     *schema.__all__,
     *units.__all__,
+    *warnings.__all__,
 ]
--- a/packages/core/src/fireflystand_core/configuration/loading.py
+++ b/packages/core/src/fireflystand_core/configuration/loading.py
@@ -16,8 +16,9 @@
 )
 from .reading import Item, read_section
 from .schema import DEPLOYMENT
+from .warnings import find_warnings
 
-__all__ = ["FaultySettingsError", "load_files", "load_texts"]
+__all__ = ["FaultySettingsError", "check_files", "load_files", "load_texts"]
 
 MANY_TARGETS = 30  # targets from which a service has MANY_GROUPS groups
 MANY_GROUPS = 4
@@ -36,6 +37,21 @@
 
     Raise FaultySettingsError with all faults of both files.
     """
+    return load_texts(*_read_files(base, overlay))
+
+
+def check_files(
+    base: str, overlay: str | None = None
+) -> tuple[Deployment, list[Fault]]:
+    """Return the deployment of a base file and an overlay, and its warnings.
+
+    Raise FaultySettingsError with all faults of both files.
+    """
+    root = _read_texts(*_read_files(base, overlay))
+    return _deployment(root), find_warnings(root)
+
+
+def _read_files(base: str, overlay: str | None) -> list[tuple[str, str]]:
     texts, faults = [], []
     for name in (base, overlay):
         if name is None:
@@ -46,11 +62,15 @@
             faults.append(Fault(Place(name, 1), f"the file cannot be read: {error}"))
     if faults:
         raise FaultySettingsError(faults)
-    return load_texts(*texts)
+    return texts
 
 
 def load_texts(base: tuple[str, str], overlay: tuple[str, str] | None = None):
     """Return the deployment of ``(file name, text)`` pairs."""
+    return _deployment(_read_texts(base, overlay))
+
+
+def _read_texts(base: tuple[str, str], overlay: tuple[str, str] | None = None) -> Item:
     faults: list[Fault] = []
     merged: MapNode | None = None
     for name, text in filter(None, (base, overlay)):
@@ -64,7 +84,7 @@
     faults.extend(run_checks(root))
     if faults:
         raise FaultySettingsError(faults)
-    return _deployment(root)
+    return root
 
 
 def _deployment(root: Item) -> Deployment:
--- a/packages/operator/src/fireflystand_operator/cli.py
+++ b/packages/operator/src/fireflystand_operator/cli.py
@@ -7,6 +7,7 @@
 from fire.decorators import SetParseFn
 
 from . import configuration, history, keys, logs, reports, states
+from .results import CheckCode
 from .session import Session, parse_author, parse_number, parse_wait
 
 __all__ = ["Fireflystand", "main"]
@@ -275,9 +276,23 @@
         self.log = LogCommands(session)
 
     @as_text
-    def check(self, base, overlay=None, *, json=False):
-        """Check a base file with its overlay and report every fault."""
-        self._session.defer_local(lambda: configuration.check(base, overlay), json)
+    def check(self, base, overlay=None, *, store=None, instances=None, json=False):
+        """Check a base file with its overlay: faults, warnings and differences.
+
+        Exit codes: 0 no finding, 1 warnings, 2 faults, 4 the store cannot be read.
+        With --store, differences from the generation in effect are shown. They do not
+        count as findings.
+        """
+        self._session.fault_code = CheckCode.ERRORS
+        if not store:
+            return self._session.defer_local(
+                lambda: configuration.check(base, overlay), json
+            )
+
+        async def operation(context):
+            return await configuration.check_against_store(context, base, overlay)
+
+        self._run(operation, json, store, instances)
 
     @as_text
     def render(self, base, overlay=None, *, json=False):
--- a/packages/operator/src/fireflystand_operator/configuration.py
+++ b/packages/operator/src/fireflystand_operator/configuration.py
@@ -1,12 +1,15 @@
 """Check, render, plan and apply settings files."""
 
+import difflib
 import json
 
 import attrs
 
 from fireflystand_core.configuration import (
     CurrentPointer,
+    Deployment,
     Generation,
+    check_files,
     compare,
     generation_key,
     load_files,
@@ -18,16 +21,27 @@
 
 from .changes import Author, write_change
 from .context import CURRENT_KEY, Context, VersionedPointer, WaitOptions
-from .results import CommandResult, InputFaultError, RejectedError
+from .results import (
+    CheckCode,
+    CommandResult,
+    InputFaultError,
+    RejectedError,
+    fault_values,
+)
 
-__all__ = ["apply", "check", "plan", "show_rendered"]
+__all__ = ["apply", "check", "check_against_store", "plan", "show_rendered"]
 
 MAX_OBJECT_BYTES = 1_000_000  # the store's limit on one value
 
 
-def check(base: str, overlay: str | None) -> CommandResult:
-    """Check settings files; raise FaultySettingsError with every fault."""
-    deployment = load_files(base, overlay)
+def check(
+    base: str, overlay: str | None, before: Deployment | None = None
+) -> CommandResult:
+    """Check settings files; raise FaultySettingsError with every fault.
+
+    ``before`` is the deployment in effect, if it is known.
+    """
+    deployment, warnings = check_files(base, overlay)
     counts = {
         "data_centres": len(deployment.data_centres_by_id),
         "services": len(deployment.services_by_id),
@@ -38,8 +52,33 @@
         "routes": len(deployment.routes),
     }
     summary = ", ".join(f"{n} {name.replace('_', ' ')}" for name, n in counts.items())
-    lines = [f"{deployment.name}: no faults; {summary}"]
-    return CommandResult(lines, {"name": deployment.name, **counts})
+    found = f"{len(warnings)} warnings" if warnings else "no faults"
+    differences = [] if before is None else _lines_changed(before, deployment)
+    lines = [*map(str, warnings), f"{deployment.name}: {found}; {summary}"]
+    return CommandResult(
+        [*lines, *differences],
+        {
+            "name": deployment.name,
+            **counts,
+            "warnings": fault_values(warnings),
+            "differences": differences,
+        },
+        CheckCode.WARNINGS if warnings else CheckCode.NONE,
+    )
+
+
+def _lines_changed(before: Deployment, after: Deployment) -> list[str]:
+    """Return the lines of the rendered settings that differ."""
+    old, new = render(before).splitlines(), render(after).splitlines()
+    return list(difflib.unified_diff(old, new, "in effect", "files", lineterm="", n=1))
+
+
+async def check_against_store(
+    context: Context, base: str, overlay: str | None
+) -> CommandResult:
+    """Check settings files and compare them with the generation in effect."""
+    check(base, overlay)  # faults are reported even if the store is unavailable
+    return check(base, overlay, await context.deployment())
 
 
 def show_rendered(base: str, overlay: str | None) -> CommandResult:
--- a/packages/operator/src/fireflystand_operator/results.py
+++ b/packages/operator/src/fireflystand_operator/results.py
@@ -4,14 +4,17 @@
 
 import attrs
 
+from fireflystand_core.configuration import Fault
 from fireflystand_core.exceptions import FireflystandError
 
 __all__ = [
+    "CheckCode",
     "CommandResult",
     "ExitCode",
     "InputFaultError",
     "RejectedError",
     "UnknownOutcomeError",
+    "fault_values",
 ]
 
 
@@ -26,13 +29,21 @@
     NOT_IN_EFFECT = 5
 
 
+class CheckCode(enum.IntEnum):
+    """Give the findings of ``check`` as the exit code of its process."""
+
+    NONE = 0
+    WARNINGS = 1
+    ERRORS = 2
+
+
 @attrs.frozen
 class CommandResult:
     """Hold the output of a command as lines of text and as data for JSON."""
 
     lines: list[str]
     data: object
-    code: ExitCode = ExitCode.ACCEPTED
+    code: ExitCode | CheckCode = ExitCode.ACCEPTED
 
 
 class InputFaultError(FireflystandError):
@@ -53,3 +64,16 @@
     def __init__(self, message: str, *, operation_id: str) -> None:
         super().__init__(message, step="change")
         self.operation_id = operation_id
+
+
+def fault_values(faults: list[Fault]) -> list[dict]:
+    """Return faults or warnings as data for JSON."""
+    return [
+        {
+            "file": fault.place.file,
+            "line": fault.place.line,
+            "path": fault.place.path,
+            "message": fault.message,
+        }
+        for fault in faults
+    ]
--- a/packages/operator/src/fireflystand_operator/session.py
+++ b/packages/operator/src/fireflystand_operator/session.py
@@ -23,11 +23,13 @@
 from .context import Context, WaitOptions
 from .instances import InstancesClient
 from .results import (
+    CheckCode,
     CommandResult,
     ExitCode,
     InputFaultError,
     RejectedError,
     UnknownOutcomeError,
+    fault_values,
 )
 
 __all__ = ["Session", "UsageError"]
@@ -49,7 +51,8 @@
     """
 
     def __init__(self, out: TextIO | None = None, err: TextIO | None = None) -> None:
-        self.code = ExitCode.USAGE
+        self.code: ExitCode | CheckCode = ExitCode.USAGE
+        self.fault_code: ExitCode | CheckCode = ExitCode.FAULT
         self._deferred: Callable[[], None] | None = None
         self._out = out or sys.stdout
         self._err = err or sys.stderr
@@ -97,17 +100,9 @@
         except UsageError as error:
             self._fail(ExitCode.USAGE, as_json, [str(error)], {})
         except FaultySettingsError as error:
-            faults = [
-                {
-                    "file": fault.place.file,
-                    "line": fault.place.line,
-                    "path": fault.place.path,
-                    "message": fault.message,
-                }
-                for fault in error.faults
-            ]
+            faults = fault_values(error.faults)
             lines = [*map(str, error.faults), f"{len(faults)} faults"]
-            self._fail(ExitCode.FAULT, as_json, lines, {"faults": faults})
+            self._fail(self.fault_code, as_json, lines, {"faults": faults})
         except InputFaultError as error:
             self._fail(ExitCode.FAULT, as_json, [error.message], {})
         except RejectedError as error:
--- a/packages/operator/src/fireflystand_operator/tests/test_cli.py
+++ b/packages/operator/src/fireflystand_operator/tests/test_cli.py
@@ -61,6 +61,37 @@
 
         self.run_scenario(scenario)
 
+    def test_check_ends_with_codes_of_its_own(self):
+        """Scripts could not tell warnings from faults."""
+        shadowed = BASE + "  - {path: /stock/, service: stock}\n"
+        changed = BASE.replace("200 per s", "300 per s")
+
+        async def scenario(env):
+            await env.apply()
+            rows = [
+                (0, changed, "--json", ['"warnings": []', "+  rate: 300 per s"]),
+                (0, BASE, "--json", ['"differences": []']),
+                (1, shadowed, "--json", ['"line": 16', "never matches"]),
+                (2, "name: x\n", "--json", ['"line": 1', "'services' is missing"]),
+                (2, BASE.replace("[stock]", "[stok]"), "--json", ['"line": 13']),
+            ]
+            for expected, text, flag, parts in rows:
+                path = env.write(text)
+                code, output = await self.command(env, "check", path, flag)
+                self.assertEqual(code, expected, output)
+                for part in parts:
+                    self.assertIn(part, output)
+            env.server.faults.down = True
+            code, _ = await self.command(env, "check", env.write(BASE))
+            self.assertEqual(code, 4)
+            code, output = await self.command(env, "check", env.write("name: x\n"))
+            self.assertEqual(code, 2, output)
+            out = io.StringIO()
+            self.assertEqual(run(["check", env.write(shadowed)], out), 1)
+            self.assertIn(":16: routes./stock/.path: never matches", out.getvalue())
+
+        self.run_scenario(scenario)
+
     def test_no_change_is_made_when_arguments_are_left_over(self):
         async def scenario(env):
             await env.apply()
