Report learned limits and probe only doubtful estimates

Operators could not see which targets get fewer requests than they have slots. Event 6070 reports each change of a learned limit, and the gauges dispatch.withheld_slots and dispatch.promised_returns show what is withheld and promised; refusals by reason are counted already (entry.refusal_reasons).

A probe now needs more time than the shortest response took, and an estimate that is a second old or that the last response contradicts.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -161,6 +161,7 @@
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
         self._returns_by_target: dict[str, ReturnSchedule] = {}
+        self._changed_limits: dict[str, int] = {}  # by target, not logged yet
         self._turns_by_target: dict[str, KindTurns] = {}
         self._targets_by_slot: dict[int, TargetSlots] = {}
         self._slot_numbers = count(1)
@@ -179,6 +180,22 @@
         """Return the number of held slots."""
         return len(self._targets_by_slot)
 
+    @property
+    def withheld_count(self) -> int:
+        """Return the number of slots that learned limits withhold."""
+        limits = [t.concurrency for t in self.targets_by_id.values() if t.concurrency]
+        return sum(limit.slots - limit.limit for limit in limits)
+
+    def count_returns(self, now: float) -> int:
+        """Return how many refused callers were given a time that is still to come."""
+        schedules = self._returns_by_target.values()
+        return sum(schedule.count(now, float("inf")) for schedule in schedules)
+
+    def take_changed_limits(self) -> dict[str, int]:
+        """Return the learned limits by target that changed since the last call."""
+        changed, self._changed_limits = self._changed_limits, {}
+        return {t: limit for t, limit in changed.items() if t in self.targets_by_id}
+
     def set_target(
         self,
         record: TargetRecord,
@@ -256,9 +273,10 @@
     ) -> Decision:
         """Grant a free slot to a request that nothing is queued before."""
         duration = slots.mean.seconds * self.route_durations.ratio(request.route)
-        if duration <= request.deadline_at - now:
+        left = request.deadline_at - now
+        if duration <= left:
             return self._grant(request, slots, now)
-        if self.policy.estimates_by_target and not slots.held_by_number:
+        if self.policy.estimates_by_target and slots.may_probe(left, now):
             return self._grant_probe(request, slots, now)
         return self._refusal(request, NO_ROOM, 0.0, now)
 
@@ -535,6 +553,7 @@
         if result.complete and result.seconds is not None:
             target.count_arrival(slot, now)
             target.note_response()
+            target.note_duration(result.seconds, now)
             target.used_at = now
             self._note_use(slot.instance, slot.target, now)
         if result.seconds is not None:
@@ -568,9 +587,12 @@
         if target.concurrency is None or target.is_cold(now):
             return
         if self.route_durations.ratio(slot.route) == 1.0:
+            before = target.concurrency.limit
             target.concurrency.record(
                 result.seconds, slot.level, slot.since, now, complete=result.complete
             )
+            if target.concurrency.limit != before:
+                self._changed_limits[slot.target] = target.concurrency.limit
 
     def _suspect_restart(self, target: TargetSlots, now: float) -> None:
         """Limit a target that may have restarted to its warm-up rate."""
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -31,6 +31,7 @@
 MAX_SLOWDOWN = 10.0
 MAX_TRANSIT = 1.0  # seconds from the grant of a slot to the arrival of its request
 # Requests that an estimate refuses cannot correct it, so a probe has to.
+PROBE_INTERVAL = 1.0  # seconds without a complete request
 PROBE_WEIGHT = 0.5  # of one probe's duration in the means
 COLD_WINDOW = 1.0  # seconds over which the requests to a cold target are counted
 
@@ -83,6 +84,10 @@
         self.held_by_number: dict[int, HeldSlot] = {}
         self.mean = MeanDuration(mean)
         self._nominal_mean = MeanDuration(mean)  # at slowdown 1
+        # The first responses may all be bad, so what was expected before counts too.
+        self._shortest = mean  # seconds
+        self._last_seconds = mean
+        self._measured_at = now
         self._paused_until = float("-inf")
         self._shed_in_row = 0  # requests since the last response
         self._unreachable_until = float("-inf")
@@ -208,6 +213,22 @@
         self.mean.add(seconds)
         self._nominal_mean.add(seconds / _clamp_slowdown(slowdown))
 
+    def note_duration(self, seconds: float, now: float) -> None:
+        """Note a complete request, to tell later whether the mean is in doubt."""
+        self._shortest = min(seconds, self._shortest)
+        self._last_seconds = seconds
+        self._measured_at = now
+
+    def may_probe(self, left: float, now: float) -> bool:
+        """Tell whether a request that has ``left`` seconds may show that it is faster.
+
+        So it may at an idle target if the mean is old or the last request was faster.
+        """
+        is_old = now - self._measured_at >= PROBE_INTERVAL
+        is_doubtful = self._last_seconds < self.mean.seconds * PROBE_WEIGHT
+        has_time = left > self._shortest
+        return not self.held_by_number and has_time and (is_old or is_doubtful)
+
     def record_probe(self, seconds: float) -> None:
         """Apply a response that came although the target was expected to be slow."""
         if seconds < self.mean.seconds:
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -84,6 +84,15 @@
         granted = [isinstance(decision, SlotGranted) for (decision,) in decisions]
         self.assertEqual(granted, [True, False, False])
 
+    def test_request_without_time_is_no_probe(self):
+        """Requests of less time than any response took were sent in vain."""
+        queue = queue_of()
+        run(queue, "usual", 0.0, 0.3)
+        for now in (0.4, 9.0):
+            request = slot_request(f"r{now}", now, deadline_at=now + 0.05)
+            (decision,) = queue.submit(request, now)
+            self.assertIsInstance(decision, SlotRefused)
+
 
 class OwnTargetTests(unittest.TestCase):
     """Guard against estimates from the mean of targets of unequal speed."""
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -35,10 +35,12 @@
     LIVE_PEERS,
     LOOP_LAG,
     PAUSING_TARGETS,
+    PROMISED_RETURNS,
     PROOF_AGE,
     STORE_AGE,
     STORE_ERA,
     WAITING,
+    WITHHELD_SLOTS,
     Metrics,
 )
 from ..peers import PeerNetwork
@@ -254,6 +256,9 @@
         gauge = self.metrics.gauge
         gauge(WAITING, sum(queue.queued_count for queue in queues))
         gauge(HELD_SLOTS, sum(queue.held_count for queue in queues))
+        gauge(WITHHELD_SLOTS, sum(queue.withheld_count for queue in queues))
+        now = trio.current_time()
+        gauge(PROMISED_RETURNS, sum(queue.count_returns(now) for queue in queues))
         gauge(LIVE_PEERS, len(self.membership.live) - 1)
         gauge(PROOF_AGE, self.state.confirmation_age(CONFIGURATION))
         gauge(STORE_AGE, self.replica_sync.store_age)
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -34,6 +34,7 @@
     PEER_CALL_FAILED,
     SLOT_OUTDATED,
     SLOT_REQUEST_REDIRECTED,
+    TARGET_LIMIT_CHANGED,
     emit,
     emit_limited,
 )
@@ -295,8 +296,20 @@
             while True:
                 await sleep_until_next(EXPIRY_CHECK_INTERVAL)
                 now = trio.current_time()
-                for queue in self.queues_by_service.values():
+                for service, queue in self.queues_by_service.items():
                     self._deliver(queue, queue.tick(now))
+                    self._log_limits(service, queue)
+
+    def _log_limits(self, service: str, queue: AdmissionQueue) -> None:
+        for target, limit in queue.take_changed_limits().items():
+            slots = queue.targets_by_id[target].record.slots
+            emit_limited(
+                TARGET_LIMIT_CHANGED,
+                service=service,
+                target=target,
+                limit=limit,
+                slots=slots,
+            )
 
     async def acquire(self, service: str, queued: QueuedRequest) -> Answer:
         """Wait for an answer; cancellation withdraws the slot request."""
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -474,6 +474,15 @@
     "responsible",
     "live",
 )
+TARGET_LIMIT_CHANGED = define_event(
+    6070,
+    "INFO",
+    "learned limit of a target changed",
+    "service",
+    "target",
+    "limit",
+    "slots",
+)
 SLOT_REQUEST_REDIRECTED = define_event(
     6047,
     "WARNING",
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -237,6 +237,18 @@
     "slots",
     "slots granted by admission queues of this instance",
 )
+WITHHELD_SLOTS = define_metric(
+    "dispatch.withheld_slots",
+    "gauge",
+    "slots",
+    "slots that learned limits withhold from requests",
+)
+PROMISED_RETURNS = define_metric(
+    "dispatch.promised_returns",
+    "gauge",
+    "requests",
+    "refused requests whose callers were given a time at which there is room",
+)
 COLD_SLOTS = define_metric(
     "dispatch.cold_slots",
     "counter",
