--- a/packages/testing/src/fireflystand_testing/tests/test_experiment.py
+++ b/packages/testing/src/fireflystand_testing/tests/test_experiment.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from fireflystand_testing.experiment import Load, loads_by_name, play
+from fireflystand_core.dispatch import ADAPTIVE_ADMISSION, AdmissionPolicy
+from fireflystand_testing.experiment import ClassResult, Load, loads_by_name, play
 
 SEEDS = range(3)
 GOODPUT_GOAL = 0.95  # of what the targets can run, as docs/status.md states it
@@ -73,6 +74,52 @@
                 self.assertGreater(result["hurried"].served, least)
 
 
+class AdaptiveAdmissionTests(unittest.TestCase):
+    """Guard against adaptive decisions that serve callers no better than the usual."""
+
+    def results(self, load: str, policy: AdmissionPolicy) -> dict[str, ClassResult]:
+        """Return the sums over the seeds by class."""
+        sums: dict[str, ClassResult] = {}
+        for seed in SEEDS:
+            for name, result in play(loads_by_name[load](), seed, policy).items():
+                total = sums.setdefault(name, ClassResult())
+                for field in ("asked", "in_aim", "late", "refused", "failed"):
+                    value = getattr(total, field) + getattr(result, field)
+                    setattr(total, field, value)
+        return sums
+
+    def gains(self, load: str) -> dict[str, float]:
+        """Return by how much the share served in time grows for each class."""
+        usual = self.results(load, AdmissionPolicy())
+        adaptive = self.results(load, ADAPTIVE_ADMISSION)
+        return {
+            name: adaptive[name].in_aim / adaptive[name].asked
+            - usual[name].in_aim / usual[name].asked
+            for name in usual
+        }
+
+    def test_bad_first_responses_do_not_refuse_later_requests(self):
+        self.assertGreater(self.gains("bad-first-responses")["hurried"], 0.8)
+
+    def test_target_that_slows_down_early_gets_fewer_requests(self):
+        self.assertGreater(self.gains("early-slowdown")["keyed"], 0.15)
+
+    def test_kind_that_was_passed_over_is_served(self):
+        self.assertGreater(self.gains("passed-over")["other"], 0.1)
+
+    def test_owner_that_sheds_is_not_left_idle(self):
+        self.assertGreater(self.gains("shedding-owner")["keyed"], 0.0)
+
+    def test_slowness_of_less_than_a_second_costs_nothing(self):
+        self.assertGreater(self.gains("short-slowdown")["keyed"], -0.02)
+
+    def test_callers_that_repeat_at_once_fare_no_better(self):
+        """They were served a tenth more often than those that wait as told."""
+        results = self.results("hot-key-slow", ADAPTIVE_ADMISSION)
+        gap = results["impatient"].served - results["keyed"].served
+        self.assertLess(gap, SERVED_GAP)
+
+
 class RepeatabilityTests(unittest.TestCase):
     """Guard against plays that cannot be compared."""
 
