Count turns by priority instead of priority and route

Routes of one priority took turns although the order by soft deadline passes none of them over for long, which started late requests before others that would still have been in time.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -314,7 +314,7 @@
         queue = self._queues_by_target.get(request.target, {})
         ahead = self._count_ahead(request, queue.values(), now)
         if self.policy.bounds_passing_over and ahead:
-            own = [other for other in queue.values() if _kind(other) == _kind(request)]
+            own = [o for o in queue.values() if o.priority == request.priority]
             ahead = most_ahead(self._count_ahead(request, own, now), ahead)
         ratio = self.route_durations.ratio(request.route)
         starts = [start for target in targets for start in target.expected_starts(now)]
@@ -433,8 +433,8 @@
     ) -> QueuedRequest:
         """Return the request to start next, and count the kinds that it goes before."""
         turns = self._turns_by_target.setdefault(target, KindTurns())
-        request = turns.choose(queue.values(), _kind, urgency)
-        turns.note_grant(_kind(request), map(_kind, queue.values()))
+        request = turns.choose(queue.values(), _priority, urgency)
+        turns.note_grant(request.priority, map(_priority, queue.values()))
         return request
 
     def _has_free_slot(self, target: str, now: float) -> bool:
@@ -757,3 +757,7 @@
 
 def _kind(request: QueuedRequest) -> tuple[int, str]:
     return request.priority, request.route
+
+
+def _priority(request: QueuedRequest) -> int:
+    return request.priority
--- a/packages/core/src/fireflystand_core/dispatch/policy.py
+++ b/packages/core/src/fireflystand_core/dispatch/policy.py
@@ -17,7 +17,7 @@
     ``estimates_by_target`` uses the speed of the targets that can run a request, and
     has a target measured again whose estimate refuses all its requests.
     ``plans_returns`` spreads the times at which refused callers come back.
-    ``bounds_passing_over`` gives each kind of request that waits a turn.
+    ``bounds_passing_over`` gives each priority whose requests wait a turn.
     ``tolerates_shedding`` pauses only targets that shed several requests in a row.
     ``learns_concurrency`` gives targets no more requests at once than they run well.
     """
