End placement by load when accounts are configured

The last known cold and closed targets stayed in the view of the load after a configuration with accounts had come into force. They are dropped now. A question for a target's health that was cancelled with its claim no longer keeps the target from being asked again.

--- a/packages/router/src/fireflystand_router/dispatch/load.py
+++ b/packages/router/src/fireflystand_router/dispatch/load.py
@@ -169,6 +169,11 @@
         """
         return min(self._health_slowdowns.get(target, ()), default=None)
 
+    def forget_states(self) -> None:
+        """Drop what placement by load knows of the targets, as it is switched off."""
+        self.cold_by_target = {}
+        self.closed_targets = self.joining_targets = ()
+
     def keep(self, targets: Collection[str]) -> None:
         """Drop what health responses stated of all other targets."""
         for target in self._health_slowdowns.keys() - targets:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -348,6 +348,7 @@
         self._ledger.timing = self._scaled_timing()
         self._status_by_target.clear()
         self._answered_processes.clear()
+        self._asked_processes.clear()
         self._moving.clear()
         self._unsent_freezes.clear()
         self._is_claim_lost = False
@@ -761,6 +762,8 @@
         self.load.decay(now)
         usable = self._assignable()
         are_appearing = bool(usable) and self._are_targets_appearing(usable, now)
+        if self.load.by_load and not self._places_by_load():
+            self.load.forget_states()
         self.load.by_load = self._places_by_load()
         if self.load.by_load:
             usable = self._known_in_health(usable)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
@@ -239,6 +239,24 @@
         run_scenario(scenario)
 
 
+class SwitchTests(unittest.TestCase):
+    """Guard against decisions by load after accounts have been configured."""
+
+    def test_accounts_end_placement_by_load(self):
+        async def scenario(cluster, nursery):
+            control = {"cold_by_target": {"t0": 60.0}}
+            coordinator = await started(cluster, nursery, **control)
+            await trio.sleep(3)
+            usable = {t.id: t for t in coordinator.state.usable_targets(SERVICE)}
+            self.assertTrue(coordinator.load.view(usable, recent=True).is_cold("t0"))
+            coordinator._places_by_load = lambda: False
+            await trio.sleep(1)
+            view = coordinator.load.view(usable, recent=True)
+            self.assertFalse(view.by_load or view.is_cold("t0") or view.closed)
+
+        run_scenario(scenario)
+
+
 class HotKeyOwnerTests(unittest.TestCase):
     """Guard against a key beyond any one target that stays with others, or wanders."""
 
