--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -304,11 +304,9 @@
         if t not in load.closed and (not owned[t] or t in load.joining)
     ]
     sources = {t: items for t, items in owned.items() if items and t not in idle}
-    moves = []
-    total = sum(load.capacity(t) for t in owned)
     if load.by_load:
-        # Warm targets can take most.
-        idle.sort(key=lambda t: (-load.capacity(t), t))
+        return _filling_moves(load, owned, idle, sources, limit)
+    moves = []
     for target in idle[:limit]:
         if not sources:
             break
@@ -316,26 +314,52 @@
         widest = max(sources.pop(source), key=lambda item: _weight([item], load))
         if widest.size < 2:
             continue
-        if load.by_load:
-            share = load.capacity(target) / total
-            move = _part_for(target, widest, load, share, owned[target])
-            if move is not None:
-                moves.append(move)
-            continue
         first = _middle(widest, load)
         moves.append(PlannedMove(first, widest.last, source, target))
     return moves
 
 
+def _filling_moves(
+    load: LoadView,
+    owned: Mapping[str, list[KeyRange]],
+    idle: list[str],
+    sources: Mapping[str, list[KeyRange]],
+    limit: int,
+) -> list[PlannedMove]:
+    """Give idle targets what they lack of their share, each from another source."""
+    weights = load.weights()
+    total = sum(load.capacity(t) for t in owned)
+    weight_by_source = {
+        source: sum(weights.weight(item.first, item.last) for item in items)
+        for source, items in sources.items()
+    }
+    busiest = sorted(weight_by_source, key=lambda t: (-weight_by_source[t], t))
+    # Warm targets can take most.
+    idle = sorted(idle, key=lambda t: (-load.capacity(t), t))
+    moves = []
+    for target, source in zip(idle[:limit], busiest, strict=False):
+        widest = max(sources[source], key=lambda i: weights.weight(i.first, i.last))
+        share = load.capacity(target) / total
+        move = _part_for(target, widest, weights, share, owned[target])
+        if move is not None:
+            moves.append(move)
+    return moves
+
+
 def _part_for(
-    target: str, item: KeyRange, load: LoadView, share: float, owned: list[KeyRange]
+    target: str,
+    item: KeyRange,
+    weights: KeyWeights,
+    share: float,
+    owned: list[KeyRange],
 ) -> PlannedMove | None:
     """Return the end of a range with what a target lacks of its share of all work.
 
     It is at most half of the range. A busy key at the end of the range is left out, so
     the other end is tried too.
     """
-    weights = load.weights()
+    if item.size < 2:
+        return None
     wanted = share * weights.weight(0, KEY_SPACE - 1)
     lacking = wanted - sum(weights.weight(part.first, part.last) for part in owned)
     if lacking < wanted / MAX_PIECES:
