Add the model, exposure budget and gate of version rollouts

A version rollout needs one description of orders, phases and records that all instances share, a budget that holds without contact between instances, and one place that says which version a request may use. The modules are pure; nothing uses them yet.

--- /dev/null
+++ b/packages/core/src/fireflystand_core/rollouts/__init__.py
@@ -0,0 +1,8 @@
+"""Decide which version of a service's targets may get requests during a rollout."""
+
+from . import exposure, gate, model
+from .exposure import *  # noqa: F403
+from .gate import *  # noqa: F403
+from .model import *  # noqa: F403
+
+__all__ = [*exposure.__all__, *gate.__all__, *model.__all__]
