--- a/packages/core/src/fireflystand_core/rollouts/gate.py
+++ b/packages/core/src/fireflystand_core/rollouts/gate.py
@@ -65,10 +65,13 @@
             policy.trial_share, policy.trial_slack * instance_share, random_phase
         )
         self._phase = order.final_phase or Phase.TRIAL
+        self._has_record = False
+        self._has_earlier_status = False
         self._lease_at = -inf
         self._deadline_at = seen_at + order.duration
         # When a decider last announced a rollback that it may not have written yet.
         self._announced_at: float | None = None
+        self._announced_epoch = 0
 
     @property
     def phase(self) -> Phase:
@@ -97,16 +100,20 @@
         if order.id != self.order.id:
             raise ValueError(f"{order.id} is not the order {self.order.id}")
         self.order = order
-        if order.final_phase is not None:
+        if order.final_phase is None:
+            self._has_earlier_status = False
+        elif not self._has_earlier_status:
             self._advance(order.final_phase)
 
     def apply_record(self, record: RolloutRecord) -> None:
         """Apply a record from the store, unless it is of an earlier phase."""
         if record.order == self.order.id:
+            self._has_record = True
             self.epoch = max(self.epoch, record.epoch)
             self._advance(record.phase)
         elif self._is_explained_by(record):
             self._phase = Phase.TRIAL
+            self._has_earlier_status = True
 
     def apply_lease(
         self, phase: Phase, epoch: int, share: float, remaining: float, now: float
@@ -125,6 +132,7 @@
         self._deadline_at = told if is_first else min(self._deadline_at, told)
         if phase is Phase.ROLLED_BACK:
             self._announced_at = now
+            self._announced_epoch = epoch
             return
         self._lease_at = max(self._lease_at, now)
         self._advance(phase)
@@ -156,12 +164,13 @@
         )
 
     def _allows_in_cutover(self, now: float, is_confirmed: bool) -> AllowedVersions:
-        # Neither version may be safe here: an announced rollback that is never written
-        # may be followed by the completion that another decider writes.
-        if self._announced_at is not None:
-            is_recent = now - self._announced_at < LEASE_LIFETIME
-            return AllowedVersions(old=is_confirmed and is_recent, new=False)
-        return AllowedVersions(old=False, new=self._has_lease(now))
+        if self._announced_at is None:
+            return AllowedVersions(old=False, new=self._has_lease(now))
+        # The decider that announced a rollback may be lost before it writes it, and
+        # the next one may complete the rollout. Then neither version is safe here.
+        is_recent = now - self._announced_at < LEASE_LIFETIME
+        is_latest = self._announced_epoch == self.epoch
+        return AllowedVersions(old=is_confirmed and is_recent and is_latest, new=False)
 
     def _has_lease(self, now: float) -> bool:
         return self._announced_at is None and now - self._lease_at < LEASE_LIFETIME
@@ -178,7 +187,8 @@
         rolled back version may be tried again; a completed one is in use already.
         """
         return (
-            self._phase is self.order.final_phase is Phase.ROLLED_BACK
+            not self._has_record
+            and self._phase is self.order.final_phase is Phase.ROLLED_BACK
             and record.phase is Phase.ROLLED_BACK
             and record.to == self.order.to
         )
