Tell slow hosts and disturbed targets from slow versions

With hosts of 0.7 and 1.6 times the usual speed, and one target in the trial of a keyed service, spans of disturbance looked like a slow version, or hid one. Durations are divided by the host's stated speed only within the range of hosts, an interval counts for so much only, and the share of slow responses that is expected depends on how many targets can take part. Intervals of 0.125 s shorten the wait for a verdict.

The test of a version whose targets state that they are slow now asks for 49 bad responses in place of 150; one at unequal hosts is new (90).

--- a/packages/core/src/fireflystand_core/rollouts/decider.py
+++ b/packages/core/src/fireflystand_core/rollouts/decider.py
@@ -33,6 +33,9 @@
 MIN_CUTOVER = 1.0  # seconds that the new version has all traffic before it is final
 MAX_CUTOVER = 2.5  # seconds, as far as they depend on how long responses take
 MARGIN = 1.0  # seconds before the deadline
+# After the deadline, for a judgement that is still open. It may never come where the
+# old version's responses were too few.
+MAX_DOUBT = 3.0  # seconds
 REPLACEMENT = 2.5  # seconds until another instance decides and has judged
 REPORT_LIFETIME = 2.0  # seconds; reports come every 0.25 s
 LATE_TRIAL_LOAD = 1.5  # of an old target, at those of the new version
@@ -237,14 +240,15 @@
     def _tick_cutover(self, now: float) -> Advance | None:
         """Complete the rollout, which has left the old version everywhere.
 
-        After the deadline the recorded judgement of the trial suffices: responses may
-        be too few for another one.
+        After the deadline the judgement that led to the cutover suffices if there are
+        too few responses for another one.
         """
         verdict = self.comparison.verdict(now)
         if now - self._phase_since < self._cutover_duration():
             return None
-        is_seen = verdict.is_good and self._step_responses >= MIN_STEP_RESPONSES
-        if is_seen or now >= self.deadline_at:
+        is_seen = self._step_responses >= MIN_STEP_RESPONSES
+        late_at = self.deadline_at + (MAX_DOUBT if is_seen else 0.0)
+        if (is_seen and verdict.is_good) or now >= late_at:
             return self._step(Phase.COMPLETED, verdict.reason)
         return None
 
--- a/packages/core/src/fireflystand_core/rollouts/judgement.py
+++ b/packages/core/src/fireflystand_core/rollouts/judgement.py
@@ -22,9 +22,9 @@
     "is_failed_response",
 ]
 
-INTERVAL = 0.25  # seconds in which samples count as simultaneous
-MAX_DISTANCE = 12  # intervals up to which the old version's samples compare
-RETENTION = 60  # intervals that are kept for when the old version gets nothing
+INTERVAL = 0.125  # seconds in which samples count as simultaneous
+MAX_DISTANCE = 24  # intervals up to which the old version's samples compare
+RETENTION = 120  # intervals that are kept for when the old version gets nothing
 ENOUGH_OLD = 80  # samples; fewer leave the old version's failures uncertain
 FEW_OLD = 8  # samples; with fewer, a route has nothing to compare with at that time
 
@@ -43,11 +43,18 @@
 # the disturbed ones. The hypothesis is that the new version takes three times as long.
 SLOW_QUANTILE = 0.9
 SLOW_FACTOR = 3.0
-MIN_SLOW_RATE = 0.35  # of the slow hypothesis
-MAX_SLOW_RATE = 0.5
+MIN_EXTRA_SLOW_RATE = 0.25  # of the slow hypothesis
+MAX_EXTRA_SLOW_RATE = 0.35
+# A target is disturbed in spans. A trial at one target, of about so many responses a
+# second, may meet twice the share of slow responses that all old targets have.
+ONE_TARGET = 4.0  # responses a second
 UNCERTAIN_SLOWDOWN = 1.25  # of the percentile, without simultaneous samples
-# Hosts differ in speed by less than this. A target that states more may be slow
-# because of its version, which must show.
+# Neighbours slow a target for some 0.4 s, which may be the only one in the trial. So
+# several intervals must speak against the version.
+MAX_SLOWNESS_OF_INTERVAL = 2.25  # log-likelihood ratio
+# The fastest and the slowest hosts. Where a target states more, neighbours or its
+# version slow it down, and the whole duration counts.
+MIN_HOST_SLOWDOWN = 0.5
 MAX_HOST_SLOWDOWN = 1.7
 
 # Log-likelihood ratios. A run of responses of a good version exceeds the bounds for
@@ -55,6 +62,10 @@
 BAD_BOUND = 9.0
 BAD_BOUND_OF_ROUTE = 10.0  # there are several routes
 GOOD_BOUND = 2.0
+# At one target that is disturbed for long, slowness stays uncertain; a version that is
+# several times slower is far above zero after so many responses.
+GOOD_BOUND_OF_SLOWNESS = 0.5
+MIN_TIMES = 20  # responses
 DOUBT = 3.0  # evidence against the version at which it is not called good
 DOUBT_OF_ROUTE = 4.0
 # A route with so much of the old version's traffic must have been tried.
@@ -69,8 +80,9 @@
     """Hold one response, or its absence, at a target of the old or new version.
 
     ``seconds`` is the time to the head of the response. ``slowdown`` is how long work
-    takes at the target now, relative to the usual, as the target states it; 1 if it
-    is unknown. Samples of ``cold`` targets say nothing about speed.
+    takes at the target's host, relative to the usual: the smallest of the figures that
+    the target has stated, as larger ones come from its neighbours; 1 if it is unknown.
+    Samples of ``cold`` targets say nothing about speed.
     """
 
     is_new: bool
@@ -88,7 +100,9 @@
     @property
     def normal_seconds(self) -> float:
         """Return the time that the response would take at a host of usual speed."""
-        return self.seconds / min(max(self.slowdown, 0.1), MAX_HOST_SLOWDOWN)
+        if MIN_HOST_SLOWDOWN <= self.slowdown <= MAX_HOST_SLOWDOWN:
+            return self.seconds / self.slowdown
+        return self.seconds
 
 
 def is_failed_response(
@@ -188,6 +202,17 @@
     slowness: _Evidence = attrs.Factory(_Evidence)
     excess: float = 0.0  # failures more than the old version's rate explains
     requests: int = 0
+    times: int = 0
+
+    def add_failures(
+        self, old: _Responses, new: _Responses, is_simultaneous: bool
+    ) -> None:
+        """Apply the failures of an interval."""
+        self.requests += new.requests
+        rate, worse = _failure_rates(old, is_simultaneous)
+        self.failures.add(_ratio(new.failures, new.requests, rate, worse))
+        excess = new.failures - rate * new.requests
+        self.excess = max(0.0, self.excess + excess)
 
     def bad_reason(self, bound: float) -> str:
         """Return why the version is bad, or an empty string."""
@@ -205,8 +230,12 @@
 
     def speaks_for(self, has_times: bool) -> bool:
         """Tell whether enough responses were as good as the old version's."""
-        tests = [self.failures, self.slowness] if has_times else [self.failures]
-        return all(test.total <= -GOOD_BOUND for test in tests)
+        if self.failures.total > -GOOD_BOUND:
+            return False
+        if not has_times:
+            return True
+        is_fast = self.slowness.total <= -GOOD_BOUND_OF_SLOWNESS
+        return is_fast and self.times >= MIN_TIMES
 
 
 class VersionComparison:
@@ -265,27 +294,37 @@
     def _judge_until(self, number: int) -> None:
         for index, interval in enumerate(self._intervals):
             if self._judged < interval.number <= number:
-                for route, new in interval.new_by_route.items():
-                    self._judge(route, new, index)
                 self._judged = interval.number
-
-    def _judge(self, route: str, new: _Responses, index: int) -> None:
-        old, is_simultaneous = self._old_responses(route, index)
-        evidence = self._by_route.setdefault(route, _RouteEvidence())
-        for item in (evidence, self._all):
-            item.requests += new.requests
-        rate, worse = _failure_rates(old, is_simultaneous)
-        ratio = _ratio(new.failures, new.requests, rate, worse)
-        excess = new.failures - rate * new.requests
-        for item in (evidence, self._all):
-            item.failures.add(ratio)
-            item.excess = max(0.0, item.excess + excess)
-        if len(old.times) >= FEW_OLD and new.times:
-            ratio = _slowness_ratio(old.times, new.times, is_simultaneous)
+                self._judge(interval, index)
+
+    def _judge(self, interval: _Interval, index: int) -> None:
+        slowness = 0.0
+        usual = self._usual_slow_rate(index)
+        for route, new in interval.new_by_route.items():
+            old, is_simultaneous = self._old_responses(route, index)
+            evidence = self._by_route.setdefault(route, _RouteEvidence())
             for item in (evidence, self._all):
-                item.slowness.add(ratio)
-        if not self._bad_reason:
-            self._bad_reason = self._find_reason(route)
+                item.add_failures(old, new, is_simultaneous)
+            if len(old.times) >= FEW_OLD and new.times:
+                ratio = _slowness_ratio(old.times, new.times, usual, is_simultaneous)
+                evidence.slowness.add(min(ratio, MAX_SLOWNESS_OF_INTERVAL))
+                slowness += ratio
+                self._all.times += len(new.times)
+        self._all.slowness.add(min(slowness, MAX_SLOWNESS_OF_INTERVAL))
+        for route in interval.new_by_route:
+            self._bad_reason = self._bad_reason or self._find_reason(route)
+
+    def _usual_slow_rate(self, index: int) -> float:
+        """Return the share of slow responses of a version like the old one."""
+        number = self._intervals[index].number
+        recent = sum(
+            new.requests
+            for interval in self._intervals
+            if number - 1 / INTERVAL < interval.number <= number
+            for new in interval.new_by_route.values()
+        )
+        spread = min(1.0, sqrt(ONE_TARGET / max(1, recent)))
+        return (1 - SLOW_QUANTILE) * (1 + spread)
 
     def _find_reason(self, route: str) -> str:
         reason = self._all.bad_reason(BAD_BOUND)
@@ -371,18 +410,21 @@
     return rate, min(0.99, 1 - (1 - rate) * (1 - extra))
 
 
-def _slowness_ratio(old: list[float], new: list[float], is_simultaneous: bool) -> float:
-    """Return the log-likelihood ratio of the new version's share of slow responses."""
+def _slowness_ratio(
+    old: list[float], new: list[float], usual: float, is_simultaneous: bool
+) -> float:
+    """Return the log-likelihood ratio of the new version's share of slow responses.
+
+    ``usual`` is the share that is expected of a version like the old one.
+    """
     ordered = sorted(old)
     bound = ordered[min(len(ordered) - 1, int(SLOW_QUANTILE * len(ordered)))]
     slower = sum(SLOW_FACTOR * seconds > bound for seconds in ordered) / len(ordered)
-    worse = min(MAX_SLOW_RATE, max(MIN_SLOW_RATE, slower))
-    usual = 1 - SLOW_QUANTILE
-    usual += sqrt(usual * (1 - usual) / len(ordered))
+    extra = min(MAX_EXTRA_SLOW_RATE, max(MIN_EXTRA_SLOW_RATE, slower - usual))
     if not is_simultaneous:
         bound *= UNCERTAIN_SLOWDOWN
     slow = sum(seconds > bound for seconds in new)
-    return _ratio(slow, len(new), usual, worse)
+    return _ratio(slow, len(new), usual, usual + extra)
 
 
 def _count(counts: dict[str, int], name: str) -> None:
--- a/packages/core/src/fireflystand_core/rollouts/tests/load.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/load.py
@@ -13,6 +13,7 @@
 __all__ = ["Behaviour", "Outcome", "RolloutOutcome", "ServiceLoad"]
 
 REPORT_INTERVAL = 0.25  # seconds
+TICK = 0.125  # seconds; the reports of many instances come one after another
 LEASE_DELAY = 0.5  # seconds until all instances act on a step
 MEDIAN_WORK = 0.18  # seconds
 WORK_SPREAD = 0.5  # standard deviation of the logarithm
@@ -72,13 +73,14 @@
     hosts: int = 121
     cold_until: float = 0.0
     states_slowdown: bool = False
+    host_factors: tuple[float, ...] = (1.0,)
     seed: int = 0
     new_requests: int = 0
     bad_responses: int = 0
     fiftieth_bad_at: float = inf
 
     def run(self, seconds: float, until_good: bool = False) -> Outcome:
-        """Judge the responses every quarter of a second until the version is bad."""
+        """Judge the responses every eighth of a second until the version is bad."""
         comparison = VersionComparison()
         verdict = comparison.verdict(0.0)
         for now, samples in self._reports(seconds):
@@ -127,15 +129,15 @@
         )
 
     def _reports(self, seconds: float):
-        """Yield what is reported every quarter of a second."""
+        """Yield what is reported every eighth of a second."""
         rng = random.Random(self.seed)
         pending: list[tuple[float, RolloutSample, bool]] = []
         self.new_requests = self.bad_responses = 0
         self.fiftieth_bad_at = inf
-        for step in range(1, int(seconds / REPORT_INTERVAL) + 1):
-            now = step * REPORT_INTERVAL
+        for step in range(1, int(seconds / TICK) + 1):
+            now = step * TICK
             for _ in range(self._count(rng)):
-                at = now - rng.random() * REPORT_INTERVAL
+                at = now - rng.random() * TICK
                 pending.append(self._respond(rng, at))
             due = [item for item in pending if item[0] <= now]
             pending = [item for item in pending if item[0] > now]
@@ -146,7 +148,7 @@
             yield now, [sample for _, sample, _ in due]
 
     def _count(self, rng: random.Random) -> int:
-        mean = self.rate * REPORT_INTERVAL
+        mean = self.rate * TICK
         return max(0, round(rng.gauss(mean, mean**0.5)))
 
     def _respond(self, rng: random.Random, at: float):
@@ -161,10 +163,12 @@
         disturbed = span.random() < DISTURBED_SHARE
         work = MEDIAN_WORK * (1 + self.routes.index(route))
         work *= rng.lognormvariate(0, WORK_SPREAD) * behaviour.factor
-        slowdown = behaviour.factor if self.states_slowdown else 1.0
+        kind = random.Random(f"{self.seed} {is_new} {host}")
+        speed = kind.choice(self.host_factors)
+        work *= speed
+        slowdown = behaviour.factor * speed if self.states_slowdown else 1.0
         if disturbed:
             work *= DISTURBED_FACTOR
-            slowdown *= DISTURBED_FACTOR if self.states_slowdown else 1.0
         cold = is_new and at < self.cold_until
         if cold:
             work *= 2
--- a/packages/core/src/fireflystand_core/rollouts/tests/test_judgement.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/test_judgement.py
@@ -20,7 +20,7 @@
 GOOD = Behaviour()
 FAILING = Behaviour(failure_rate=0.3)
 SLOW = Behaviour(factor=4.0)
-MAX_BAD_RESPONSES = 50
+HOST_FACTORS = (0.7, 0.7, 1.6)
 
 
 def always(behaviour: Behaviour):
@@ -87,8 +87,14 @@
         make = lambda seed: pooled(  # noqa: E731
             always(SLOW), states_slowdown=True, seed=seed
         )
-        outcomes = run(make, 8.0, 4)
-        self.assert_found(outcomes, 150, 6.0)
+        self.assert_found(run(make, 8.0, 4), 49, 4.0)
+
+    def test_slow_version_runs_on_fast_hosts(self):
+        # At the fastest hosts it takes 2.8 times the usual, like a disturbed one.
+        make = lambda seed: pooled(  # noqa: E731
+            always(SLOW), states_slowdown=True, host_factors=HOST_FACTORS, seed=seed
+        )
+        self.assert_found(run(make, 8.0, 6), 90, 4.0)
 
     def test_is_bad_while_the_old_version_has_trouble(self):
         trouble = between(1.0, 3.0, FAILING)
@@ -128,6 +134,24 @@
         good = sum(item.verdict.is_good for item in outcomes)
         self.assertGreaterEqual(good, 36)
 
+    def test_hosts_of_unequal_speed(self):
+        changes = {"states_slowdown": True, "host_factors": HOST_FACTORS}
+        make = lambda seed: pooled(always(GOOD), seed=seed, **changes)  # noqa: E731
+        self.assert_rarely_bad(run(make, 12.0, 6), 0)
+        # One target takes part in the trial: of the fast ones or the slow ones.
+        make = lambda seed: keyed(always(GOOD), seed=seed, **changes)  # noqa: E731
+        self.assert_rarely_bad(run(make, 12.0, 40), 2)
+
+    def test_only_target_of_the_trial_is_slow_for_a_moment(self):
+        comparison = VersionComparison()
+        for step in range(32):
+            for _ in range(20):
+                comparison.add(RolloutSample(False, "a", False, 0.2), step * 0.25)
+            seconds = 0.8 if step in (16, 17) else 0.2
+            for _ in range(10):
+                comparison.add(RolloutSample(True, "a", False, seconds), step * 0.25)
+        self.assertTrue(comparison.verdict(8.5).is_good)
+
     def test_both_have_trouble(self):
         for behaviour in (FAILING, SLOW, Behaviour(0.3, 4.0)):
             with self.subTest(behaviour):
