Compare a cutover's responses with margins once the old version has none

For 3 s after a cutover, the old version's responses of before counted as simultaneous, so that a load that makes responses a fifth slower was taken for a slow version; test_load_of_the_cutover_is_taken_for_slowness failed. The nearest ones now have to be within two intervals. Tests for rare failures, few responses in a step and a judgement that is open at the deadline are new: changes of these lines passed the tests before.

--- a/packages/core/src/fireflystand_core/rollouts/judgement.py
+++ b/packages/core/src/fireflystand_core/rollouts/judgement.py
@@ -24,6 +24,8 @@
 
 INTERVAL = 0.125  # seconds in which samples count as simultaneous
 MAX_DISTANCE = 24  # intervals up to which the old version's samples compare
+# In a cutover, what the old version returned before it is soon of another load.
+MAX_NEAREST_DISTANCE = 2  # intervals to the nearest samples of the old version
 RETENTION = 120  # intervals that are kept for when the old version gets nothing
 ENOUGH_OLD = 80  # samples; fewer leave the old version's failures uncertain
 FEW_OLD = 8  # samples; with fewer, a route has nothing to compare with at that time
@@ -343,17 +345,17 @@
         """
         number = self._intervals[index].number
         found = _Responses()
+        nearest = inf
         for interval in self._nearest(index):
             distance = abs(interval.number - number)
-            if found.requests >= ENOUGH_OLD:
-                break
-            if distance > MAX_DISTANCE and found.requests >= FEW_OLD:
+            if distance > MAX_DISTANCE or found.requests >= ENOUGH_OLD:
                 break
-            if distance > MAX_DISTANCE:
-                return self._earlier_responses(route, index), False
             if route in interval.old_by_route:
+                nearest = min(nearest, distance)
                 found.merge(interval.old_by_route[route])
-        return found, found.requests >= FEW_OLD
+        if found.requests < FEW_OLD:
+            return self._earlier_responses(route, index), False
+        return found, nearest <= MAX_NEAREST_DISTANCE
 
     def _earlier_responses(self, route: str, index: int) -> _Responses:
         found = _Responses()
--- a/packages/core/src/fireflystand_core/rollouts/tests/test_decider.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/test_decider.py
@@ -181,6 +181,23 @@
         step = self.play(14.0, new=0)
         self.assert_step(step, Phase.ROLLED_BACK, 10.75, 11.0)
 
+    def test_step_of_a_service_with_few_requests(self):
+        self.play(12.0)
+        began = self.now
+        # 8 responses a second of the new version: 12 take 1.5 s in each step.
+        step = self.play(12.0, new=1, old=10)
+        self.assert_step(step, Phase.CUTOVER, began + 3.0, began + 3.5)
+
+    def test_open_judgement_at_the_deadline(self):
+        self.play(12.0)
+        self.play(12.0)
+        self.assertIsNone(self.play(DURATION, keys_moved=False))
+        self.play(DURATION + 0.25, new=1, old=0, failed=True, keys_moved=False)
+        self.assertIsNone(self.play(DURATION + 0.5, new=0, old=0, keys_moved=False))
+        # Two of the latest responses failed, and no more come.
+        step = self.play(20.0, new=0, old=0)
+        self.assert_step(step, Phase.COMPLETED, DURATION + 3.0, DURATION + 3.25)
+
     def test_long_order_ends_its_trial_early(self):
         order = RolloutOrder("s", "v2", 60.0, 1)
         self.decider = RolloutDecider(order, POLICY, 0.0)
--- a/packages/core/src/fireflystand_core/rollouts/tests/test_judgement.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/test_judgement.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..judgement import (
+    INTERVAL,
     Judgement,
     RolloutSample,
     VersionComparison,
@@ -257,6 +258,31 @@
                 comparison.add(sample, step * 0.25)
         self.assertTrue(comparison.verdict(3.0).is_bad)
 
+    def test_version_fails_too_rarely_for_the_ratio_test(self):
+        comparison = VersionComparison()
+        now = failures = 0
+        while not comparison.verdict(now).is_bad and failures < 100:
+            for _ in range(100):
+                comparison.add(RolloutSample(False, "a", False, 0.2), now)
+            for number in range(25):
+                comparison.add(RolloutSample(True, "a", number == 0, 0.2), now)
+            failures += 1
+            now += INTERVAL
+        self.assertLess(failures, 50)
+
+    def test_load_of_the_cutover_is_taken_for_slowness(self):
+        comparison = VersionComparison()
+        for step in range(80):
+            is_cutover = step >= 48
+            for number in range(20):
+                seconds = 0.2 + 0.01 * number
+                if is_cutover:
+                    seconds *= 1.2
+                sample = RolloutSample(is_cutover, "a", False, seconds)
+                comparison.add(sample, step * INTERVAL)
+            comparison.add(RolloutSample(True, "a", False, 0.2), step * INTERVAL)
+        self.assertTrue(comparison.verdict(81 * INTERVAL).is_good)
+
 
 class FailureTests(unittest.TestCase):
     """Guard against what callers and full targets do being held against a version."""
