Call no version good while two of its responses have just failed

On the keyed service, versions that fail one response in ten went on to the ramp with two or three failures, as the bound for doubt was that of slowness.

--- a/packages/core/src/fireflystand_core/rollouts/judgement.py
+++ b/packages/core/src/fireflystand_core/rollouts/judgement.py
@@ -68,7 +68,10 @@
 # several times slower is far above zero after so many responses.
 GOOD_BOUND_OF_SLOWNESS = 0.5
 MIN_TIMES = 20  # responses
-DOUBT = 3.0  # evidence against the version at which it is not called good
+# Evidence against the version at which it is not called good. Two failures are such
+# evidence where the old version has none.
+DOUBT_BY_FAILURES = 2.0
+DOUBT = 3.0
 DOUBT_OF_ROUTE = 4.0
 # A route with so much of the old version's traffic must have been tried.
 MAJOR_ROUTE_SHARE = 0.15
@@ -226,9 +229,11 @@
             return "slower than the old version"
         return ""
 
-    def has_doubt(self, bound: float) -> bool:
+    def has_doubt(self, slowness: float) -> bool:
         """Tell whether the latest responses speak against the version."""
-        return max(self.failures.recent, self.slowness.recent) >= bound
+        if self.failures.recent >= DOUBT_BY_FAILURES:
+            return True
+        return self.slowness.recent >= slowness
 
     def speaks_for(self, has_times: bool) -> bool:
         """Tell whether enough responses were as good as the old version's."""
