Free a target's slot once its response has been read

Cause: a slot was held, and its time counted as the target's, until the caller had read the whole response. Slow callers so took the slots of targets that had nothing to do.

Ruled out: freeing the slot without read-ahead; the target is still sending then. Responses that are not read ahead, and instances without a memory limit, do as before.

Change: ReadAhead calls back at the end of the response; _end_response frees the slot once, with the time up to that moment.

Measured with unittest on test_memory_bounds: 10 passed, and the tests with slow callers in two further runs; without the callback the new test failed. `make unit ONLY=...`: test_faulty_targets 19, test_node 16, test_restarted_targets 8, test_leaving_targets 8, test_retries 1 passed.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -176,13 +176,14 @@
         return self.route.priority
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class _TargetResponse:
-    """Hold a target's response and the slot that it occupies until delivery."""
+    """Hold a target's response and the slot that it occupies until it has ended."""
 
     exchange: Exchange
     slot: Slot
     began_at: float
+    has_ended: bool = False  # whether the slot was freed
 
 
 class DispatchFlow:
@@ -756,31 +757,47 @@
     ) -> None:
         """Deliver a response and free its slot."""
         context.phase = _Phase.DELIVERY
-        result = SlotReturn(response.slot.service, response.slot.number)
         delivered = False
         refusal = self._unknown_outcome(context, 502, BROKEN_OFF)
         try:
+            delivered = await self._deliver(context, response, writer)
+            self._end_response(context, response, complete=delivered)
+        except (RequestRefusedError, MalformedMessageError) as error:
+            refusal = failed_body_refusal(error)
+        finally:
+            self._end_response(context, response)
+        if not delivered:
+            await writer.refuse(refusal)
+
+    def _end_response(
+        self,
+        context: _RequestContext,
+        response: "_TargetResponse",
+        *,
+        complete: bool | None = None,
+    ) -> None:
+        """Free the slot of a response; later calls have no effect.
+
+        ``complete`` is None if the target did not end the response.
+        """
+        if response.has_ended:
+            return
+        slot = response.slot
+        result = SlotReturn(slot.service, slot.number)
+        if complete is not None:
             load = self._settings.target_fields.read_load(response.exchange.fields)
-            delivered = await self._deliver(context, response.exchange, writer)
             seconds = trio.current_time() - response.began_at
-            result = attrs.evolve(
-                result, seconds=seconds, complete=delivered, load=load
-            )
-            if delivered:
+            result = attrs.evolve(result, seconds=seconds, complete=complete, load=load)
+            if complete:
                 slowdown = load[3] if load else 1.0
-                slot = response.slot
                 self._work_reporter.record_completed(
                     slot.service, slot.target, seconds, slowdown
                 )
-        except (RequestRefusedError, MalformedMessageError) as error:
-            refusal = failed_body_refusal(error)
-        finally:
-            self._end_bytes(context, completed=delivered)
-            suspected = response.exchange.may_have_restarted
-            result = attrs.evolve(result, may_have_restarted=suspected)
-            self._slots.release(response.slot, result)
-        if not delivered:
-            await writer.refuse(refusal)
+        response.has_ended = True
+        suspected = response.exchange.may_have_restarted
+        result = attrs.evolve(result, may_have_restarted=suspected)
+        self._end_bytes(context, completed=bool(complete))
+        self._slots.release(slot, result)
 
     async def _open(
         self, context: _RequestContext, forward: ForwardRequest
@@ -874,11 +891,21 @@
         return connection_share(policy.max_connections, instances)
 
     async def _deliver(
-        self, context: _RequestContext, exchange: Exchange, writer: ResponseWriter
+        self,
+        context: _RequestContext,
+        response: "_TargetResponse",
+        writer: ResponseWriter,
     ) -> bool:
         """Deliver a response; return whether the caller got all of it."""
+        exchange = response.exchange
         context.status = exchange.status
-        source = ReadAhead(exchange, self._memory.responses, self._forwarder.start_soon)
+        source = ReadAhead(
+            exchange,
+            self._memory.responses,
+            self._forwarder.start_soon,
+            # The time that the caller takes to read it is not the target's.
+            lambda: self._end_response(context, response, complete=True),
+        )
         size = 0
         try:
             writer.start(
--- a/packages/router/src/fireflystand_router/dispatch/read_ahead.py
+++ b/packages/router/src/fireflystand_router/dispatch/read_ahead.py
@@ -18,12 +18,17 @@
 
     Before ``start``, parts are received as they are asked for. From then on a task
     receives them within the bound of ``pool``, since a target cuts off a response that
-    stays unread for some seconds.
+    stays unread for some seconds. ``on_complete`` is called if it gets to the end.
     """
 
     def __init__(
-        self, exchange: Exchange, pool: BytePool, start_soon: Callable[..., None]
+        self,
+        exchange: Exchange,
+        pool: BytePool,
+        start_soon: Callable[..., None],
+        on_complete: Callable[[], None],
     ) -> None:
+        self._on_complete = on_complete
         self._exchange = exchange
         self._pool = pool
         self._start_soon = start_soon
@@ -55,6 +60,7 @@
                     self._pool.add(len(part))
                     self._notify()
                 self._complete = True
+                self._on_complete()
             except Exception as error:
                 self._error = error  # raised to the task that delivers
             self._notify()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_memory_bounds.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_memory_bounds.py
@@ -121,6 +121,25 @@
 
         self.play(scenario, target)
 
+    def test_slot_is_free_once_the_target_has_responded(self):
+        """Slow callers kept all slots of a target that had nothing to do."""
+        target = LargeTarget(size=MIB // 2)
+
+        async def scenario(node):
+            queue = node.slot_service.queues_by_service["pooled"]
+            async with await connect(node) as stream:
+                await stream.send_all(request("GET", "/p/x", Connection="close"))
+                # The queue takes the slot back itself at the deadline, after 5 s.
+                with trio.fail_after(2 * READ_TIME):
+                    await target.written.wait()
+                    await eventually(lambda: queue.held_count == 0)
+                self.assertGreater(node.memory.responses.held, MIB // 4)
+                received = await read_to_end(stream)
+            self.assertTrue(received.endswith(b"x" * (MIB // 2)))
+            self.assertEqual(queue.held_count, 0)
+
+        self.play(scenario, target)
+
     def test_response_behind_an_earlier_one_is_read_on_time(self):
         target = LargeTarget(size=MIB // 2)
 
