--- a/packages/core/src/fireflystand_core/traffic/tests/test_traffic.py
+++ b/packages/core/src/fireflystand_core/traffic/tests/test_traffic.py
@@ -49,6 +49,12 @@
         self.assertIsNone(table.route("b.example", "/a/"))
         self.assertEqual(table.account("k2").name, "x")
 
+    def test_only_capacity_limits_callers_without_accounts(self):
+        accounts = [ClientAccount("x", ("k",))]
+        for some, expected in (([], True), (accounts, False)):
+            table = RoutingTable(1, [], [], some, EntryLimits())
+            self.assertEqual(table.limits_by_capacity, expected)
+
     def test_weights_hold_in_short_spans(self):
         choice = WeightedChoice(Random(1))
         divided = route("/", ("s1", 75), ("s2", 25))
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_node.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from fireflystand_core.dispatch import ADAPTIVE_ADMISSION, AdmissionPolicy
 from fireflystand_core.traffic import ClientAccount, RequestKind
 
 from ...events import configure_log
@@ -187,6 +188,19 @@
 
         self.play(scenario)
 
+    def test_adaptive_admission_follows_the_configuration(self):
+        """Deployments with client accounts must be served as before."""
+
+        async def scenario(fleet):
+            queue = fleet.nodes[0].slot_service.queues_by_service["keyed"]
+            self.assertEqual(queue.policy, ADAPTIVE_ADMISSION)
+            fleet.configure(2, accounts=(ClientAccount("x", ("k",)),))
+            await eventually(lambda: queue.policy == AdmissionPolicy())
+            limits = [target.concurrency for target in queue.targets_by_id.values()]
+            self.assertEqual(set(limits), {None})
+
+        self.play(scenario)
+
     def test_first_request_of_a_route_is_tried_in_the_time_that_it_has(self):
         """Routes with little time were refused for the work of other routes."""
 
