Resign at once if no target holds a range of an unresolved write

Ruled out: resigning earlier in any case. The next coordinator may find the new owner of a range in the store whose lease this one has renewed since. Change: where capacity bounds the callers, a coordinator resigns after 2.5 s if every range that an unresolved write gives another owner is released and not granted again; the next one grants it to whichever owner it finds. Result: test_ranges.FailingStoreTests, new cases with the write carried out and not; the first fails without the change, the second if the check is left out.

--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -75,6 +75,19 @@
         """Return the range of a key."""
         return self.ranges[bisect_right(self._firsts, key) - 1]
 
+    def parts_owned_differently(self, other: "RangeRecord") -> list[KeyRange]:
+        """Return the parts of the ranges that another record gives another owner."""
+        parts = []
+        for item in self.ranges:
+            first = item.first
+            while first <= item.last:
+                found = other.owner(first)
+                last = min(item.last, found.last)
+                if (found.target, found.started_at) != (item.target, item.started_at):
+                    parts.append(attrs.evolve(item, first=first, last=last))
+                first = last + 1
+        return parts
+
     def assign(
         self,
         first: int,
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -164,6 +164,8 @@
         self._ledger = LeaseLedger(lease_timing)
         self._status_by_target: dict[str, _TargetStatus] = {}
         self._moving: dict[tuple[int, int], str] = {}
+        # Of these, the ranges that no target holds until they are granted again.
+        self._released: set[tuple[int, int]] = set()
         self._unsent_freezes: list[tuple[int, int]] = []
         self._authority_until = float("-inf")
         self._previous_authority_until = float("-inf")
@@ -350,6 +352,7 @@
         self._answered_processes.clear()
         self._asked_processes.clear()
         self._moving.clear()
+        self._released.clear()
         self._unsent_freezes.clear()
         self._is_claim_lost = False
         self._failing_since = None
@@ -555,13 +558,23 @@
         answered_at = max(replica.confirmed_at for replica in replicas)
         if answered_at <= self._failing_since + OUTAGE_MARGIN:
             return False
-        if not self.writer.has_unresolved_write:
+        if not self.writer.has_unresolved_write or self._are_uncertain_parts_free():
             return True
         # The next coordinator may find owners in the record that this one has not
         # granted yet, so the leases that it renewed have to end first.
         self._authority_until = min(self._authority_until, now)
         return now >= self._authority_until + self._max_validity()
 
+    def _are_uncertain_parts_free(self) -> bool:
+        """Tell whether no target holds a range whose stored owner is unknown.
+
+        The next coordinator may then grant these ranges at once, whichever owner it
+        finds. Requests for them waited for the leases of all ranges to end otherwise.
+        """
+        return self._places_by_load() and not any(
+            part.without(self._released) for part in self.writer.uncertain_parts()
+        )
+
     def resign(self, reason: str) -> None:
         """End the claim and let another instance claim the service at once."""
         epoch = self.record.epoch
@@ -979,9 +992,11 @@
             handover = await self._revoke(part)
             if handover is None or not self.has_valid_authority():
                 return
+            self._released.add((part.first, part.last))
             if not await self._assign_and_grant(part, destination, handover):
                 await self._give_back(attrs.evolve(part, handover=handover))
         finally:
+            self._released.discard((part.first, part.last))
             self._moving.pop((part.first, part.last), None)
 
     async def _revoke(self, part: KeyRange) -> str | None:
@@ -1114,6 +1129,7 @@
                 return
             if self.record.owner(part.first).fence != part.fence:
                 return
+            self._released.discard((part.first, part.last))
             if await self._grant(owner, part, status):
                 self._thaw(part)
 
@@ -1146,6 +1162,7 @@
         granted = await self._assign(part, target, handover)
         if granted is None:
             return False
+        self._released.discard((part.first, part.last))
         await self._grant_until_accepted(part, target, granted)
         return True
 
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -12,7 +12,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from fireflystand_core.ranges import RangeRecord
+from fireflystand_core.ranges import KeyRange, RangeRecord
 from fireflystand_core.replica import ObjectChange, era_of, number_of
 
 from ..events import RECORD_WRITE_FAILED, emit
@@ -59,6 +59,7 @@
         self.is_failing = False  # whether the last call to the store failed
         # Whether a write may still be carried out whose response did not come.
         self.has_unresolved_write = False
+        self._unresolved: list[RangeRecord] = []  # that such writes would store
         self._service = service
         self._store = store
         self._state = state
@@ -222,12 +223,23 @@
             if isinstance(error, StoreUnavailableError) and error.refused:
                 return None
             self.has_unresolved_write = True
+            self._unresolved.append(record)
             return await self._resolve_write(value)
         # The condition of an earlier write cannot hold any longer.
         self.has_unresolved_write = False
+        self._unresolved.clear()
         self._publish(value, new_version)
         return new_version
 
+    def uncertain_parts(self) -> list[KeyRange]:
+        """Return the parts with an owner that an unresolved write gives another one."""
+        return [
+            part
+            for record in self._unresolved
+            for part in self.record.parts_owned_differently(record)
+            if part.target
+        ]
+
     async def _resolve_write(self, value: dict[str, Any]) -> int | None:
         """Return the version of a write without a response if the write took effect."""
         for _ in range(READ_BACK_ATTEMPTS):
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -2,15 +2,16 @@
 
 import unittest
 from collections.abc import Callable
+from functools import partial
 
 import trio
 import trio.testing
 
 from fireflystand_core.messages import WorkReport
-from fireflystand_core.ranges import KeyRange, RangeRecord
+from fireflystand_core.ranges import KeyRange, LeaseTiming, RangeRecord
 
 from ..ports import CONFIGURATION, RANGES
-from ..ranges import RangeCoordinator
+from ..ranges import RESIGN_AFTER, RangeCoordinator
 from .support import SERVICE, FakeCluster, FakeTarget
 
 
@@ -508,6 +509,72 @@
 
         run_scenario(scenario)
 
+    def resign_after_release(self, cluster, nursery, prepare=lambda coordinator: None):
+        """Return a coroutine that lets a coordinator resign during a move."""
+
+        async def resign() -> tuple[float, list[KeyRange]]:
+            coordinator = cluster.new_coordinator(places_by_load=lambda: True)
+            nursery.start_soon(coordinator.run)
+            await trio.sleep(3)
+            coordinator.membership.live.append("b")
+            coordinator._store_age = lambda: 9.0
+            released = fail_after_release(cluster, nursery)
+            coordinator.load.add_report(busy_report())
+            replicas = coordinator.state.replicas_by_kind
+            while not coordinator.writer.has_unresolved_write:
+                coordinator.load.add_report(busy_report())
+                await trio.sleep(0.1)
+            prepare(coordinator)
+            began_at = trio.current_time()
+            while coordinator.is_coordinator:
+                await trio.sleep(0.1)
+                replicas[CONFIGURATION].confirmed_at = trio.current_time() - 1.5
+            return trio.current_time() - began_at, released
+
+        return resign()
+
+    def test_resignation_does_not_wait_for_ranges_that_no_target_holds(self):
+        """Keys of a data centre that was emptied had no owner for 5.5 s."""
+
+        async def scenario(cluster, nursery, *, carries_out: bool):
+            seconds, released = await self.resign_after_release(cluster, nursery)
+            self.assertLess(seconds, RESIGN_AFTER + LeaseTiming().max_validity)
+            self.assertNotEqual(released, [])
+            for item in released:
+                self.assertEqual(cluster.owners(item.first), [])
+            cluster.store.down = False
+            if carries_out:
+                cluster.store.carry_out_held_writes()
+            second = cluster.new_coordinator("b")
+            change = cluster.store.objects["ranges", SERVICE]
+            second.state.apply("ranges", 1, change.version, [change], 0.0)
+            second.membership.live.append("a")
+            second.record_resignation(1)
+            nursery.start_soon(second.run)
+            for _ in range(60):
+                await trio.sleep(0.1)
+                for key in (0, 300, 22000, 44000, 65535):
+                    self.assertLessEqual(len(cluster.owners(key)), 1)
+            for item in released:
+                self.assertEqual(len(cluster.owners(item.first)), 1)
+            self.assertEqual(cluster.control.violations, [])
+
+        for carries_out in (False, True):
+            with self.subTest(carries_out=carries_out):
+                run_scenario(partial(scenario, carries_out=carries_out))
+
+    def test_resignation_waits_for_a_held_range_of_an_unresolved_write(self):
+        async def scenario(cluster, nursery):
+            def prepare(coordinator):
+                held = coordinator.record.ranges[0]
+                coordinator.writer.uncertain_parts = lambda: [held]
+
+            await self.resign_after_release(cluster, nursery, prepare)
+            for key in (0, 300, 22000, 44000, 65535):
+                self.assertEqual(cluster.owners(key), [])
+
+        run_scenario(scenario)
+
     def test_released_keys_stay_free_while_their_assignment_may_be_carried_out(self):
         """Their owner got them back, and the next coordinator found a new owner."""
 
