Compute the starts of a queue once for all its estimates

Each of up to 16 estimates per queue and tick built the expected starts of all targets, as did each estimate at submit. On instances with 0.32 of a core this took a good part of the time.

The recheck builds the starts and the urgency of the queued requests once, and considers only requests with less than three mean durations left. Requests for any target share the starts for 5 ms, corrected by their age; a changed record or a removed target ends this. Queues where a target pauses for some instance are estimated as before. The usual policy is not changed.

The new tests fail before the change, except the one of the corrected age, which holds either way.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -17,7 +17,7 @@
 import attrs
 
 from ..traffic import TargetRecord
-from .estimates import MeanDuration, RouteDurations, start_delay, start_of_next
+from .estimates import MeanDuration, RouteDurations, StartSequence, start_delay
 from .policy import AdmissionPolicy
 from .returns import ReturnSchedule
 from .slots import HeldSlot, TargetLoad, TargetSlots
@@ -48,8 +48,11 @@
 TYPICAL_SHARE = 0.7  # of a target's mean duration
 # A queued request is refused early only if few requests like it would end in time.
 HOPELESS_SHARE = 0.5  # of the expected duration, which must fit before the deadline
-# An estimate takes time in proportion to the queue and the slots of its targets.
+# A recheck takes time in proportion to the queue.
 MAX_RECHECKED = 16  # queued requests of one queue, ten times a second
+RECHECKED_MEANS = 3.0  # mean durations left to a request that is rechecked
+# The slots of all targets are many, and few of them change within this time.
+STARTS_LIFETIME = 0.005  # seconds
 MIN_RETRY_AFTER = 0.05  # seconds
 EXPIRY_GRACE = 0.5  # seconds after its deadline at which an unreturned slot is freed
 # A target in another data centre is chosen only if it is expected to be this many
@@ -160,6 +163,8 @@
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
+        # Of the requests for any target, and when it was estimated.
+        self._starts: tuple[float, StartSequence] | None = None
         self._returns_by_target: dict[str, ReturnSchedule] = {}
         self._changed_limits: dict[str, int] = {}  # by target, not logged yet
         self._turns_by_target: dict[str, KindTurns] = {}
@@ -203,6 +208,7 @@
         warmup: WarmupPolicy = NO_WARMUP,
     ) -> None:
         """Add a target or apply its newer record."""
+        self._starts = None
         known = self.targets_by_id.get(record.id)
         learns = self.policy.learns_concurrency
         if known is not None and known.record.started_at == record.started_at:
@@ -231,6 +237,7 @@
 
     def remove_target(self, target: str) -> list[Decision]:
         """Remove a target and refuse the requests in its queue."""
+        self._starts = None
         self.targets_by_id.pop(target, None)
         self._open_targets_by_id.pop(target, None)
         self._returns_by_target.pop(target, None)
@@ -311,43 +318,57 @@
         self, request: QueuedRequest, targets: list[TargetSlots], now: float
     ) -> tuple[float, float]:
         """Return start delay and duration at the target that is expected to run it."""
+        urgency = self._urgency(now, request.target)
         queue = self._queues_by_target.get(request.target, {})
-        ahead = self._count_ahead(request, queue.values(), now)
-        if self.policy.bounds_passing_over and ahead:
-            own = [o for o in queue.values() if o.priority == request.priority]
-            ahead = most_ahead(self._count_ahead(request, own, now), ahead)
+        places = [_Place.of(other, urgency) for other in queue.values()]
+        ahead = self._places_ahead(_Place.of(request, urgency), places)
         ratio = self.route_durations.ratio(request.route)
-        starts = [start for target in targets for start in target.expected_starts(now)]
+        age, starts = self._recent_starts(request.target, targets, now)
         if starts:
-            delay, duration = start_of_next(starts, ahead)
-            if delay > 0 and self.policy.plans_returns:
-                promised = self._count_promised(request.target, delay, now)
-                delay, duration = start_of_next(starts, ahead + promised)
-            return delay, duration * ratio
+            delay, duration = starts.start_after(ahead)
+            if delay > age and self.policy.plans_returns:
+                promised = self._count_promised(request.target, delay - age, now)
+                delay, duration = starts.start_after(ahead + promised)
+            return max(0.0, delay - age), duration * ratio
+        return self._estimate_without_slots(targets, ahead, ratio, now)
+
+    def _estimate_without_slots(
+        self, targets: list[TargetSlots], ahead: int, ratio: float, now: float
+    ) -> tuple[float, float]:
         duration = min(target.mean.seconds for target in targets)
         pause = min(target.pause_left(now) for target in targets)
         return pause + duration * (ahead + 1), duration * ratio
 
+    def _recent_starts(
+        self, target: str, targets: list[TargetSlots], now: float
+    ) -> tuple[float, StartSequence]:
+        """Return when requests can start, and for how long that has been known."""
+        if target or self._has_pauses:
+            return 0.0, _starts_at(targets, now)
+        if self._starts is None or now - self._starts[0] >= STARTS_LIFETIME:
+            self._starts = now, _starts_at(targets, now)
+        return now - self._starts[0], self._starts[1]
+
+    def _places_ahead(self, own: "_Place", places: Iterable["_Place"]) -> int:
+        """Count the queued requests that may start before one at a place."""
+        priorities = [place.priority for place in places if own.may_be_passed_by(place)]
+        ahead = len(priorities)
+        if self.policy.bounds_passing_over and ahead:
+            return most_ahead(priorities.count(own.priority), ahead)
+        return ahead
+
     def _count_ahead(
         self, request: QueuedRequest, queued: Iterable[QueuedRequest], now: float
     ) -> int:
-        """Count the queued requests that may start before a request.
-
-        One with a later deadline counts only while it is at least as urgent.
-        """
+        """Count the queued requests that may start before a request."""
         urgency = self._urgency(now, request.target)
-        own_urgency = urgency(request)
-        return sum(
-            other.priority <= request.priority
-            and (
-                other.deadline_at <= request.deadline_at
-                or urgency(other) <= own_urgency
-            )
-            for other in queued
-        )
+        own = _Place.of(request, urgency)
+        return sum(own.may_be_passed_by(_Place.of(o, urgency)) for o in queued)
 
     def _pause_left_for(self, request: QueuedRequest, now: float) -> float:
         """Return the seconds for which all targets pause for the request's instance."""
+        if not self._has_pauses:
+            return 0.0
         targets = self._candidates(request.target)
         return min(
             (t.pause_left_for(request.instance, now) for t in targets), default=0
@@ -732,24 +753,100 @@
                     )
             decisions += self._dispatch(target, now)
             if self.policy.estimates_by_target:
-                decisions += self._refuse_hopeless(queue, now)
+                decisions += self._refuse_hopeless(target, queue, now)
             if queue:
                 self._verify_unused(target, now)
         return decisions
 
     def _refuse_hopeless(
-        self, queue: dict[str, QueuedRequest], now: float
+        self, target: str, queue: dict[str, QueuedRequest], now: float
     ) -> list[Decision]:
         """Refuse queued requests that can no longer be expected to end in time."""
         decisions: list[Decision] = []
-        soonest = nsmallest(MAX_RECHECKED, queue.values(), key=_deadline)
-        for request in soonest:
-            delay, duration = self._estimate(request, now)
+        latest = now + RECHECKED_MEANS * self._mean_of(target).seconds
+        urgent = [r for r in queue.values() if r.deadline_at < latest]
+        if not urgent:
+            return decisions
+        recheck = self._begin_recheck(target, queue, now)
+        for request in nsmallest(MAX_RECHECKED, urgent, key=_deadline):
+            delay, duration = self._estimate_queued(request, recheck, now)
             if delay + HOPELESS_SHARE * duration > request.deadline_at - now:
-                del queue[request.id]
+                del queue[request.id], recheck.places_by_id[request.id]
                 decisions.append(self._refusal(request, NO_ROOM, delay, now))
         return decisions
 
+    def _begin_recheck(
+        self, target: str, queue: dict[str, QueuedRequest], now: float
+    ) -> "_Recheck":
+        urgency = self._urgency(now, target)
+        places = {name: _Place.of(item, urgency) for name, item in queue.items()}
+        return _Recheck(self._candidates(target), places)
+
+    def _estimate_queued(
+        self, request: QueuedRequest, recheck: "_Recheck", now: float
+    ) -> tuple[float, float]:
+        """Return the expected start delay and duration of a queued request."""
+        if not recheck.targets:
+            return float("inf"), self.mean.seconds
+        if wait := self._pause_left_for(request, now):
+            return wait, self.mean.seconds
+        own = recheck.places_by_id[request.id]
+        ahead = self._places_ahead(own, recheck.places_by_id.values())
+        ratio = self.route_durations.ratio(request.route)
+        instance = request.instance if self._has_pauses else ""
+        targets, starts = recheck.usable(instance, now)
+        if not starts:
+            return self._estimate_without_slots(targets, ahead, ratio, now)
+        delay, duration = starts.start_after(ahead)
+        if delay > 0 and self.policy.plans_returns:
+            promised = self._count_promised(request.target, delay, now)
+            delay, duration = starts.start_after(ahead + promised)
+        return delay, duration * ratio
+
+
+@attrs.define(eq=False)  # not frozen, as many are made and that takes longer
+class _Place:
+    """Hold what decides whether a queued request goes before another."""
+
+    priority: int
+    deadline_at: float
+    urgency: tuple
+
+    @classmethod
+    def of(cls, request: QueuedRequest, urgency: Callable) -> "_Place":
+        return cls(request.priority, request.deadline_at, urgency(request))
+
+    def may_be_passed_by(self, other: "_Place") -> bool:
+        """Tell whether another request may start first.
+
+        One with a later deadline does only while it is at least as urgent.
+        """
+        return other.priority <= self.priority and (
+            other.deadline_at <= self.deadline_at or other.urgency <= self.urgency
+        )
+
+
+@attrs.define
+class _Recheck:
+    """Hold what the rechecked requests of one queue have in common."""
+
+    targets: list[TargetSlots]
+    places_by_id: dict[str, _Place]
+    _usable_by_instance: dict[str, tuple] = attrs.field(factory=dict)
+
+    def usable(self, instance: str, now: float) -> tuple:
+        """Return the targets that do not pause for an instance, and their starts."""
+        if instance not in self._usable_by_instance:
+            targets = [t for t in self.targets if not t.pause_left_for(instance, now)]
+            self._usable_by_instance[instance] = targets, _starts_at(targets, now)
+        return self._usable_by_instance[instance]
+
+
+def _starts_at(targets: list[TargetSlots], now: float) -> StartSequence:
+    return StartSequence(
+        start for target in targets for start in target.expected_starts(now)
+    )
+
 
 def _deadline(request: QueuedRequest) -> float:
     return request.deadline_at
--- a/packages/core/src/fireflystand_core/dispatch/estimates.py
+++ b/packages/core/src/fireflystand_core/dispatch/estimates.py
@@ -8,9 +8,9 @@
 __all__ = [
     "MeanDuration",
     "RouteDurations",
+    "StartSequence",
     "remaining_work",
     "start_delay",
-    "start_of_next",
 ]
 
 WEIGHT = 0.1  # of one sample; a change of speed shows after about ten requests
@@ -114,17 +114,26 @@
     return slots[0]
 
 
-def start_of_next(
-    slots: Iterable[tuple[float, float]], ahead: int
-) -> tuple[float, float]:
-    """Return the seconds until the next request can start and how long it will run.
+class StartSequence:
+    """Tell when the requests of a queue can start and how long they will run.
 
     ``slots`` lists for each slot the seconds until it is free and the duration of the
-    requests there; ``ahead`` requests start before this one.
+    requests there. The starts are found in order, once for all requests.
     """
-    heap = list(slots)
-    heapq.heapify(heap)
-    for _ in range(ahead):
-        free_at, duration = heap[0]
-        heapq.heapreplace(heap, (free_at + duration, duration))
-    return heap[0]
+
+    def __init__(self, slots: Iterable[tuple[float, float]]) -> None:
+        self._slots = list(slots)
+        heapq.heapify(self._slots)
+        self._starts: list[tuple[float, float]] = []
+
+    def __bool__(self) -> bool:
+        """Tell whether there is any slot."""
+        return bool(self._slots)
+
+    def start_after(self, ahead: int) -> tuple[float, float]:
+        """Return the start and duration of a request behind ``ahead`` others."""
+        while len(self._starts) <= ahead:
+            free_at, duration = self._slots[0]
+            self._starts.append((free_at, duration))
+            heapq.heapreplace(self._slots, (free_at + duration, duration))
+        return self._starts[ahead]
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -1,6 +1,7 @@
 """Test the decisions that adapt to what targets of unequal speed can take."""
 
 import unittest
+from unittest.mock import patch
 
 from fireflystand_core.dispatch import (
     ADAPTIVE_ADMISSION,
@@ -13,6 +14,7 @@
     SlotGranted,
     SlotRefused,
     SlotResult,
+    TargetSlots,
     most_ahead,
 )
 from fireflystand_core.traffic import TargetRecord
@@ -126,6 +128,60 @@
         self.assertLess(step / 10, DEADLINE - 0.6)
 
 
+class EstimateCostTests(unittest.TestCase):
+    """Guard against estimates that take the processor time of small instances."""
+
+    def busy_queue(self) -> AdmissionQueue:
+        """Return a queue of 20 targets without a free slot."""
+        queue = queue_of(slots=4, names=tuple(f"t{i}" for i in range(20)))
+        for slots in queue.targets_by_id.values():
+            slots.mean.seconds = 0.5
+        queue.mean.seconds = 0.5
+        fields = {"target": "", "deadline_at": 60.0}
+        for number in range(20 * 5):
+            queue.submit(slot_request(f"h{number}", **fields), 0.0)
+        return queue
+
+    def count_starts(self, queue: AdmissionQueue, action) -> int:
+        """Return how often the starts of a target are computed by an action."""
+        path = "fireflystand_core.dispatch.slots.TargetSlots.expected_starts"
+        with patch(path, autospec=True, side_effect=TargetSlots.expected_starts) as m:
+            action()
+        return m.call_count
+
+    def test_recheck_computes_the_starts_once_for_all_requests(self):
+        """16 queued requests had the starts of all 121 targets computed 16 times."""
+        queue = self.busy_queue()
+        for number in range(16):
+            fields = {"target": "", "deadline_at": 1.4 + number / 1000}
+            queue.submit(slot_request(f"q{number}", **fields), 0.0)
+        count = self.count_starts(queue, lambda: queue.tick(0.2))
+        self.assertEqual(count, len(queue.targets_by_id))
+
+    def test_requests_with_much_time_are_not_rechecked(self):
+        queue = self.busy_queue()
+        self.assertGreater(queue.queued_count, 0)
+        self.assertEqual(self.count_starts(queue, lambda: queue.tick(0.2)), 0)
+
+    def test_requests_for_any_target_share_the_starts_for_some_milliseconds(self):
+        queue = self.busy_queue()
+
+        def submit_ten() -> None:
+            for number in range(10):
+                request = slot_request(f"q{number}", 0.1, target="")
+                queue.submit(request, 0.1 + number / 5000)
+
+        count = self.count_starts(queue, submit_ten)
+        self.assertEqual(count, len(queue.targets_by_id))
+
+    def test_starts_that_were_computed_earlier_are_as_much_sooner(self):
+        queue = self.busy_queue()
+        request = slot_request("q", target="")
+        before, _ = queue._estimate(request, 0.1)
+        after, _ = queue._estimate(request, 0.104)
+        self.assertAlmostEqual(before - after, 0.004)
+
+
 class PlannedReturnTests(unittest.TestCase):
     """Guard against refused callers that come back together or too late."""
 
