Recheck a queued request without its own place and promised times

The recheck counted each queued request as ahead of itself, and the times promised to refused callers before it, so that one that waited alone was refused although it would end in time.

Rechecked are now those that might not end in time behind the whole queue. The test of that filter is replaced by one of the same purpose, that counts the estimates.

Both new recheck tests fail before the change.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -50,7 +50,6 @@
 HOPELESS_SHARE = 0.5  # of the expected duration, which must fit before the deadline
 # A recheck takes time in proportion to the queue.
 MAX_RECHECKED = 16  # queued requests of one queue, ten times a second
-RECHECKED_MEANS = 3.0  # mean durations left to a request that is rechecked
 # The slots of all targets are many, and few of them change within this time.
 STARTS_LIFETIME = 0.005  # seconds
 MIN_RETRY_AFTER = 0.05  # seconds
@@ -763,44 +762,54 @@
     ) -> list[Decision]:
         """Refuse queued requests that can no longer be expected to end in time."""
         decisions: list[Decision] = []
-        latest = now + RECHECKED_MEANS * self._mean_of(target).seconds
-        urgent = [r for r in queue.values() if r.deadline_at < latest]
-        if not urgent:
+        recheck = _Recheck(self._candidates(target))
+        doubtful = self._doubtful(queue, recheck, now)
+        if not doubtful:
             return decisions
-        recheck = self._begin_recheck(target, queue, now)
-        for request in nsmallest(MAX_RECHECKED, urgent, key=_deadline):
+        urgency = self._urgency(now, target)
+        for name, request in queue.items():
+            recheck.places_by_id[name] = _Place.of(request, urgency)
+        for request in nsmallest(MAX_RECHECKED, doubtful, key=_deadline):
             delay, duration = self._estimate_queued(request, recheck, now)
             if delay + HOPELESS_SHARE * duration > request.deadline_at - now:
                 del queue[request.id], recheck.places_by_id[request.id]
                 decisions.append(self._refusal(request, NO_ROOM, delay, now))
         return decisions
 
-    def _begin_recheck(
-        self, target: str, queue: dict[str, QueuedRequest], now: float
-    ) -> "_Recheck":
-        urgency = self._urgency(now, target)
-        places = {name: _Place.of(item, urgency) for name, item in queue.items()}
-        return _Recheck(self._candidates(target), places)
+    def _doubtful(
+        self, queue: dict[str, QueuedRequest], recheck: "_Recheck", now: float
+    ) -> list[QueuedRequest]:
+        """Return the queued requests that might not end in time in the last place."""
+        if self._has_pauses:
+            return list(queue.values())
+        targets, starts = recheck.usable("", now)
+        if not starts:
+            return list(queue.values())
+        delay, _ = starts.start_after(len(queue))
+        longest = max(target.mean.seconds for target in targets)
+        latest = now + delay + HOPELESS_SHARE * longest
+        return [r for r in queue.values() if r.deadline_at < latest]
 
     def _estimate_queued(
         self, request: QueuedRequest, recheck: "_Recheck", now: float
     ) -> tuple[float, float]:
-        """Return the expected start delay and duration of a queued request."""
+        """Return the expected start delay and duration of a queued request.
+
+        Times promised to refused callers do not count, as the request came first.
+        """
         if not recheck.targets:
             return float("inf"), self.mean.seconds
         if wait := self._pause_left_for(request, now):
             return wait, self.mean.seconds
         own = recheck.places_by_id[request.id]
-        ahead = self._places_ahead(own, recheck.places_by_id.values())
+        others = [p for p in recheck.places_by_id.values() if p is not own]
+        ahead = self._places_ahead(own, others)
         ratio = self.route_durations.ratio(request.route)
         instance = request.instance if self._has_pauses else ""
         targets, starts = recheck.usable(instance, now)
         if not starts:
             return self._estimate_without_slots(targets, ahead, ratio, now)
         delay, duration = starts.start_after(ahead)
-        if delay > 0 and self.policy.plans_returns:
-            promised = self._count_promised(request.target, delay, now)
-            delay, duration = starts.start_after(ahead + promised)
         return delay, duration * ratio
 
 
@@ -831,7 +840,7 @@
     """Hold what the rechecked requests of one queue have in common."""
 
     targets: list[TargetSlots]
-    places_by_id: dict[str, _Place]
+    places_by_id: dict[str, _Place] = attrs.field(factory=dict)
     _usable_by_instance: dict[str, tuple] = attrs.field(factory=dict)
 
     def usable(self, instance: str, now: float) -> tuple:
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -128,6 +128,35 @@
         self.assertLess(step / 10, DEADLINE - 0.6)
 
 
+class RecheckTests(unittest.TestCase):
+    """Guard against the refusal of queued requests that would end in time."""
+
+    def queue_with(self, deadline_at: float) -> AdmissionQueue:
+        """Return a queue with one running and one queued request of 0.5 s each."""
+        queue = queue_of()
+        queue.mean.seconds = queue.targets_by_id["t1"].mean.seconds = 0.5
+        queue.submit(slot_request("running", route=""), 0.0)
+        queue.submit(slot_request("queued", route="", deadline_at=deadline_at), 0.0)
+        self.assertEqual(queue.queued_count, 1)
+        return queue
+
+    def refused(self, queue: AdmissionQueue) -> list:
+        return [d for step in range(1, 5) for d in queue.tick(step / 10)]
+
+    def test_request_is_not_behind_itself(self):
+        """Alone in the queue, it was refused 0.3 s later for its own place."""
+        self.assertEqual(self.refused(self.queue_with(1.25)), [])
+
+    def test_promised_times_refuse_no_request_that_waits(self):
+        """The callers that were refused after it took its place."""
+        queue = self.queue_with(1.25)
+        schedule = queue._returns_by_target["t1"] = ReturnSchedule()
+        for _ in range(3):
+            schedule.promise("r", 0.0, delay=0.42, gap=0.01, left=1.5, fraction=0.5)
+        self.assertEqual(queue.count_returns(0.0), 3)
+        self.assertNotIn("queued", [d.request.id for d in self.refused(queue)])
+
+
 class EstimateCostTests(unittest.TestCase):
     """Guard against estimates that take the processor time of small instances."""
 
@@ -161,7 +190,11 @@
     def test_requests_with_much_time_are_not_rechecked(self):
         queue = self.busy_queue()
         self.assertGreater(queue.queued_count, 0)
-        self.assertEqual(self.count_starts(queue, lambda: queue.tick(0.2)), 0)
+        path = "fireflystand_core.dispatch.RouteDurations.ratio"
+        with patch(path, return_value=1.0) as ratio:
+            queue.tick(0.2)
+        # Once to tell whether it is too late, and not for its place.
+        self.assertEqual(ratio.call_count, queue.queued_count)
 
     def test_requests_for_any_target_share_the_starts_for_some_milliseconds(self):
         queue = self.busy_queue()
