Judge two windows of a target together only if they are near in time

A slow second, 30 s in which not all slots were used and a second slow second lowered a limit from 4 to 2, as windows without full use did not end the sequence.

The new test, whose target is not always full, fails before the change.

--- a/packages/core/src/fireflystand_core/dispatch/concurrency.py
+++ b/packages/core/src/fireflystand_core/dispatch/concurrency.py
@@ -14,6 +14,9 @@
 __all__ = ["ConcurrencyLimit"]
 
 WINDOW = 1.0  # seconds, more than the disturbances that must not change the limit
+# Two windows count together if no more passed in between. With no gap at all, targets
+# that use all slots in every other second kept a limit that is too high.
+MAX_GAP = 3.0  # seconds
 MIN_SAMPLES = 6  # responses of one window
 # Medians of a few responses vary by a half; with 1.6, busy targets that ran all their
 # slots well were taken for slow.
@@ -118,6 +121,8 @@
 
     def _add_unused_window(self, now: float) -> None:
         """Learn the usual duration, and raise a limit that the load does not reach."""
+        if now - self._used_at > MAX_GAP:
+            self._windows.clear()
         if len(self._samples) >= MIN_SAMPLES:
             self._note_median(_Window.of(self._samples).typical)
             self._samples.clear()
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_concurrency.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_concurrency.py
@@ -111,6 +111,24 @@
             model.limit.record(WORK, 1, now - WORK, now, complete=True)
         self.assertEqual(model.limit.limit, SLOTS)
 
+    def test_slow_seconds_apart_do_not_lower_the_limit(self):
+        """Seconds with unused slots in between were left out, as if they were one."""
+        limit = ConcurrencyLimit(4, 0.0)
+        self.run_second(limit, 0.0, WORK, level=4)
+        self.run_second(limit, 1.2, 5 * WORK, level=4)
+        for second in range(30):
+            self.run_second(limit, 2.4 + 1.2 * second, WORK, level=2)
+        self.run_second(limit, 40.0, 5 * WORK, level=4)
+        self.assertEqual(limit.limit, 4)
+
+    def run_second(
+        self, limit: ConcurrencyLimit, since: float, seconds: float, level: int
+    ) -> None:
+        """Record the responses of one window, all with the same level."""
+        for number in range(12):
+            now = since + 1.1 * (number + 1) / 12
+            limit.record(seconds, level, now, now, complete=True)
+
     def test_changed_number_of_slots_applies_at_once(self):
         limit = ConcurrencyLimit(4, 0.0)
         limit.set_slots(2)
