Keep the turns of priorities while a target pauses for an instance

While any target paused for any instance, requests were tried in the order of urgency alone: a less urgent one was not granted within 100 grants. A grant was also counted for a request that then got no slot.

In that case requests of due priorities are now tried first, and each grant is counted where the slot is granted. The usual policy is not changed.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -429,6 +429,9 @@
                 reason = "no time left for the work"
                 decisions.append(SlotRefused(request, reason, MIN_RETRY_AFTER))
             else:
+                if self.policy.bounds_passing_over:
+                    waiting = map(_priority, queue.values())
+                    self._turns(target).note_grant(request.priority, waiting)
                 decisions.append(self._grant(request, slots, now))
         return decisions
 
@@ -438,24 +441,37 @@
         """Yield the requests of a queue while a target has a free slot."""
         urgency = self._urgency(now, target)
         if self._has_pauses:
-            if self._has_free_slot(target, now):
+            if self.policy.bounds_passing_over:
+                yield from self._each_by_turns(queue, target, now)
+            elif self._has_free_slot(target, now):
                 yield from sorted(queue.values(), key=urgency)
             return
         # Mostly one slot is free, so the others need not be sorted.
         while queue and self._has_free_slot(target, now):
             if self.policy.bounds_passing_over:
-                yield self._next_by_turns(queue, target, urgency)
+                yield self._turns(target).choose(queue.values(), _priority, urgency)
             else:
                 yield min(queue.values(), key=urgency)
 
-    def _next_by_turns(
-        self, queue: dict[str, QueuedRequest], target: str, urgency: Callable
-    ) -> QueuedRequest:
-        """Return the request to start next, and count the kinds that it goes before."""
-        turns = self._turns_by_target.setdefault(target, KindTurns())
-        request = turns.choose(queue.values(), _priority, urgency)
-        turns.note_grant(request.priority, map(_priority, queue.values()))
-        return request
+    def _each_by_turns(
+        self, queue: dict[str, QueuedRequest], target: str, now: float
+    ) -> Iterable[QueuedRequest]:
+        """Yield each request once while a target has a free slot, due kinds first.
+
+        Some of them may be of instances for which the free targets pause.
+        """
+        left = sorted(queue.values(), key=self._urgency(now, target))
+        turns = self._turns(target)
+        while left and self._has_free_slot(target, now):
+            due = turns.due_kinds()
+            first = 0
+            if due:
+                first = next((i for i, r in enumerate(left) if r.priority in due), 0)
+            yield left.pop(first)
+
+    def _turns(self, target: str) -> KindTurns:
+        """Return the turns of the kinds that wait in one queue."""
+        return self._turns_by_target.setdefault(target, KindTurns())
 
     def _has_free_slot(self, target: str, now: float) -> bool:
         return any(slots.free_slots(now) > 0 for slots in self._open_targets(target))
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -326,9 +326,16 @@
 class PassingOverTests(unittest.TestCase):
     """Guard against kinds of request that get no slot while others ask for all."""
 
-    def grants_before(self, policy: AdmissionPolicy) -> int:
-        """Return how many urgent requests start before a less urgent one."""
+    def grants_before(self, policy: AdmissionPolicy, paused: str = "") -> int:
+        """Return how many urgent requests start before a less urgent one.
+
+        The target pauses for the instance ``paused``, if that is not empty.
+        """
         queue = queue_of(policy=policy)
+        if paused:
+            fields = {"instance": paused, "priority": 0}
+            (held,) = queue.submit(slot_request("pause", **fields), 0.0)
+            queue.release(SlotResult(held.number, 0.1, pause=60.0), 0.0)
         (held,) = queue.submit(slot_request("first", priority=0), 0.0)
         later = {"soft_deadline_at": 20.0, "deadline_at": 40.0}
         queue.submit(slot_request("other", priority=3, route="o", **later), 0.0)
@@ -344,6 +351,29 @@
         self.assertEqual(self.grants_before(AdmissionPolicy()), 100)
         self.assertEqual(self.grants_before(ADAPTIVE_ADMISSION), MAX_PASSED_OVER)
 
+    def test_waiting_kind_gets_a_turn_while_the_target_pauses_for_an_instance(self):
+        """One paused instance ended the turns, and 100 others went first."""
+        self.assertEqual(self.grants_before(AdmissionPolicy(), "other"), 100)
+        grants = self.grants_before(ADAPTIVE_ADMISSION, "other")
+        self.assertEqual(grants, MAX_PASSED_OVER)
+
+    def test_request_that_is_not_granted_takes_no_turn(self):
+        """A request of a paused instance must not use up its kind's turn."""
+        queue = queue_of()
+        paused = {"instance": "p", "deadline_at": 40.0}
+        (held,) = queue.submit(slot_request("a", **paused), 0.0)
+        queue.release(SlotResult(held.number, 0.1, pause=9.0), 0.0)
+        (held,) = queue.submit(slot_request("b", priority=0), 0.0)
+        queue.submit(slot_request("waits", priority=3, **paused), 0.0)
+        for count in range(MAX_PASSED_OVER + 2):
+            queue.submit(slot_request(f"u{count}", priority=0, deadline_at=40.0), 0.0)
+            (held,) = queue.release(SlotResult(held.number, 0.1), 0.1)
+        self.assertEqual(held.request.priority, 0)
+        queue.tick(9.5)
+        queue.submit(slot_request("u", priority=0, deadline_at=40.0), 9.5)
+        (held,) = queue.release(SlotResult(held.number, 0.1), 9.6)
+        self.assertEqual(held.request.id, "waits")
+
     def test_estimate_counts_the_turns(self):
         """Requests that would get a turn were refused for those ahead of them."""
         self.assertEqual(most_ahead(0, 100), MAX_PASSED_OVER)
--- a/packages/core/src/fireflystand_core/dispatch/turns.py
+++ b/packages/core/src/fireflystand_core/dispatch/turns.py
@@ -37,6 +37,10 @@
             del self._passed_by_kind[due]
         return min(items, key=urgency)
 
+    def due_kinds(self) -> set[Hashable]:
+        """Return the kinds that were passed over often enough."""
+        return {k for k, n in self._passed_by_kind.items() if n >= MAX_PASSED_OVER}
+
     def note_grant(self, kind: Hashable, waiting: Iterable[Hashable]) -> None:
         """Count a grant to one kind while requests of some kinds wait."""
         kinds = set(waiting) - {kind}
