--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -397,7 +397,7 @@
         """Return the seconds after which a refused request's caller comes back."""
         schedule = self._returns_by_target.setdefault(request.target, ReturnSchedule())
         targets = self._candidates(request.target)
-        rate = sum(target.record.slots / target.mean.seconds for target in targets)
+        rate = sum(min(t.limit, t.record.slots) / t.mean.seconds for t in targets)
         return schedule.promise(
             _kind(request),
             now,
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -248,9 +248,31 @@
         self.assertLessEqual(max(waits), 0.5)
         self.assertGreater(max(waits) - min(waits), 0.2)
 
-    def promise(self, schedule, fraction: float, delay: float = 0.1) -> float:
+    def test_kinds_share_the_room(self):
+        """Each of two kinds was promised all of it."""
+        schedule = ReturnSchedule()
+        for _ in range(3):
+            self.promise(schedule, 0.0, kind="a")
+            self.promise(schedule, 0.0, kind="b")
+        # One gap before the first promise to the other kind is not shared yet.
+        self.assertLessEqual(schedule.count(0.0, 0.45), 5)
+
+    def test_promises_keep_to_the_learned_limit(self):
+        """A target that runs one of its four slots well was promised four times."""
+        queue = queue_of(slots=4)
+        queue.targets_by_id["t1"].mean.seconds = 0.2
+        queue.targets_by_id["t1"].concurrency.limit = 1
+        waits = [
+            queue._plan_return(slot_request(f"r{number}"), 0.1, 0.0)
+            for number in range(2)
+        ]
+        self.assertAlmostEqual(waits[1] - waits[0], 0.2)
+
+    def promise(
+        self, schedule, fraction: float, delay: float = 0.1, kind: str = "kind"
+    ) -> float:
         return schedule.promise(
-            "kind", 0.0, delay=delay, gap=0.1, left=1.5, fraction=fraction
+            kind, 0.0, delay=delay, gap=0.1, left=1.5, fraction=fraction
         )
 
     def test_caller_that_repeats_at_once_does_not_take_a_promised_place(self):
