Spread reused refusals within the time that callers honour

An instance reuses a refusal for 50 ms and varies its time by a quarter, also above the third of the time left that callers honour, where it has no effect and callers come back together.

The time is bounded before it is varied, so that it stays spread. The new test in test_slots fails before the change (0.625 s of 1.2 s left).

--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -19,6 +19,7 @@
     TargetLoad,
     TargetPauses,
     WarmupPolicy,
+    honoured_wait,
 )
 from fireflystand_core.messages import (
     SlotGrant,
@@ -517,7 +518,7 @@
         queue_name = f"{service}/{target}"
         cached = self._refusals_by_queue_and_route.get((queue_name, route))
         if cached and cached.applies(priority, deadline_at, trio.current_time()):
-            return self._spread(cached.refusal)
+            return self._spread(cached.refusal, deadline_at)
         queued = QueuedRequest(
             id=self._next_id(),
             instance=self._membership.own_id,
@@ -535,11 +536,14 @@
             self._cache_refusal((queue_name, route), refusal)
         return answer
 
-    def _spread(self, refusal: SlotRefusal) -> SlotRefusal:
+    def _spread(self, refusal: SlotRefusal, deadline_at: float) -> SlotRefusal:
         """Return a reused refusal with a time of its own where times are planned."""
         if self._jitter is None or not self._state.table.limits_by_capacity:
             return refusal
-        wait = refusal.retry_after * (0.75 + 0.5 * self._jitter())
+        longest = honoured_wait(deadline_at - trio.current_time())
+        # Bounded before it is spread, as else many would be told the longest time.
+        wait = min(refusal.retry_after, longest / 1.25)
+        wait *= 0.75 + 0.5 * self._jitter()
         return attrs.evolve(refusal, retry_after=wait)
 
     def _cache_refusal(self, key: tuple[str, str], refusal: _CachedRefusal) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_slots.py
@@ -1,6 +1,7 @@
 """Test how instances request slots from the responsible instance."""
 
 import unittest
+from types import SimpleNamespace
 
 import msgpack
 import trio
@@ -63,6 +64,24 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_spread_time_is_no_longer_than_callers_honour(self):
+        """A reused refusal exceeded the honoured third of the time by a quarter."""
+        jitter = iter([0.0, 0.5, 1.0]).__next__
+        table = SimpleNamespace(limits_by_capacity=True)
+        state = SimpleNamespace(table=table)
+        client = SlotClient(None, RefusingPeer(), state, "x", jitter=jitter)
+
+        async def main():
+            waits = []
+            for _ in range(4):
+                end = trio.current_time() + 1.2
+                answer = await client.acquire("s", "t1", 1, end, end, "r")
+                waits.append(answer.retry_after)
+            self.assertLessEqual(max(waits[1:]), 0.4)
+            self.assertEqual(len(set(waits[1:])), 3)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_refusals_of_former_routes_are_dropped(self):
         """Refusals were kept for each route and target that there had ever been."""
         client = SlotClient(None, RefusingPeer(), None, "x")
