--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -1,6 +1,7 @@
 """Test the decisions that adapt to what targets of unequal speed can take."""
 
 import unittest
+from unittest.mock import patch
 
 from fireflystand_core.dispatch import (
     ADAPTIVE_ADMISSION,
@@ -13,6 +14,7 @@
     SlotGranted,
     SlotRefused,
     SlotResult,
+    TargetSlots,
     most_ahead,
 )
 from fireflystand_core.traffic import TargetRecord
@@ -126,6 +128,93 @@
         self.assertLess(step / 10, DEADLINE - 0.6)
 
 
+class RecheckTests(unittest.TestCase):
+    """Guard against the refusal of queued requests that would end in time."""
+
+    def queue_with(self, deadline_at: float) -> AdmissionQueue:
+        """Return a queue with one running and one queued request of 0.5 s each."""
+        queue = queue_of()
+        queue.mean.seconds = queue.targets_by_id["t1"].mean.seconds = 0.5
+        queue.submit(slot_request("running", route=""), 0.0)
+        queue.submit(slot_request("queued", route="", deadline_at=deadline_at), 0.0)
+        self.assertEqual(queue.queued_count, 1)
+        return queue
+
+    def refused(self, queue: AdmissionQueue) -> list:
+        return [d for step in range(1, 5) for d in queue.tick(step / 10)]
+
+    def test_request_is_not_behind_itself(self):
+        """Alone in the queue, it was refused 0.3 s later for its own place."""
+        self.assertEqual(self.refused(self.queue_with(1.25)), [])
+
+    def test_promised_times_refuse_no_request_that_waits(self):
+        """The callers that were refused after it took its place."""
+        queue = self.queue_with(1.25)
+        schedule = queue._returns_by_target["t1"] = ReturnSchedule()
+        for _ in range(3):
+            schedule.promise("r", 0.0, delay=0.42, gap=0.01, left=1.5, fraction=0.5)
+        self.assertEqual(queue.count_returns(0.0), 3)
+        self.assertNotIn("queued", [d.request.id for d in self.refused(queue)])
+
+
+class EstimateCostTests(unittest.TestCase):
+    """Guard against estimates that take the processor time of small instances."""
+
+    def busy_queue(self) -> AdmissionQueue:
+        """Return a queue of 20 targets without a free slot."""
+        queue = queue_of(slots=4, names=tuple(f"t{i}" for i in range(20)))
+        for slots in queue.targets_by_id.values():
+            slots.mean.seconds = 0.5
+        queue.mean.seconds = 0.5
+        fields = {"target": "", "deadline_at": 60.0}
+        for number in range(20 * 5):
+            queue.submit(slot_request(f"h{number}", **fields), 0.0)
+        return queue
+
+    def count_starts(self, queue: AdmissionQueue, action) -> int:
+        """Return how often the starts of a target are computed by an action."""
+        path = "fireflystand_core.dispatch.slots.TargetSlots.expected_starts"
+        with patch(path, autospec=True, side_effect=TargetSlots.expected_starts) as m:
+            action()
+        return m.call_count
+
+    def test_recheck_computes_the_starts_once_for_all_requests(self):
+        """16 queued requests had the starts of all 121 targets computed 16 times."""
+        queue = self.busy_queue()
+        for number in range(16):
+            fields = {"target": "", "deadline_at": 1.4 + number / 1000}
+            queue.submit(slot_request(f"q{number}", **fields), 0.0)
+        count = self.count_starts(queue, lambda: queue.tick(0.2))
+        self.assertEqual(count, len(queue.targets_by_id))
+
+    def test_requests_with_much_time_are_not_rechecked(self):
+        queue = self.busy_queue()
+        self.assertGreater(queue.queued_count, 0)
+        path = "fireflystand_core.dispatch.RouteDurations.ratio"
+        with patch(path, return_value=1.0) as ratio:
+            queue.tick(0.2)
+        # Once to tell whether it is too late, and not for its place.
+        self.assertEqual(ratio.call_count, queue.queued_count)
+
+    def test_requests_for_any_target_share_the_starts_for_some_milliseconds(self):
+        queue = self.busy_queue()
+
+        def submit_ten() -> None:
+            for number in range(10):
+                request = slot_request(f"q{number}", 0.1, target="")
+                queue.submit(request, 0.1 + number / 5000)
+
+        count = self.count_starts(queue, submit_ten)
+        self.assertEqual(count, len(queue.targets_by_id))
+
+    def test_starts_that_were_computed_earlier_are_as_much_sooner(self):
+        queue = self.busy_queue()
+        request = slot_request("q", target="")
+        before, _ = queue._estimate(request, 0.1)
+        after, _ = queue._estimate(request, 0.104)
+        self.assertAlmostEqual(before - after, 0.004)
+
+
 class PlannedReturnTests(unittest.TestCase):
     """Guard against refused callers that come back together or too late."""
 
@@ -159,9 +248,31 @@
         self.assertLessEqual(max(waits), 0.5)
         self.assertGreater(max(waits) - min(waits), 0.2)
 
-    def promise(self, schedule, fraction: float, delay: float = 0.1) -> float:
+    def test_kinds_share_the_room(self):
+        """Each of two kinds was promised all of it."""
+        schedule = ReturnSchedule()
+        for _ in range(3):
+            self.promise(schedule, 0.0, kind="a")
+            self.promise(schedule, 0.0, kind="b")
+        # One gap before the first promise to the other kind is not shared yet.
+        self.assertLessEqual(schedule.count(0.0, 0.45), 5)
+
+    def test_promises_keep_to_the_learned_limit(self):
+        """A target that runs one of its four slots well was promised four times."""
+        queue = queue_of(slots=4)
+        queue.targets_by_id["t1"].mean.seconds = 0.2
+        queue.targets_by_id["t1"].concurrency.limit = 1
+        waits = [
+            queue._plan_return(slot_request(f"r{number}"), 0.1, 0.0)
+            for number in range(2)
+        ]
+        self.assertAlmostEqual(waits[1] - waits[0], 0.2)
+
+    def promise(
+        self, schedule, fraction: float, delay: float = 0.1, kind: str = "kind"
+    ) -> float:
         return schedule.promise(
-            "kind", 0.0, delay=delay, gap=0.1, left=1.5, fraction=fraction
+            kind, 0.0, delay=delay, gap=0.1, left=1.5, fraction=fraction
         )
 
     def test_caller_that_repeats_at_once_does_not_take_a_promised_place(self):
@@ -237,9 +348,16 @@
 class PassingOverTests(unittest.TestCase):
     """Guard against kinds of request that get no slot while others ask for all."""
 
-    def grants_before(self, policy: AdmissionPolicy) -> int:
-        """Return how many urgent requests start before a less urgent one."""
+    def grants_before(self, policy: AdmissionPolicy, paused: str = "") -> int:
+        """Return how many urgent requests start before a less urgent one.
+
+        The target pauses for the instance ``paused``, if that is not empty.
+        """
         queue = queue_of(policy=policy)
+        if paused:
+            fields = {"instance": paused, "priority": 0}
+            (held,) = queue.submit(slot_request("pause", **fields), 0.0)
+            queue.release(SlotResult(held.number, 0.1, pause=60.0), 0.0)
         (held,) = queue.submit(slot_request("first", priority=0), 0.0)
         later = {"soft_deadline_at": 20.0, "deadline_at": 40.0}
         queue.submit(slot_request("other", priority=3, route="o", **later), 0.0)
@@ -255,6 +373,29 @@
         self.assertEqual(self.grants_before(AdmissionPolicy()), 100)
         self.assertEqual(self.grants_before(ADAPTIVE_ADMISSION), MAX_PASSED_OVER)
 
+    def test_waiting_kind_gets_a_turn_while_the_target_pauses_for_an_instance(self):
+        """One paused instance ended the turns, and 100 others went first."""
+        self.assertEqual(self.grants_before(AdmissionPolicy(), "other"), 100)
+        grants = self.grants_before(ADAPTIVE_ADMISSION, "other")
+        self.assertEqual(grants, MAX_PASSED_OVER)
+
+    def test_request_that_is_not_granted_takes_no_turn(self):
+        """A request of a paused instance must not use up its kind's turn."""
+        queue = queue_of()
+        paused = {"instance": "p", "deadline_at": 40.0}
+        (held,) = queue.submit(slot_request("a", **paused), 0.0)
+        queue.release(SlotResult(held.number, 0.1, pause=9.0), 0.0)
+        (held,) = queue.submit(slot_request("b", priority=0), 0.0)
+        queue.submit(slot_request("waits", priority=3, **paused), 0.0)
+        for count in range(MAX_PASSED_OVER + 2):
+            queue.submit(slot_request(f"u{count}", priority=0, deadline_at=40.0), 0.0)
+            (held,) = queue.release(SlotResult(held.number, 0.1), 0.1)
+        self.assertEqual(held.request.priority, 0)
+        queue.tick(9.5)
+        queue.submit(slot_request("u", priority=0, deadline_at=40.0), 9.5)
+        (held,) = queue.release(SlotResult(held.number, 0.1), 9.6)
+        self.assertEqual(held.request.id, "waits")
+
     def test_estimate_counts_the_turns(self):
         """Requests that would get a turn were refused for those ahead of them."""
         self.assertEqual(most_ahead(0, 100), MAX_PASSED_OVER)
