Forget hot keys when placement by load ends

The record of hot keys and of risen loads stayed while accounts were configured, so after the switch came on again a short peak moved a key that had been hot before. All states of placement by load are now dropped in each plan without it.

test_hot_keys_from_before_accounts_are_forgotten failed before. python -m unittest fireflystand_router.dispatch.tests.test_placement_by_load fireflystand_router.dispatch.tests.test_ranges: passed.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -594,6 +594,8 @@
         # act on outdated knowledge of other coordinators.
         for scope in list(self._tasks):
             scope.cancel()
+        self._answered_processes.clear()
+        self._asked_processes.clear()
         self.writer.end()
         self._has_authority = False
         self._authority_until = float("-inf")
@@ -762,8 +764,6 @@
         self.load.decay(now)
         usable = self._assignable()
         are_appearing = bool(usable) and self._are_targets_appearing(usable, now)
-        if self.load.by_load and not self._places_by_load():
-            self.load.forget_states()
         self.load.by_load = self._places_by_load()
         if self.load.by_load:
             usable = self._known_in_health(usable)
@@ -771,6 +771,10 @@
             if are_appearing:
                 settled_at = self._usable_since + APPEARING_PAUSE
                 self._next_plan = min(self._next_plan, settled_at)
+        else:
+            self.load.forget_states()
+            self._joining.clear()
+            self._hot_keys, self._risen_loads = HotKeys(), RisenLoads()
         if not usable or len(self._moving) >= MAX_CONCURRENT_MOVES or are_appearing:
             return
         record = self.record
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
@@ -7,11 +7,12 @@
 from fireflystand_core.messages import WorkReport
 from fireflystand_core.ranges import (
     KEY_SPACE,
+    LoadView,
     RangeRecord,
     RisenLoads,
     rebalancing_moves,
 )
-from fireflystand_core.ranges.planning import MIN_NEIGHBOUR_LOAD
+from fireflystand_core.ranges.planning import HOT_AFTER, MIN_NEIGHBOUR_LOAD
 from fireflystand_core.traffic import EntryLimits, RoutingTable, ServicePolicy
 
 from ..load import ColdTarget, ServiceLoad
@@ -256,6 +257,39 @@
 
         run_scenario(scenario)
 
+    def test_hot_keys_from_before_accounts_are_forgotten(self):
+        """Guard against a short peak that moves a key that was hot long ago."""
+
+        async def scenario(cluster, nursery):
+            coordinator = await started(cluster, nursery)
+            await trio.sleep(3)
+            hot = LoadView({"t0": 4}, {7: 4.0}, by_load=True)
+            coordinator._hot_keys.update(hot, coordinator._clock())
+            coordinator._places_by_load = lambda: False
+            await trio.sleep(2 * HOT_AFTER)
+            found = coordinator._hot_keys.update(hot, coordinator._clock())
+            self.assertEqual(found, frozenset())
+
+        run_scenario(scenario)
+
+
+class CancelledQuestionTests(unittest.TestCase):
+    """Guard against a target that is never asked again and stays closed."""
+
+    def test_target_is_asked_again_after_a_claim_that_ended(self):
+        async def scenario(cluster, nursery):
+            coordinator = await started(cluster, nursery)
+            await trio.sleep(3)
+            coordinator._answered_processes.clear()
+            coordinator._plan(coordinator._clock())
+            coordinator.resign("before the questions run")
+            cluster.control.asked.clear()
+            await trio.sleep(3)
+            self.assertEqual(set(cluster.control.asked), {"t0", "t1", "t2"})
+            self.assertEqual(list(coordinator.load.closed_targets), [])
+
+        run_scenario(scenario)
+
 
 class HotKeyOwnerTests(unittest.TestCase):
     """Guard against a key beyond any one target that stays with others, or wanders."""
