Leave a hot key at an owner that it slows

A hot key fills its owner, which is then slower than the idle fast targets, so the key moved on to each of them in turn. An owner that was fast when it got the key now keeps it unless it is cold, or is slower than a full target (twice) for longer than keys without a handover are slow (5 s). Not taken: the speed in health responses alone, as it is asked for once and a target may become slow later.

test_hot_key_stays_at_an_owner_that_it_slows failed before with 9 changes of owner in 60 s at factors 1.4 and 2.0, and passes with at most 1. test_hot_key_leaves_an_owner_that_stays_slow (factor 6) passed before and after. python -m unittest fireflystand_router.dispatch.tests.test_placement_by_load fireflystand_core.ranges.tests.test_placement ...test_planning: passed.

--- a/packages/core/src/fireflystand_core/ranges/planning.py
+++ b/packages/core/src/fireflystand_core/ranges/planning.py
@@ -53,6 +53,12 @@
 CHANCE_DEVIATIONS = 3.0  # standard deviations that one target in 700 exceeds by chance
 HOT_AFTER = 1.0  # seconds; shorter peaks move no keys
 COOLED = 0.7  # of the fastest target's capacity; below it, a hot key is so no longer
+# A target with a hot key is full, and so up to this many times slower than without it.
+# Judged like an idle target, each owner in turn lost the key, 9 times in 60 s.
+LOADED_SLOWDOWN = 2.0
+# Keys that arrive without a handover are slow for this long, so a move of a hot key
+# because of shorter slowness costs as much as it gains.
+SLOW_OWNER_AFTER = 5.0  # seconds
 # Neighbours of a hot key move if their work exceeds this share of its owner's capacity.
 MIN_NEIGHBOUR_LOAD = 0.05
 
@@ -622,6 +628,9 @@
     """Track the keys with more work than any one warm target can run."""
 
     _since_by_key: dict[int, float] = attrs.field(factory=dict)
+    # Owners that were fast when they had the key, and since when they are slow.
+    _owner_by_key: dict[int, str] = attrs.field(factory=dict)
+    _slow_since_by_key: dict[int, float] = attrs.field(factory=dict)
 
     def update(self, load: LoadView, now: float) -> frozenset[int]:
         """Return the keys that have been hot for some time, and still are."""
@@ -636,6 +645,33 @@
             key for key, since in since_by_key.items() if now - since >= HOT_AFTER
         )
 
+    def update_owners(
+        self, record: RangeRecord, load: LoadView, keys: Collection[int], now: float
+    ) -> frozenset[int]:
+        """Return the hot keys that stay where they are although their owner is slower.
+
+        That is so for an owner that was fast when it had the key, unless it is cold, or
+        slower for some time than the key explains.
+        """
+        least = _largest_warm(load) / CLEARLY_FASTER
+        owner_by_key, slow_since_by_key = {}, {}
+        for key in keys:
+            owner = record.owner(key).target
+            if owner not in load.slots_by_target or load.is_cold(owner):
+                continue
+            capacity = load.capacity(owner)
+            if capacity < least and self._owner_by_key.get(key) != owner:
+                continue
+            if capacity < least / LOADED_SLOWDOWN:
+                since = self._slow_since_by_key.get(key, now)
+                if now - since >= SLOW_OWNER_AFTER:
+                    continue
+                slow_since_by_key[key] = since
+            owner_by_key[key] = owner
+        self._owner_by_key = owner_by_key
+        self._slow_since_by_key = slow_since_by_key
+        return frozenset(owner_by_key)
+
 
 def _largest_warm(load: LoadView) -> float:
     """Return the capacity of the fastest warm target; 0 if all are cold."""
@@ -644,11 +680,15 @@
 
 
 def isolating_moves(
-    record: RangeRecord, load: LoadView, keys: Collection[int]
+    record: RangeRecord,
+    load: LoadView,
+    keys: Collection[int],
+    kept: Collection[int] = (),
 ) -> list[PlannedMove]:
     """Place each hot key alone on one of the fastest targets.
 
-    A hot key moves once: an owner that is nearly as fast as the fastest keeps it. The
+    A hot key moves once: an owner that is nearly as fast as the fastest keeps it, and
+    so do the owners of the keys in ``kept``, which are slower because of the key. The
     other keys of its owner move to targets that have room for them.
     """
     work, _ = _work_by_target(record, load)
@@ -661,7 +701,8 @@
         owner = owners[key]
         if owner not in work or owner in load.soon_warm:
             continue
-        is_fast = not load.is_cold(owner) and load.capacity(owner) >= least
+        is_fast = key in kept or load.capacity(owner) >= least
+        is_fast = is_fast and not load.is_cold(owner)
         if is_fast and owner not in taken:
             taken.add(owner)
             moves.extend(_clearing_moves(record, load, work, owner, keys))
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -806,7 +806,8 @@
             self._joining.clear()
             recent = attrs.evolve(recent, fixed_keys=hot)
             if not moves and hot:
-                moves = isolating_moves(planned, recent, hot)
+                kept = self._hot_keys.update_owners(planned, recent, hot, now)
+                moves = isolating_moves(planned, recent, hot, kept)
             if not moves:
                 moves = rebalancing_moves(
                     planned,
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_placement_by_load.py
@@ -401,6 +401,33 @@
 
         run_scenario(scenario, targets=6)
 
+    def test_hot_key_stays_at_an_owner_that_it_slows(self):
+        """Guard against 9 changes of owner in 60 s, each owner slower with the key."""
+        for factor in (1.4, 2.0):
+            with self.subTest(factor=factor):
+                self.assertLessEqual(self.changes_of_owner(factor), 1)
+
+    def test_hot_key_leaves_an_owner_that_stays_slow(self):
+        self.assertGreater(self.changes_of_owner(6.0), 1)
+
+    def changes_of_owner(self, factor: float) -> int:
+        """Return how often the key moves in 60 s if it slows its owner by a factor."""
+        owners = []
+
+        async def scenario(cluster, nursery):
+            slowdowns = {f"t{n}": (0.7, 0.7, 1.6)[n % 3] for n in range(6)}
+            coordinator = await started(cluster, nursery, slowdowns_by_target=slowdowns)
+            await trio.sleep(3)
+            for number in range(120):
+                owner = cluster.record().owner(self.KEY).target
+                loaded = {**slowdowns, owner: slowdowns[owner] * factor}
+                self.report(coordinator, number, loaded, cluster.record())
+                await trio.sleep(0.5)
+                owners.append(cluster.record().owner(self.KEY).target)
+
+        run_scenario(scenario, targets=6)
+        return sum(a != b for a, b in zip(owners, owners[1:], strict=False))
+
     def report(self, coordinator, number: int, slowdowns, record) -> None:
         """Report 60 requests a second for the hot key, and 40 for all others."""
         keys = [[key + number, 1] for key in range(0, KEY_SPACE, KEY_SPACE // 20)]
