Derive bounds of placement tests from what they require

The share of keys that move when all targets restart cold is compared with what fast targets must give up for equal parts, plus a tenth as in the test of one target, instead of with 0.25; the bound is stricter. The number of first ranges is that of the targets, as before, with its reason.

--- a/packages/core/src/fireflystand_core/ranges/tests/test_placement.py
+++ b/packages/core/src/fireflystand_core/ranges/tests/test_placement.py
@@ -207,7 +207,11 @@
     def test_all_restart(self):
         names = [f"t{n:02}" for n in range(self.TARGETS)]
         share, replay = self.changed(names)
-        self.assertLess(share, 0.25)
+        # Cold targets have equal parts, so fast ones must give up what they had beyond.
+        former = Replay(self.TARGETS, by_load=True).work_by_target()
+        mean = sum(former.values()) / len(former)
+        excess = sum(max(0.0, work - mean) for work in former.values())
+        self.assertLess(share, 1.1 * excess / sum(former.values()))
         self.assertGreater(self.changed(names, is_known=False)[0], 0.5)
         work = replay.work_by_target()
         self.assertLess(max(work.values()), 1.2 * sum(work.values()) / len(work))
@@ -310,7 +314,8 @@
             sizes[item.target] += item.size
         self.assertEqual(sum(sizes.values()), KEY_SPACE)
         self.assertAlmostEqual(sizes["t00"] / sizes["t02"], 1.6 / 0.7, delta=0.1)
-        self.assertEqual(len(replay.record.ranges), 66)
+        # One grant for each target suffices, as no target has keys yet.
+        self.assertEqual(len(replay.record.ranges), len(sizes))
 
 
 class HotKeyTests(unittest.TestCase):
