Estimate the queue of a cold target at its warm-up rate

The estimate took the starts at a cold target for those of all its slots, so requests were queued that its warm-up rate could not run, and refused later; the time at which it is warm did not count at all.

While a target is known to be cold, its starts are now one warm-up period apart, and those of its slots follow when it is warm. A target that is only suspected to be cold is estimated as before, as its health check takes some milliseconds. Only estimates by target use this.

Requests that still meet their target latency overtake others, which the estimate at submit does not foresee. The new test fails before the change.

--- a/packages/core/src/fireflystand_core/dispatch/estimates.py
+++ b/packages/core/src/fireflystand_core/dispatch/estimates.py
@@ -117,11 +117,12 @@
 class StartSequence:
     """Tell when the requests of a queue can start and how long they will run.
 
-    ``slots`` lists for each slot the seconds until it is free and the duration of the
-    requests there. The starts are found in order, once for all requests.
+    ``slots`` lists for each slot the seconds until it is free, the seconds between two
+    starts there and the duration of the requests. The starts are found in order, once
+    for all requests.
     """
 
-    def __init__(self, slots: Iterable[tuple[float, float]]) -> None:
+    def __init__(self, slots: Iterable[tuple[float, float, float]]) -> None:
         self._slots = list(slots)
         heapq.heapify(self._slots)
         self._starts: list[tuple[float, float]] = []
@@ -133,7 +134,7 @@
     def start_after(self, ahead: int) -> tuple[float, float]:
         """Return the start and duration of a request behind ``ahead`` others."""
         while len(self._starts) <= ahead:
-            free_at, duration = self._slots[0]
+            free_at, gap, duration = self._slots[0]
             self._starts.append((free_at, duration))
-            heapq.heapreplace(self._slots, (free_at + duration, duration))
+            heapq.heapreplace(self._slots, (free_at + gap, gap, duration))
         return self._starts[ahead]
--- a/packages/core/src/fireflystand_core/dispatch/slots.py
+++ b/packages/core/src/fireflystand_core/dispatch/slots.py
@@ -302,8 +302,8 @@
             for slot in self.held_by_number.values()
         ]
 
-    def expected_starts(self, now: float) -> list[tuple[float, float]]:
-        """Return for each slot when it is free, and how long a request takes there.
+    def expected_starts(self, now: float) -> list[tuple[float, float, float]]:
+        """Return for each slot the next start, the time between two, and the duration.
 
         The reported slowdown is that of the moment, which mostly ends before a queued
         request starts, so the mean says more.
@@ -311,13 +311,32 @@
         duration = self.mean.seconds
         pause = self.pause_left(now)
         starts = [
-            (max(pause, remaining_work(now - slot.since, duration)), duration)
+            (
+                max(pause, remaining_work(now - slot.since, duration)),
+                duration,
+                duration,
+            )
             for slot in self.held_by_number.values()
         ]
         if len(starts) > self.limit:
             # After the limit was lowered, the first ones to end make no room.
             starts = sorted(starts)[len(starts) - self.limit :]
-        return starts + [(pause, duration)] * self.free_slots(now)
+        if self.warmup.is_cold(now):
+            return self._cold_starts(starts, pause, now)
+        return starts + [(pause, duration, duration)] * self.free_slots(now)
+
+    def _cold_starts(
+        self, starts: list[tuple[float, float, float]], pause: float, now: float
+    ) -> list[tuple[float, float, float]]:
+        """Return the starts at the warm-up rate, then those of all slots."""
+        duration = self.mean.seconds
+        warm_in = self.warmup.cold_left(now)
+        starts += [(pause, duration, duration)] * (self.limit - len(starts))
+        first = min(starts, default=(pause,))[0]
+        warm = [(max(warm_in, start), duration, duration) for start, _, _ in starts]
+        if self.warmup.rate > 0 and not self.record.leaving:
+            return [(first, 1 / self.warmup.rate, duration), *warm]
+        return warm
 
     def pause_left(self, now: float) -> float:
         """Return the seconds until shed pause and warm-up rate allow a request."""
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest.mock import patch
 
+import attrs
+
 from fireflystand_core.dispatch import (
     ADAPTIVE_ADMISSION,
     MAX_PASSED_OVER,
@@ -15,11 +17,13 @@
     SlotRefused,
     SlotResult,
     TargetSlots,
+    WarmupPolicy,
     most_ahead,
 )
 from fireflystand_core.traffic import TargetRecord
 
 DEADLINE = 1.51  # seconds, of the keyed services
+WORK = 0.36  # seconds, at a cold target
 
 
 def slot_request(name: str, now: float = 0.0, **fields) -> QueuedRequest:
@@ -157,6 +161,42 @@
         self.assertNotIn("queued", [d.request.id for d in self.refused(queue)])
 
 
+class ColdTargetTests(unittest.TestCase):
+    """Guard against queues at a cold target that its warm-up rate cannot empty."""
+
+    def play(self) -> tuple[int, int]:
+        """Return the served of 60 requests and the longest queue while it is cold."""
+        queue = queue_of(slots=4)
+        record = attrs.evolve(
+            queue.targets_by_id["t1"].record, started_at=1, cold_for=3.0
+        )
+        queue.mean.seconds = WORK
+        queue.set_target(record, 0.0, WarmupPolicy(4.7, 3.0, 12.0))
+        queue.clear_suspicion("t1", 0.0, 0.0)
+        running, served, longest = [], 0, 0
+        for step in range(350):
+            now = step / 100
+            fields = {"route": "", "deadline_at": now + DEADLINE}
+            decisions = queue.tick(now) if step % 10 == 0 else []
+            while running and running[0][0] <= now:
+                _, number = running.pop(0)
+                decisions += queue.release(SlotResult(number, WORK), now)
+            if step % 5 == 0 and step < 300:
+                decisions += queue.submit(slot_request(f"r{step}", now, **fields), now)
+            granted = [d for d in decisions if isinstance(d, SlotGranted)]
+            running += [(now + WORK, d.number) for d in granted]
+            served += len(granted)
+            if now < 1.5:
+                longest = max(longest, queue.queued_count)
+        return served, longest
+
+    def test_queue_is_judged_by_the_warm_up_rate(self):
+        """They were queued at the speed of all slots and refused up to 0.8 s later."""
+        served, longest = self.play()
+        self.assertGreaterEqual(served, 20)
+        self.assertLessEqual(longest, 4)
+
+
 class EstimateCostTests(unittest.TestCase):
     """Guard against estimates that take the processor time of small instances."""
 
--- a/packages/core/src/fireflystand_core/dispatch/warmup.py
+++ b/packages/core/src/fireflystand_core/dispatch/warmup.py
@@ -115,6 +115,15 @@
         """Tell whether the target is known to be cold."""
         return self.policy.rate > 0 and now < self._cold_until
 
+    def cold_left(self, now: float) -> float:
+        """Return for how many seconds the target is known to stay cold."""
+        return max(0.0, self._cold_until - now)
+
+    @property
+    def rate(self) -> float:
+        """Return how many requests a second this instance may grant when it is cold."""
+        return self._share.rate
+
     def is_suspect(self, now: float) -> bool:
         """Tell whether the target is suspected to have restarted, and so to be cold."""
         return self.policy.rate > 0 and now < self.suspected_until
