Raise an unused limit also when only short requests are answered

Only responses of routes that take the usual time feed the learned limit, so at a target that gets only shorter work a lowered limit was never raised. Adding short durations over their ratio was ruled out: the ratio is that of all targets.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -622,13 +622,16 @@
         """
         if target.concurrency is None or target.is_cold(now):
             return
+        before = target.concurrency.limit
         if self.route_durations.ratio(slot.route) == 1.0:
-            before = target.concurrency.limit
             target.concurrency.record(
                 result.seconds, slot.level, slot.since, now, complete=result.complete
             )
-            if target.concurrency.limit != before:
-                self._changed_limits[slot.target] = target.concurrency.limit
+        else:
+            # With shorter work alone, nothing else would end a limit learned before.
+            target.concurrency.raise_unused(now)
+        if target.concurrency.limit != before:
+            self._changed_limits[slot.target] = target.concurrency.limit
 
     def _suspect_restart(self, target: TargetSlots, now: float) -> None:
         """Limit a target that may have restarted to its warm-up rate."""
--- a/packages/core/src/fireflystand_core/dispatch/concurrency.py
+++ b/packages/core/src/fireflystand_core/dispatch/concurrency.py
@@ -126,6 +126,10 @@
         if len(self._samples) >= MIN_SAMPLES:
             self._note_median(_Window.of(self._samples).typical)
             self._samples.clear()
+        self.raise_unused(now)
+
+    def raise_unused(self, now: float) -> None:
+        """Raise a limit that no load has been measured at for some time."""
         if self.is_lowered and now - self._used_at > UNUSED_PERIOD:
             self._used_at = now
             self._trial = None
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_adaptive_admission.py
@@ -337,6 +337,17 @@
         queue.targets_by_id["t1"].concurrency.limit = 2
         self.assertEqual(self.granted(queue), 2)
 
+    def test_limit_is_raised_while_only_short_requests_come(self):
+        """A lowered limit stayed where other targets ran the longer requests."""
+        queue = queue_of(slots=4, names=("t1", "t2"))
+        queue.targets_by_id["t1"].concurrency.limit = 2
+        for slots in queue.targets_by_id.values():
+            slots.mean.seconds = 0.3
+        with patch.object(queue.route_durations, "ratio", return_value=0.1):
+            for step in range(200):
+                run(queue, f"s{step}", step / 10, 0.03)
+        self.assertEqual(queue.targets_by_id["t1"].concurrency.limit, 4)
+
     def test_usual_policy_learns_no_limit(self):
         queue = queue_of(slots=4, policy=AdmissionPolicy())
         self.assertIsNone(queue.targets_by_id["t1"].concurrency)
