Filter the targets of a slot request by program version

A rollout sends a request to targets of one version only, and the admission queue chose among all targets of a service. A queued request can now name a version, versions not to use, or the only targets to use. Separate queues by version were ruled out, since requests that may use any version belong to all of them.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -56,7 +56,9 @@
     """Request a slot at ``target``, or at any target of the service if it is empty.
 
     ``soft_deadline_at`` is the latency target and ``deadline_at`` the deadline, both
-    in seconds on the clock of the admission queue.
+    in seconds on the clock of the admission queue. Only targets of the program version
+    ``version`` may be used, any if it is empty, none of ``excluded_versions`` and, if
+    there are any, only those in ``targets``.
     """
 
     id: str
@@ -67,6 +69,22 @@
     deadline_at: float
     data_centre: str = ""
     route: str = ""  # empty if unknown
+    version: str = ""
+    excluded_versions: frozenset[str] = frozenset()
+    targets: frozenset[str] = frozenset()
+
+    @property
+    def is_selective(self) -> bool:
+        """Tell whether only some targets may run the request."""
+        return bool(self.version or self.excluded_versions or self.targets)
+
+    def admits(self, record: TargetRecord) -> bool:
+        """Tell whether a target may run the request, by its version."""
+        return (
+            self.version in ("", record.software)
+            and record.software not in self.excluded_versions
+            and (not self.targets or record.id in self.targets)
+        )
 
 
 @attrs.frozen
@@ -143,6 +161,8 @@
         # Targets that may have restarted and whose health has to be checked.
         self.suspects: set[str] = set()
         self._has_pauses = False  # whether some target may pause for an instance
+        # Whether a queued request may be one that only some targets may run.
+        self._has_selective = False
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
@@ -221,6 +241,7 @@
         delay, duration = self._estimate(request, now)
         if duration > left or delay + duration > left * USABLE_TIME_SHARE and delay > 0:
             return [self._refusal(request, NO_ROOM, delay, now)]
+        self._has_selective = self._has_selective or request.is_selective
         self._queues_by_target.setdefault(request.target, {})[request.id] = request
         return self._dispatch(request.target, now)
 
@@ -241,7 +262,7 @@
 
     def _estimate(self, request: QueuedRequest, now: float) -> tuple[float, float]:
         """Return the expected start delay and duration of a request, in seconds."""
-        targets = self._candidates(request.target)
+        targets = self._candidates_for(request)
         if not targets:
             return float("inf"), self.mean.seconds
         if wait := self._pause_left_for(request, now):
@@ -276,7 +297,7 @@
 
     def _pause_left_for(self, request: QueuedRequest, now: float) -> float:
         """Return the seconds for which all targets pause for the request's instance."""
-        targets = self._candidates(request.target)
+        targets = self._candidates_for(request)
         return min(
             (t.pause_left_for(request.instance, now) for t in targets), default=0
         )
@@ -289,6 +310,12 @@
             return [self.targets_by_id[target]]
         return [t for t in self.targets_by_id.values() if not t.record.leaving]
 
+    def _candidates_for(self, request: QueuedRequest) -> list[TargetSlots]:
+        targets = self._candidates(request.target)
+        if request.is_selective:
+            return [t for t in targets if request.admits(t.record)]
+        return targets
+
     def _refusal(
         self, request: QueuedRequest, reason: str, delay: float, now: float
     ) -> SlotRefused:
@@ -307,7 +334,7 @@
         for request in self._by_urgency(queue, target, now):
             slots = self._choose_target(request, now)
             if slots is None:
-                if not self._has_pauses:
+                if not self._must_scan:
                     break
                 continue
             del queue[request.id]
@@ -323,7 +350,7 @@
     ) -> Iterable[QueuedRequest]:
         """Yield the requests of a queue while a target has a free slot."""
         urgency = self._urgency(now)
-        if self._has_pauses:
+        if self._must_scan:
             if self._has_free_slot(target, now):
                 yield from sorted(queue.values(), key=urgency)
             return
@@ -331,6 +358,11 @@
         while queue and self._has_free_slot(target, now):
             yield min(queue.values(), key=urgency)
 
+    @property
+    def _must_scan(self) -> bool:
+        """Tell whether a request may be stuck while one behind it has a target."""
+        return self._has_pauses or self._has_selective
+
     def _has_free_slot(self, target: str, now: float) -> bool:
         return any(slots.free_slots(now) > 0 for slots in self._open_targets(target))
 
@@ -367,6 +399,7 @@
             for target in self._open_targets(request.target)
             if target.free_slots(now) > 0
             and not target.pause_left_for(request.instance, now)
+            and request.admits(target.record)
         ]
         if not free:
             return None
@@ -572,6 +605,12 @@
             if target.held_by_number[number].expires_at <= now
         ]
         self._drop_unused_connections(now)
+        if self._has_selective:
+            self._has_selective = any(
+                request.is_selective
+                for queue in self._queues_by_target.values()
+                for request in queue.values()
+            )
         if self._has_pauses:
             self._drop_ended_pauses(now)
         decisions = self._free_slots(expired, now)
--- a/packages/core/src/fireflystand_core/traffic/model.py
+++ b/packages/core/src/fireflystand_core/traffic/model.py
@@ -98,3 +98,4 @@
     started_at: int = 0  # Unix milliseconds
     cold_for: float = 0.0  # seconds, at the time of the report
     version: int = 0  # revision of the target record
+    software: str = ""  # version of the program that it runs; empty if unknown
