--- a/packages/core/src/fireflystand_core/ranges/__init__.py
+++ b/packages/core/src/fireflystand_core/ranges/__init__.py
@@ -1,9 +1,16 @@
 """Divide the key space of a service among targets."""
 
-from . import leases, patch, planning, record
+from . import leases, patch, planning, record, trial
 from .leases import *  # noqa: F403
 from .patch import *  # noqa: F403
 from .planning import *  # noqa: F403
 from .record import *  # noqa: F403
+from .trial import *  # noqa: F403
 
-__all__ = [*leases.__all__, *patch.__all__, *planning.__all__, *record.__all__]
+__all__ = [
+    *leases.__all__,
+    *patch.__all__,
+    *planning.__all__,
+    *record.__all__,
+    *trial.__all__,
+]
