--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -17,6 +17,8 @@
     "RecordPatch",
     "ReplicaCopy",
     "ReplicaPull",
+    "RolloutLease",
+    "RolloutReport",
     "SlotGrant",
     "SlotRefusal",
     "SlotRequest",
@@ -108,7 +110,9 @@
     """Request a slot from the admission queue; times are seconds from now.
 
     ``aim_left`` is the time until the soft deadline, ``time_left`` that until the
-    deadline.
+    deadline. Only targets of the program version ``version`` may be used, any if it is
+    empty, and none of ``excluded_versions``. ``targets`` lists the only ones that may
+    be used, none if all may.
     """
 
     service: str
@@ -119,6 +123,9 @@
     time_left: float
     data_centre: str
     route: str = ""
+    version: str = ""
+    excluded_versions: list[str] = attrs.field(factory=list)
+    targets: list[str] = attrs.field(factory=list)
 
 
 @message("slot-grant")
@@ -242,6 +249,45 @@
     leaving: list[list[Any]] = attrs.field(factory=list)
 
 
+@message("rollout-lease")
+@attrs.frozen
+class RolloutLease:
+    """Allow requests to the new version of a service for a short time.
+
+    ``order`` identifies the order, ``phase`` is that of the rollout and ``epoch`` the
+    number of the sender's claim. ``share`` is the part of the requests that the new
+    version gets, ``remaining`` the seconds to the deadline of the order. ``targets``
+    are those of the new version to use, empty for all.
+    """
+
+    service: str
+    order: str
+    phase: str
+    epoch: int
+    share: float
+    remaining: float
+    targets: list[str] = attrs.field(factory=list)
+    holder: str = ""
+
+
+@message("rollout-report")
+@attrs.frozen
+class RolloutReport:
+    """Report the responses of a service under an order since the last report.
+
+    Each sample tells whether the target was of the new version, the route, whether the
+    request failed, its seconds to the head of the response, the slowdown and whether
+    the target was cold. ``old_in_flight`` counts the sender's requests at targets of
+    other versions; ``phase`` is the one in force at the sender.
+    """
+
+    service: str
+    order: str
+    samples: list[list[Any]]
+    old_in_flight: int
+    phase: str
+
+
 @message("crash-notice")
 @attrs.frozen
 class CrashNotice:
--- a/packages/router/src/fireflystand_router/dispatch/ports.py
+++ b/packages/router/src/fireflystand_router/dispatch/ports.py
@@ -19,6 +19,9 @@
     "INSTANCES",
     "KINDS",
     "RANGES",
+    "ROLLOUTS",
+    "ROLLOUT_KINDS",
+    "ROLLOUT_RECORDS",
     "TARGETS",
     "CallerFields",
     "DispatchBounds",
@@ -38,6 +41,10 @@
 RANGES = "ranges"
 INSTANCES = "instances"
 KINDS = (CONFIGURATION, DEPARTURES, TARGETS, RANGES, INSTANCES)
+ROLLOUTS = "rollouts"  # orders to move a service to another version
+ROLLOUT_RECORDS = "rollout_records"  # how far each order has come
+# Followed only by instances whose settings ask for rollouts.
+ROLLOUT_KINDS = (ROLLOUTS, ROLLOUT_RECORDS)
 
 
 @attrs.frozen
@@ -76,6 +83,12 @@
         another version.
         """
 
+    async def put_status(self, kind: str, name: str, status: Any, version: int) -> int:
+        """Write only the status of an object and return its new version.
+
+        Raise StoreConflictError if the store has another version than ``version``.
+        """
+
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object of the given version."""
 
@@ -159,6 +172,11 @@
     # Of the requests to a cold target within any second, from all instances.
     warmup_overage: float = 1.5  # as a multiple of its warm-up rate
     warmup_slack: float = 5.0  # beyond that
+    # Of a service's requests, those that a new version may get before it is judged.
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0  # requests beyond that
+    rollback: float = 5.0  # from the evidence against a version to its last request
+    rollout_change: float = 2.0
 
     def warmup_limit(self, rate: float) -> float:
         """Return the most requests to a cold target of a warm-up rate in a second."""
@@ -171,6 +189,8 @@
             CONFIGURATION: self.configuration_apply,
             TARGETS: self.target_departure,
             DEPARTURES: self.data_centre_departure,
+            ROLLOUTS: self.rollout_change,
+            ROLLOUT_RECORDS: self.rollout_change,
         }
 
 
@@ -195,3 +215,5 @@
     # Whether the whole system starts for the first time, so that no lease of a target
     # can hold that the store does not tell of.
     is_first_start: bool = False
+    # Whether the instance acts on orders to move a service to another version.
+    follows_rollouts: bool = False
