--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -495,6 +495,27 @@
 TARGET_PAUSED = define_event(
     6044, "INFO", "target asked for a pause", "target", "service", "seconds"
 )
+ROLLOUT_ORDERED = define_event(
+    6050, "INFO", "rollout ordered", "service", "to", "duration", "phase"
+)
+ROLLOUT_ENDED = define_event(
+    6051, "INFO", "rollout order no longer in force", "service", "to", "reason"
+)
+ROLLOUT_IGNORED = define_event(
+    6052, "WARNING", "rollout order ignored", "service", "to", "reason"
+)
+ROLLOUT_PHASE_CHANGED = define_event(
+    6053, "INFO", "rollout phase changed", "service", "to", "phase", "reason"
+)
+ROLLOUT_CLAIMED = define_event(
+    6054, "INFO", "instance decides a rollout", "service", "to", "phase", "epoch"
+)
+ROLLOUT_DECIDED = define_event(
+    6055, "INFO", "rollout step decided", "service", "to", "phase", "reason"
+)
+ROLLOUT_WRITE_FAILED = define_event(
+    6056, "WARNING", "rollout write failed", "service", "what"
+)
 PEER_REPLY_DROPPED = define_event(
     6041,
     "INFO",
--- a/packages/router/src/fireflystand_router/metrics.py
+++ b/packages/router/src/fireflystand_router/metrics.py
@@ -255,6 +255,30 @@
     "slots",
     "slots given back unused because they were outdated",
 )
+ROLLOUT_PHASE = define_metric(
+    "dispatch.rollout_phase",
+    "gauge",
+    "phase",
+    "latest phase of a rollout: 0 none, 1 trial, 2 ramp, 3 cutover, 4 ended",
+)
+ROLLOUT_REQUESTS = define_metric(
+    "dispatch.rollout_requests",
+    "counter",
+    "requests",
+    "requests sent to services under a rollout order",
+)
+ROLLOUT_NEW_REQUESTS = define_metric(
+    "dispatch.rollout_new_requests",
+    "counter",
+    "requests",
+    "requests sent to the new version of services under a rollout order",
+)
+ROLLOUT_BAD_RESPONSES = define_metric(
+    "dispatch.rollout_bad_responses",
+    "counter",
+    "responses",
+    "failed requests at the new version of services under a rollout order",
+)
 LIVE_PEERS = define_metric(
     "dispatch.live_peers", "gauge", "instances", "other instances that are reachable"
 )
