Move services to another version as orders in the store ask

Each sender chooses the version of a request by the order, the record of its progress, the leases of the deciding instance and a budget of its own, and checks again before the first byte. The deciding instance claims a record by a conditional write and writes each step before anything acts on it, except a rollback, which is announced first.

An earlier build ends the stream of a peer that sends an unknown message, and fails on a pull of an unknown kind. So leases go only to peers whose heartbeats confirm the kind of the orders, and the rollout kinds are not pulled from seeds.

Two claim rules were ruled out by runs against the stand-in store. With the claim always at the first instance in the order, six claims followed a store outage of 3 s, each with the evidence of none, and a good version was rolled back. With a fixed delay of 2.5 s after a decider was cut off, the next one had 20 responses by the evidence limit of a 10 s order. Now a live decider keeps its claim, and one that says that it lost the store is replaced after 0.3 s.

Without the switch no kind is followed, no handler is set and every request gets the choice that admits all targets: make unit ONLY=dispatch.tests.test_node 16, test_slots 10, test_ranges 32, test_start 3 passed. With it: make unit ONLY=dispatch.tests.test_rollout, 25 passed.

--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -60,6 +60,7 @@
 from .ports import CONFIGURATION, DispatchSettings
 from .rate_limits import SharedRateLimiter
 from .requests import IncomingRequest, RequestReader
+from .rollouts import ANY_VERSION, RolloutClient, VersionUse
 from .slots import Slot, SlotClient
 from .state import RoutingState
 from .work import WorkReporter
@@ -94,6 +95,10 @@
 MAX_UNFRAMED_OVERRUN = 5.0  # seconds
 RETURN_SPREAD = 0.1  # of the Retry-After of a request that a pause refuses
 BROKEN_OFF = "response broke off"
+# A request that may go to either version does not wait long for the new one, whose
+# targets are few and cold.
+NEW_VERSION_WAIT = 0.2  # seconds
+NO_VERSION_RETRY_AFTER = 0.3  # seconds; while no version may run the request
 RETRY_DELAY = 0.02  # seconds before a request is sent again
 REPORTED_LATENESS = 0.25  # seconds past the deadline at which a response ends
 
@@ -132,6 +137,7 @@
     status: int = 0  # of the delivered response
     late_wait: float = 0.0  # seconds past the deadline spent waiting for the target
     phase: _Phase = _Phase.BODY
+    avoids_new: bool = False  # an attempt with the new version has failed
 
     @property
     def deadline_at(self) -> float:
@@ -153,6 +159,7 @@
     exchange: Exchange
     slot: Slot
     began_at: float
+    target: TargetRecord
 
 
 class DispatchFlow:
@@ -172,7 +179,9 @@
         random: Random,
         loop_lag: LoopLag,
         pauses: TargetPauses,
+        rollouts: RolloutClient,
     ) -> None:
+        self._rollouts = rollouts
         self._pauses = pauses
         self._settings = settings
         self._state = state
@@ -445,18 +454,18 @@
             if left := self._check_pause(context, target_id):
                 await trio.sleep(left)
                 continue
-            slot = await self._acquire_slot(context, target_id)
-            if slot is None:
-                context.placed_at = trio.current_time()
-                continue
-            target = self._target_of_slot(context, slot)
-            must_wait = self._time_limits.is_stopping and writer.follows_delivery
-            if target is None or must_wait:
-                self._slots.release(slot, SlotReturn(slot.service, slot.number))
+            use = self._choose_version(context, target_id)
+            attempts = context.attempts
+            try:
+                result = await self._send_with(context, writer, target_id, use)
+            finally:
+                sent = context.attempts > attempts
+                self._rollouts.finish(use, sent=sent, is_first=not attempts)
+            if result is None:
                 continue
-            result = await self._send_once(context, slot, target)
             if isinstance(result, _TargetResponse):
                 return result
+            context.avoids_new = context.avoids_new or bool(use.version)
             if result.withdrawn:
                 context.slots_used -= 1
                 continue
@@ -467,7 +476,7 @@
             emit_limited(
                 REQUEST_RETRIED,
                 request_id=context.request.id,
-                target=target.id,
+                target=context.target,
                 reason=context.last_failure,
                 attempts=context.attempts,
             )
@@ -477,6 +486,38 @@
             else:
                 await trio.sleep(RETRY_DELAY)
 
+    def _choose_version(self, context: _RequestContext, target_id: str) -> VersionUse:
+        """Return which targets may run the request; refuse it if none may."""
+        use = self._rollouts.choose(
+            context.service, target_id, avoids_new=context.avoids_new
+        )
+        if use is None:
+            reason = "no version may run the request"
+            self._raise_no_target(context, reason, NO_VERSION_RETRY_AFTER)
+        return use
+
+    async def _send_with(
+        self,
+        context: _RequestContext,
+        writer: ResponseWriter,
+        target_id: str,
+        use: VersionUse,
+    ) -> "_TargetResponse | Failure | None":
+        """Acquire a slot and send the request; return None if it was not sent."""
+        slot = await self._acquire_slot(context, target_id, use)
+        if slot is None:
+            context.placed_at = trio.current_time()
+            return None
+        target = self._target_of_slot(context, slot, use)
+        must_wait = self._time_limits.is_stopping and writer.follows_delivery
+        if target is None or must_wait:
+            self._slots.release(slot, SlotReturn(slot.service, slot.number))
+            if use is not ANY_VERSION:
+                # An instance of an earlier build grants slots of any version.
+                await trio.sleep(RETRY_DELAY)
+            return None
+        return await self._send_once(context, slot, target, use)
+
     async def _wait_for_owner(self, context: _RequestContext) -> str:
         """Return the target that owns the request's key, empty for unkeyed services."""
         context.phase = _Phase.OWNER
@@ -492,7 +533,9 @@
         while True:
             owner = self._state.owner(context.service, key)
             item = self._state.range_id(context.service, key)
-            if owner is not None and self._state.usable_target(owner.target):
+            is_admitted = owner is None or self._rollouts.admits(owner.target)
+            is_usable = owner is not None and self._state.usable_target(owner.target)
+            if is_usable and is_admitted:
                 self._owner_waits.record_owner(item)
                 return owner.target
             now = trio.current_time()
@@ -500,7 +543,7 @@
                 item, now, context.deadline_at
             )
             until = min(until, wait_ends_at)
-            if owner is not None and owner.target:
+            if owner is not None and owner.target and is_admitted:
                 # The owner was lost; the coordinator has not announced a move yet.
                 until = min(until, context.placed_at + NO_TARGET_RETRY_AFTER)
             if now >= until:
@@ -551,16 +594,22 @@
         wait = retry_after * (0.5 + self._random.random())
         raise RequestRefusedError(503, reason, retry_after=wait)
 
-    def _may_use(self, slot: Slot) -> bool:
+    def _may_use(self, slot: Slot, use: VersionUse) -> bool:
         """Tell whether a request may be sent with a slot now."""
         if not self._takes_requests(slot.target):
             return False
+        if not self._rollouts.may_use(use, slot.target):
+            return False
         return self._slots.check(slot, self._loop_lag.stood_still_until)
 
-    async def _acquire_slot(self, context: _RequestContext, target: str) -> Slot | None:
-        """Return a slot, or None if the target left while the request waited for it."""
+    async def _acquire_slot(
+        self, context: _RequestContext, target: str, use: VersionUse
+    ) -> Slot | None:
+        """Return a slot, or None if the request has to choose a target again."""
         context.phase = _Phase.SLOT
-        slot = await self._wait_for_slot(context, target)
+        if use.has_token and not target:
+            return await self._acquire_new_slot(context, use)
+        slot = await self._wait_for_slot(context, target, use)
         if isinstance(slot, SlotRefusal):
             if slot.reason == TARGET_GONE and not self._state.usable_target(target):
                 return None
@@ -575,8 +624,21 @@
             raise RequestRefusedError(503, slot.reason, retry_after=wait)
         return slot
 
+    async def _acquire_new_slot(
+        self, context: _RequestContext, use: VersionUse
+    ) -> Slot | None:
+        """Return a slot of the new version, or None if the old one has to do."""
+        slot = None
+        with trio.move_on_after(NEW_VERSION_WAIT):
+            slot = await self._wait_for_slot(context, "", use)
+        context.limit.wait_scope = None
+        if isinstance(slot, Slot):
+            return slot
+        context.avoids_new = True
+        return None
+
     async def _wait_for_slot(
-        self, context: _RequestContext, target: str
+        self, context: _RequestContext, target: str, use: VersionUse
     ) -> Slot | SlotRefusal:
         slot = None
         while slot is None:
@@ -590,15 +652,16 @@
                     context.soft_deadline_at,
                     context.deadline_at,
                     context.route.name,
+                    use,
                 )
             context.limit.wait_scope = None
         return slot
 
     def _target_of_slot(
-        self, context: _RequestContext, slot: Slot
+        self, context: _RequestContext, slot: Slot, use: VersionUse
     ) -> TargetRecord | None:
         """Return the slot's target, or None if the request may not go to it now."""
-        if not self._may_use(slot):
+        if not self._may_use(slot, use):
             return None
         target = self._state.usable_target(slot.target)
         if not self._state.is_keyed(context.service):
@@ -609,15 +672,20 @@
         return target
 
     async def _send_once(
-        self, context: _RequestContext, slot: Slot, target: TargetRecord
+        self,
+        context: _RequestContext,
+        slot: Slot,
+        target: TargetRecord,
+        use: VersionUse,
     ) -> "_TargetResponse | Failure":
         """Send the request once; a response keeps the slot, a failure frees it."""
         context.phase = _Phase.TARGET
         context.target = target.id
         context.slots_used += 1
         began_at = trio.current_time()
-        forward = self._forward_request(context, slot, target)
+        forward = self._forward_request(context, slot, target, use)
         may_have_run_before = context.may_have_run
+        self._rollouts.begin(target)
         result = SlotReturn(slot.service, slot.number)
         opened: Exchange | Failure | None = None
         try:
@@ -627,7 +695,11 @@
             raise failed_body_refusal(error) from error
         finally:
             context.attempts += forward.may_have_been_sent
+            if forward.may_have_been_sent:
+                elapsed = trio.current_time() - began_at
+                self._note_result(context, target, opened, elapsed)
             if not isinstance(opened, Exchange):
+                self._rollouts.end(target.id)
                 if isinstance(opened, Failure):
                     unreachable = not (forward.may_have_been_sent or opened.withdrawn)
                     result = attrs.evolve(
@@ -643,7 +715,36 @@
         if isinstance(opened, Failure):
             self._record_failure(context, target, opened, may_have_run_before)
             return opened
-        return _TargetResponse(opened, slot, began_at)
+        return _TargetResponse(opened, slot, began_at, target)
+
+    def _note_result(
+        self,
+        context: _RequestContext,
+        target: TargetRecord,
+        opened: Exchange | Failure | None,
+        seconds: float,
+    ) -> None:
+        """Report how the request ended, unless that says nothing of the target."""
+        slowdown = 1.0
+        if isinstance(opened, Exchange):
+            load = self._settings.target_fields.read_load(opened.fields)
+            slowdown = load[3] if load else 1.0
+            failed = opened.status >= 500
+        elif isinstance(opened, Failure):
+            if isinstance(opened.outcome, NotRun) or opened.shed or opened.withdrawn:
+                return
+            failed = True
+        else:
+            failed = not context.limit.shortened
+            if not failed or trio.current_time() < context.deadline_at:
+                return  # the caller has disconnected, or the instance stops
+        self._rollouts.note_result(
+            target,
+            context.route.name,
+            failed=failed,
+            seconds=seconds,
+            slowdown=slowdown,
+        )
 
     async def _finish(
         self,
@@ -675,6 +776,7 @@
             suspected = response.exchange.may_have_restarted
             result = attrs.evolve(result, may_have_restarted=suspected)
             self._slots.release(response.slot, result)
+            self._rollouts.end(response.target.id)
         if not delivered:
             await writer.refuse(refusal)
 
@@ -732,7 +834,11 @@
             self._crash_detector.record_exit(target.id)
 
     def _forward_request(
-        self, context: _RequestContext, slot: Slot, target: TargetRecord
+        self,
+        context: _RequestContext,
+        slot: Slot,
+        target: TargetRecord,
+        use: VersionUse,
     ) -> ForwardRequest:
         names = self._settings.target_fields
         control_fields = [(names.expected_target, target.id.encode())]
@@ -757,7 +863,7 @@
             repeatable=repeatable,
             read_more_body=None if complete else context.body.read,
             idle_limit=REPEATABLE_IDLE_LIMIT if repeatable else UNREPEATABLE_IDLE_LIMIT,
-            is_withdrawn=lambda: not self._may_use(slot),
+            is_withdrawn=lambda: not self._may_use(slot, use),
             connections=self._connections_to(target),
         )
 
@@ -797,6 +903,11 @@
             )
             self._metrics.count(UNKNOWN)
             self._metrics.count_reason(FAILURE_REASONS, BROKEN_OFF)
+            target = self._state.latest_records_by_target.get(context.target)
+            if target is not None and exchange.status < 500:
+                self._rollouts.note_result(
+                    target, context.route.name, failed=True, seconds=0.0
+                )
             return False
         finally:
             self._forwarder.cancel(exchange)
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -111,6 +111,12 @@
         """Tell whether a process has ended: its host refused a connection."""
         return self._ended_incarnations_by_id.get(instance) == incarnation
 
+    def reaches_store(self, instance: str) -> bool:
+        """Tell whether an instance's calls to the store succeed, as it said last."""
+        if instance == self.own_id:
+            return not self.store_unreachable
+        return instance not in self._without_store
+
     def seconds_unreachable(self, instance: str) -> float:
         """Return the seconds since an instance was declared dead; 0 if it is live."""
         if self.is_live(instance):
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -36,6 +36,7 @@
     LOOP_LAG,
     PAUSING_TARGETS,
     PROOF_AGE,
+    ROLLOUT_PHASE,
     STORE_AGE,
     STORE_ERA,
     WAITING,
@@ -62,6 +63,8 @@
 from .ranges import RangeCoordinator
 from .rate_limits import SharedRateLimiter
 from .replicas import ReplicaSync
+from .rollout_decisions import RolloutCoordinator, ServiceDecisions
+from .rollouts import RolloutClient
 from .slots import SlotClient, SlotService
 from .state import RoutingState
 from .work import WorkReporter
@@ -100,7 +103,9 @@
         self.control = control
         self.readiness = Readiness()
         self.metrics = Metrics(None)
-        self.state = RoutingState(read_table, read_target)
+        self.state = RoutingState(
+            read_table, read_target, follows_rollouts=settings.follows_rollouts
+        )
         random = Random(uuid.uuid4().int)
         hello = Hello(
             settings.instance,
@@ -144,6 +149,21 @@
             self.replica_sync.handle_confirmations, self.slot_service.release_instance
         )
         self.rate_limiter = SharedRateLimiter(self.state, self.membership)
+        self.rollouts = RolloutClient(
+            self.state,
+            self.membership,
+            settings.bounds,
+            random,
+            self.metrics,
+            follows_rollouts=settings.follows_rollouts,
+        )
+        self.rollout_coordinator = RolloutCoordinator(
+            self.state,
+            self.membership,
+            self._new_decisions,
+            follows_rollouts=settings.follows_rollouts,
+        )
+        self.rollouts.on_own_report = self.rollout_coordinator.add_report
         self.crash_detector = CrashDetector(self.membership)
         self.work_reporter = WorkReporter(self.state, self.membership)
         self.ownership = RangeCoordinators(
@@ -164,6 +184,7 @@
             random=random,
             loop_lag=self.loop_lag,
             pauses=self.pauses,
+            rollouts=self.rollouts,
         )
         self.entry = self._new_entry_server()
         self.health = self._new_health_server()
@@ -184,6 +205,17 @@
             share=self.replica_sync.broadcast_record,
             store_age=lambda: self.replica_sync.store_age,
             is_first_start=self.settings.is_first_start,
+            rollouts=self.rollouts if self.settings.follows_rollouts else None,
+        )
+
+    def _new_decisions(self, service: str) -> ServiceDecisions:
+        return ServiceDecisions(
+            service,
+            store=self.store,
+            state=self.state,
+            membership=self.membership,
+            replica_sync=self.replica_sync,
+            client=self.rollouts,
         )
 
     def _new_entry_server(self) -> EntryServer:
@@ -263,6 +295,7 @@
         gauge(PAUSING_TARGETS, self.pauses.count(trio.current_time()))
         gauge(LEAVING_TARGETS, self.state.leaving_count)
         gauge(COORDINATED, len(self.summary()["coordinates"]))
+        gauge(ROLLOUT_PHASE, self.rollouts.phase_number)
 
     def _not_ready_reason(self) -> str:
         if self.state.table is None:
@@ -294,7 +327,13 @@
     def summary(self) -> dict:
         """Return this instance's view of the fleet, for operators."""
         table = self.state.table
-        return {
+        rollouts = {}
+        if self.settings.follows_rollouts:
+            rollouts = {
+                "rollouts": self.rollouts.summary(),
+                "decides": self.rollout_coordinator.decided_services,
+            }
+        return rollouts | {
             "instance": self.settings.instance,
             "configuration": table.version if table else None,
             "live": self.membership.live,
@@ -337,6 +376,8 @@
                     self.slot_service.run,
                     self.work_reporter.run,
                     self.ownership.run,
+                    self.rollouts.run,
+                    self.rollout_coordinator.run,
                     self.loop_lag.run,
                     self._register,
                     self._expire_targets,
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -32,8 +32,10 @@
     initial_moves,
     moves_to_idle_targets,
     rebalancing_moves,
+    trial_moves,
 )
 from fireflystand_core.replica import ObjectChange
+from fireflystand_core.rollouts import Phase
 from fireflystand_core.traffic import TargetRecord
 
 from ..events import (
@@ -57,6 +59,7 @@
 from .ports import RANGES, GrantRefusedError, StorePort, TargetControlPort
 from .record_writer import RecordWriter
 from .restoration import MALFORMED
+from .rollouts import RolloutClient
 from .state import FrozenRange, RoutingState
 
 __all__ = ["RangeCoordinator"]
@@ -134,9 +137,12 @@
         share: Callable[[ObjectChange, ObjectChange | None], None],
         store_age: Callable[[], float],
         is_first_start: bool = False,
+        rollouts: RolloutClient | None = None,
         clock: Callable[[], float] = lease_clock,
     ) -> None:
         self.service = service
+        self._rollouts = rollouts
+        self._planned_phase: Phase | None = None
         self._clock = clock
         self.load = ServiceLoad()
         self._store = store
@@ -446,7 +452,9 @@
             return
         self._renew(now)
         self._probe_unresponsive(now)
-        if now >= self._next_plan:
+        phase = self._rollouts.phase(self.service) if self._rollouts else None
+        if now >= self._next_plan or phase is not self._planned_phase:
+            self._planned_phase = phase
             self._next_plan = now + PLAN_INTERVAL
             self._plan(now)
 
@@ -725,7 +733,8 @@
         if self._are_targets_appearing(usable, now):
             return
         record = self.record
-        vacated = self._without_lost_owners(record, usable)
+        trial = self._trial_targets()
+        vacated = self._without_lost_owners(record, usable | trial)
         view = self.load.view(usable, recent=False)
         moves = initial_moves(vacated, view)
         if not moves and not self.writer.is_failing:
@@ -742,6 +751,10 @@
             if not moves and now >= self._next_rebalancing:
                 self._next_rebalancing = now + REBALANCE_INTERVAL
                 moves = rebalancing_moves(planned, view, MAX_REBALANCE_MOVES)
+            if not moves and trial:
+                rate = sum(view.work_by_key.values()) / self.load.mean.seconds
+                share = self._rollouts.trial_keys_share(self.service, rate)
+                moves = trial_moves(planned, view, trial, share)
         self._start_moves(record, moves)
 
     def _are_targets_appearing(
@@ -762,7 +775,31 @@
         return {
             target.id: target
             for target in self._state.usable_targets(self.service)
-            if not self._target_status(target.id).unresponsive
+            if not self._target_status(target.id).unresponsive and self._may_own(target)
+        }
+
+    def _may_own(self, target: TargetRecord) -> bool:
+        """Tell whether a target's version may get any keys."""
+        if self._rollouts is None:
+            return True
+        phase = self._rollouts.phase(self.service)
+        if target.software in self._rollouts.excluded_versions(self.service):
+            return False
+        if phase is None:
+            return True
+        is_after = phase in (Phase.CUTOVER, Phase.COMPLETED)
+        return self._rollouts.is_new(target) is is_after
+
+    def _trial_targets(self) -> dict[str, TargetRecord]:
+        """Return the new version's targets that may get a few keys."""
+        phase = self._rollouts.phase(self.service) if self._rollouts else None
+        if phase not in (Phase.TRIAL, Phase.RAMP):
+            return {}
+        return {
+            target.id: target
+            for target in self._state.usable_targets(self.service)
+            if self._rollouts.is_new(target)
+            and not self._target_status(target.id).unresponsive
         }
 
     def _without_lost_owners(
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -33,6 +33,7 @@
     INSTANCES,
     KINDS,
     RANGES,
+    ROLLOUTS,
     DispatchBounds,
     KindSnapshot,
     StorePort,
@@ -112,6 +113,9 @@
         # The first revision of a restored store that may lack known withdrawals.
         self._unproved_revision: int | None = None
         self.store_answered_at = float("-inf")
+        # Peers that know the messages of rollouts; earlier builds end the stream of a
+        # peer that sends them.
+        self.rollout_peers: set[str] = set()
         membership.network.set_direct_handler(ReplicaPull, self._handle_pull)
         membership.network.set_direct_handler(ReplicaCopy, self._handle_push)
         membership.network.set_direct_handler(RecordPatch, self._handle_patch)
@@ -121,7 +125,7 @@
         """Keep the replicas of all kinds current until cancelled."""
         await self._pull_from_seeds()
         async with trio.open_nursery() as self._nursery:
-            for kind in KINDS:
+            for kind in self._state.replicas_by_kind:
                 self._nursery.start_soon(self._follow, kind)
             self._nursery.start_soon(self._pull_configuration)
 
@@ -143,7 +147,7 @@
                 await trio.sleep(SEED_RETRY_INTERVAL)
 
     def _has_replicas(self) -> bool:
-        return all(r.revision for r in self._state.replicas_by_kind.values())
+        return all(self._state.replicas_by_kind[kind].revision for kind in KINDS)
 
     async def _pull_configuration(self) -> None:
         """Pull from the seeds until a configuration is known."""
@@ -420,6 +424,10 @@
         The heartbeat was sent after ``sent_after`` on this instance's clock.
         """
         now = self._clock()
+        if any(fields[0] == ROLLOUTS for fields in heartbeat.proofs):
+            self.rollout_peers.add(peer)
+        else:
+            self.rollout_peers.discard(peer)
         for fields in heartbeat.proofs:
             confirmation = ReplicaConfirmation(*fields)
             replica = self._state.replicas_by_kind.get(confirmation.kind)
@@ -490,6 +498,7 @@
         self._membership.network.set_address(address, address)
         try:
             if await self._pull(address, CONFIGURATION):
+                # A seed of an earlier build fails on a pull of another kind.
                 for kind in KINDS:
                     if kind != CONFIGURATION:
                         await self._pull(address, kind)
@@ -497,7 +506,9 @@
             self._membership.network.remove_peer(address)
 
     def _handle_pull(self, pull: ReplicaPull, link: PeerLink, reply: Reply) -> None:
-        replica = self._state.replicas_by_kind[pull.kind]
+        replica = self._state.replicas_by_kind.get(pull.kind)
+        if replica is None:
+            return reply(ReplicaCopy(pull.kind, 0, 0, 1e6, _pack(())))
         objects = _pack(replica.by_name.values())
         age = max(0.0, self._state.confirmation_age(pull.kind))
         reply(ReplicaCopy(pull.kind, 0, replica.revision, min(age, 1e6), objects))
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -47,6 +47,7 @@
 from .clock import lease_clock, sleep_until_next
 from .membership import Membership
 from .ports import CONFIGURATION, DEPARTURES, DispatchBounds, TargetControlPort
+from .rollouts import ANY_VERSION, VersionUse
 from .state import RoutingState
 
 __all__ = ["Slot", "SlotClient", "SlotService"]
@@ -403,6 +404,9 @@
             deadline_at=now + request.time_left,
             data_centre=request.data_centre,
             route=request.route,
+            version=request.version,
+            excluded_versions=frozenset(request.excluded_versions),
+            targets=frozenset(request.targets),
         )
 
         self._enqueue(queued, _Requester(request.service, reply, now, link))
@@ -467,7 +471,7 @@
         self._failed_at_by_peer: dict[str, float] = {}
         self._delays_by_instance: dict[str, AnswerDelay] = {}
         # Routes differ in how long their requests take, so a refusal holds for one.
-        self._refusals_by_queue_and_route: dict[tuple[str, str], _CachedRefusal] = {}
+        self._refusals_by_queue_and_route: dict[tuple, _CachedRefusal] = {}
 
     def _next_id(self) -> str:
         self._number += 1
@@ -484,13 +488,14 @@
         soft_deadline_at: float,
         deadline_at: float,
         route: str = "",
+        use: VersionUse = ANY_VERSION,
     ) -> Slot | SlotRefusal:
-        """Wait for a slot at a target, or at any if ``target`` is empty.
+        """Wait for a slot at a target, or at any that ``use`` admits if it is empty.
 
         The caller cancels the wait at ``deadline_at``.
         """
-        queue_name = f"{service}/{target}"
-        cached = self._refusals_by_queue_and_route.get((queue_name, route))
+        cache_key = (f"{service}/{target}", route, use.key)
+        cached = self._refusals_by_queue_and_route.get(cache_key)
         if cached and cached.applies(priority, deadline_at, trio.current_time()):
             return cached.refusal
         queued = QueuedRequest(
@@ -502,15 +507,18 @@
             deadline_at=deadline_at,
             data_centre=self._data_centre,
             route=route,
+            version=use.version,
+            excluded_versions=use.excluded_versions,
+            targets=use.targets,
         )
         answer = await self._acquire(service, queued)
         if isinstance(answer, SlotRefusal):
             expires_at = trio.current_time() + REFUSAL_CACHE_TTL
             refusal = _CachedRefusal(answer, expires_at, priority, deadline_at)
-            self._cache_refusal((queue_name, route), refusal)
+            self._cache_refusal(cache_key, refusal)
         return answer
 
-    def _cache_refusal(self, key: tuple[str, str], refusal: _CachedRefusal) -> None:
+    def _cache_refusal(self, key: tuple, refusal: _CachedRefusal) -> None:
         if self.cached_refusal_count >= MAX_CACHED_REFUSALS:
             now = trio.current_time()
             self._refusals_by_queue_and_route = {
@@ -645,6 +653,9 @@
             time_left=queued.deadline_at - now,
             data_centre=queued.data_centre,
             route=queued.route,
+            version=queued.version,
+            excluded_versions=sorted(queued.excluded_versions),
+            targets=sorted(queued.targets),
         )
         answer = await self._request_from_peer(peer, request)
         return self._slot(service, answer, peer, asked_at)
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -14,6 +14,7 @@
     make_revision,
     number_of,
 )
+from fireflystand_core.rollouts import RolloutOrder, RolloutRecord
 from fireflystand_core.traffic import RoutingTable, TargetRecord
 
 from ..events import (
@@ -35,6 +36,7 @@
     INSTANCES,
     KINDS,
     RANGES,
+    ROLLOUT_KINDS,
     TARGETS,
     ReadTable,
     ReadTarget,
@@ -101,8 +103,11 @@
         read_table: ReadTable,
         read_target: ReadTarget,
         clock: Callable[[], float] = lease_clock,
+        *,
+        follows_rollouts: bool = False,
     ) -> None:
-        self.replicas_by_kind = {kind: KindReplica(kind) for kind in KINDS}
+        kinds = KINDS + ROLLOUT_KINDS if follows_rollouts else KINDS
+        self.replicas_by_kind = {kind: KindReplica(kind) for kind in kinds}
         self.table: RoutingTable | None = None
         self.table_applied_at = float("-inf")  # seconds
         self._first_routes: frozenset[str] = frozenset()
@@ -115,6 +120,8 @@
         self.records_by_service: dict[str, RangeRecord] = {}
         self._record_values_by_service: dict[str, dict] = {}  # their stored forms
         self.instances_by_id: dict[str, InstanceRecord] = {}
+        self.orders_by_service: dict[str, RolloutOrder] = {}
+        self.rollouts_by_service: dict[str, RolloutRecord] = {}
         self.frozen: list[FrozenRange] = []
         self.changed = trio.Event()
         self.listeners: list[Callable[[str], None]] = []  # called with the kind
@@ -683,6 +690,33 @@
         record.check()
         self.instances_by_id[change.name] = record
 
+    def _decode_rollouts(self, change: ObjectChange) -> None:
+        if change.value is None:
+            self.orders_by_service.pop(change.name, None)
+            return
+        order = RolloutOrder(**change.value)
+        order.check()
+        if order.service != change.name:
+            raise ValueError("the order is not named after its service")
+        self.orders_by_service[change.name] = order
+
+    def _decode_rollout_records(self, change: ObjectChange) -> None:
+        if change.value is None:
+            self.rollouts_by_service.pop(change.name, None)
+            return
+        record = RolloutRecord.from_value(change.value)
+        if record.service != change.name:
+            raise ValueError("the record is not named after its service")
+        known = self.rollouts_by_service.get(change.name)
+        if known is not None and not record.is_newer_than(known):
+            return
+        self.rollouts_by_service[change.name] = record
+
+    def version_of(self, kind: str, name: str) -> int:
+        """Return the version of an object in the store; its number is 0 if none is."""
+        known = self.replicas_by_kind[kind].by_name.get(name)
+        return 0 if known is None else known.version
+
     @property
     def registered_share(self) -> float:
         """Return one instance's part of the registered ones; 0 until they are known.
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -62,6 +62,8 @@
         self.history: list[tuple[str, ObjectChange]] = []
         self.down = False
         self.calls: Counter[str] = Counter()
+        self.statuses: list[tuple[str, str, str]] = []  # as written
+        self.lost_responses_by_kind: Counter[str] = Counter()  # of writes to come
         self._history_begins_at = 0
         self._changed = trio.Event()
 
@@ -146,7 +148,27 @@
             version = 0  # the store has no such object
         if version is not None and version != stored:
             raise StoreConflictError("object has another version", step="put")
-        return self.write(kind, name, value)
+        written = self.write(kind, name, value)
+        self._lose_response(kind)
+        return written
+
+    def _lose_response(self, kind: str) -> None:
+        if self.lost_responses_by_kind[kind] > 0:
+            self.lost_responses_by_kind[kind] -= 1
+            raise StoreUnavailableError("response was lost", step="put")
+
+    async def put_status(self, kind, name, status, version):
+        self.calls[f"put status {kind}"] += 1
+        await trio.sleep(0.002)
+        self._check()
+        known = self.objects.get(kind, {}).get(name)
+        if known is None or known.version != version:
+            raise StoreConflictError("object has another version", step="put status")
+        self.statuses.append((name, status["state"], status["to"]))
+        stated = {"state": status["state"], "state_to": status["to"]}
+        written = self.write(kind, name, known.value | stated)
+        self._lose_response(kind)
+        return written
 
     async def delete(self, kind, name, version):
         self._check()
@@ -264,11 +286,17 @@
         self.bounds = DispatchBounds()
         self.caller_options = CallerOptions()
         self.target_fields = TargetFields()
+        self.follows_rollouts = False
 
     async def add_target(
-        self, service: str = "keyed", *, target: HttpTarget | None = None, **fields
+        self,
+        service: str = "keyed",
+        *,
+        target: HttpTarget | None = None,
+        version: str = "",
+        **fields,
     ) -> HttpTarget:
-        """Start a target and write its record."""
+        """Start a target of a program version and write its record."""
         target = target or HttpTarget(**fields)
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
@@ -281,6 +309,8 @@
             "data_centre": "x",
             "slots": 4,
         }
+        if version:
+            record["software"] = version
         self.store.write(TARGETS, name, record)
         return target
 
@@ -298,6 +328,7 @@
             caller_options=self.caller_options,
             target_fields=self.target_fields,
             is_first_start=True,
+            follows_rollouts=self.follows_rollouts,
         )
         control = SharedControl()
         node = DispatchNode(settings, self.store, control, self.read_table, read_record)
