Report a rollback until the record shows it

A rollback is announced before it is written. An instance reported nothing once its own phase was final, so a decider that took over after the first one was lost between the two heard silence and completed the bad version with "0 responses".

Instances now report until the record says how the order ended. A decider in the cutover that has seen no response and hears no instance but its own rolls back.

make unit ONLY=test_rollout_client, ONLY=test_decider: 20 and 39 passed; before the fix test_rollback_is_reported_until_it_is_recorded and test_new_decider_that_hears_no_other_instance failed.

--- a/packages/core/src/fireflystand_core/rollouts/decider.py
+++ b/packages/core/src/fireflystand_core/rollouts/decider.py
@@ -164,7 +164,7 @@
             return self._tick_ramp(now)
         instances = {*live_instances, *registered_instances}
         if keys_moved and self._has_left_old_version(instances, now):
-            return self._tick_cutover(now)
+            return self._tick_cutover(instances, now)
         return None
 
     def trial_targets(
@@ -237,7 +237,7 @@
             return None
         return self._step(Phase.CUTOVER, verdict.reason)
 
-    def _tick_cutover(self, now: float) -> Advance | None:
+    def _tick_cutover(self, instances: Collection[str], now: float) -> Advance | None:
         """Complete the rollout, which has left the old version everywhere.
 
         After the deadline the judgement that led to the cutover suffices if there are
@@ -248,9 +248,24 @@
             return None
         is_seen = self._step_responses >= MIN_STEP_RESPONSES
         late_at = self.deadline_at + (MAX_DOUBT if is_seen else 0.0)
-        if (is_seen and verdict.is_good) or now >= late_at:
+        if is_seen and verdict.is_good:
             return self._step(Phase.COMPLETED, verdict.reason)
-        return None
+        if now < late_at:
+            return None
+        if self._is_uninformed(instances, now):
+            return self._lack_evidence(verdict)
+        return self._step(Phase.COMPLETED, verdict.reason)
+
+    def _is_uninformed(self, instances: Collection[str], now: float) -> bool:
+        """Tell whether this decider has seen no response and hears no other instance.
+
+        An earlier decider may then have announced a rollback that it did not write.
+        The reports of the decider's own instance always arrive.
+        """
+        if self.comparison.new_requests:
+            return False
+        heard = sum(not self._is_silent(name, now) for name in instances)
+        return heard <= 1 < len(instances) or not heard
 
     def _cutover_duration(self) -> float:
         """Return how long the new version has all traffic before that is final.
--- a/packages/core/src/fireflystand_core/rollouts/tests/test_decider.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/test_decider.py
@@ -320,6 +320,22 @@
         silent = INSTANCES
         self.assert_step(self.play(30.0, silent=silent), Phase.COMPLETED, DURATION)
 
+    def test_new_decider_that_hears_no_other_instance(self):
+        # An earlier decider may have announced a rollback and been lost.
+        for silent in (INSTANCES, INSTANCES[1:]):
+            with self.subTest(silent):
+                self.setUp()
+                self.to_cutover()
+                self.replace(Phase.CUTOVER)
+                step = self.play(30.0, silent=silent, new=0, old=0)
+                self.assert_step(step, Phase.ROLLED_BACK, DURATION)
+
+    def test_new_decider_of_a_service_without_requests(self):
+        self.to_cutover()
+        self.replace(Phase.CUTOVER)
+        step = self.play(30.0, new=0, old=0)
+        self.assert_step(step, Phase.COMPLETED, DURATION)
+
 
 class TargetTests(unittest.TestCase):
     """Guard against a trial at idle targets, or at cold ones that cannot take it."""
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -372,9 +372,18 @@
                 self._first_revision = number_of(revision)
             for service, rollout in list(self.rollouts_by_service.items()):
                 self._log_phase(rollout)
-                if not rollout.gate.phase.is_final:
+                if not self._is_end_recorded(rollout.order):
                     self._send_report(service, rollout)
 
+    def _is_end_recorded(self, order: RolloutOrder) -> bool:
+        """Tell whether the record says how an order ended.
+
+        A rollback that was announced and not written is known from reports only, and
+        so is an end that a restored store has lost.
+        """
+        record = self._state.rollouts_by_service.get(order.service)
+        return record is not None and record.order == order.id and record.phase.is_final
+
     def _send_report(self, service: str, rollout: ServiceRollout) -> None:
         samples, rollout.samples = rollout.samples, []
         report = RolloutReport(
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -26,7 +26,7 @@
     TARGETS,
     DispatchBounds,
 )
-from ..rollouts import ANY_VERSION, RolloutClient
+from ..rollouts import ANY_VERSION, REPORT_INTERVAL, RolloutClient
 from ..state import RoutingState
 
 SERVICE = "pooled"
@@ -276,6 +276,29 @@
 
         self.play(scenario)
 
+    def test_rollback_is_reported_until_it_is_recorded(self):
+        """The next decider would complete the version without being told."""
+
+        async def main():
+            sender = Sender()
+            sender.add_target("a1", OLD)
+            self.begin(sender)
+            sender.record(Phase.CUTOVER)
+            sender.lease(Phase.CUTOVER, 1.0)
+            sender.lease(Phase.ROLLED_BACK, 0.0)
+            reports = []
+            sender.client.on_own_report = lambda _, report: reports.append(report)
+            with trio.move_on_after(3 * REPORT_INTERVAL):
+                await sender.client.run()
+            self.assertIn("rolled_back", {report.phase for report in reports})
+            sender.record(Phase.ROLLED_BACK)
+            reports.clear()
+            with trio.move_on_after(3 * REPORT_INTERVAL):
+                await sender.client.run()
+            self.assertEqual(reports, [])
+
+        trio.run(main)
+
     def test_replicas_that_are_not_confirmed_end_both_versions(self):
         def scenario(sender):
             self.begin(sender)
