Send leases in the cutover while the store is away

The decider stopped its leases once its replica of the records was unconfirmed for 3 s. In the cutover the gate allows no old version, and without a lease no new one either, so that the service was refused entirely until the store returned.

In the cutover leases now go on; before it, they still stop.

--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -360,13 +360,19 @@
         while True:
             await sleep_until_next(LEASE_INTERVAL)
             rollout = self._client.rollouts_by_service.get(self.service)
-            if self._decider is None or rollout is None or not self._is_confirmed():
+            if self._decider is None or rollout is None or not self._may_lease():
                 continue
             if self._holds_claim(rollout.order):
                 self._announce(rollout)
 
-    def _is_confirmed(self) -> bool:
-        """Tell whether no other process can have taken the claim for long."""
+    def _may_lease(self) -> bool:
+        """Tell whether no other process can have taken the claim for long.
+
+        In the cutover the service has no version but the new one, so that the leases
+        go on while the store is away. A later claim has a higher epoch.
+        """
+        if self._decider.lease_phase is Phase.CUTOVER:
+            return True
         age = self._state.confirmation_age(ROLLOUT_RECORDS)
         return age <= MAX_CONFIRMATION_AGE
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -53,6 +53,7 @@
     def __init__(self, *, follows: bool = True) -> None:
         self.now = 100.0
         self.revision = 1
+        self.peers = Peers()
         table = RoutingTable(1, [], [ServicePolicy(SERVICE)], [], EntryLimits())
         self.state = RoutingState(
             lambda value: table,
@@ -62,7 +63,7 @@
         )
         self.client = RolloutClient(
             self.state,
-            Peers(),
+            self.peers,
             DispatchBounds(),
             Random(1),
             Metrics(),
