Complete orders for the version in use at once

An order for the version that all targets run began a trial: all targets counted as new, got the budget's share only, and none was usable after the rollback.

If the service has completed a move to the version, or has no target of another one but those of orders that ended without success, the gate is completed before any record of the order, and the decider claims the end directly. If there are targets of an order that was replaced, it waits until no instance can use them.

--- a/packages/core/src/fireflystand_core/rollouts/gate.py
+++ b/packages/core/src/fireflystand_core/rollouts/gate.py
@@ -141,6 +141,14 @@
         elif self._phase is Phase.TRIAL:
             self.budget.set_share(min(share, self.policy.trial_share))
 
+    def note_in_use(self) -> None:
+        """Apply that the version was in use before anything was told of the order.
+
+        There is no old version that could serve during a trial.
+        """
+        if self._phase is Phase.TRIAL and not self.epoch:
+            self._advance(Phase.COMPLETED)
+
     def withdraw(self) -> None:
         """Apply that the order was withdrawn or replaced by another."""
         self.is_withdrawn = True
--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -41,7 +41,7 @@
 from .ports import ROLLOUT_RECORDS, ROLLOUTS, StorePort
 from .replicas import ReplicaSync
 from .restoration import MALFORMED
-from .rollouts import RolloutClient, ServiceRollout
+from .rollouts import IN_USE, RolloutClient, ServiceRollout
 from .state import RoutingState
 
 __all__ = ["RolloutCoordinator", "ServiceDecisions"]
@@ -158,9 +158,12 @@
         As the store returns, the instances learn one by one that the others reach it.
         """
         known = self._state.rollouts_by_service.get(self.service)
-        if known is None or known.order != rollout.order.id:
-            return True
         now = self._clock()
+        if known is None or known.order != rollout.order.id:
+            # Other targets are stopped at the end, as those of an order before this.
+            is_end = rollout.gate.phase is Phase.COMPLETED
+            wait = self._longest_use() if is_end and self._has_others(rollout) else 0.0
+            return now - rollout.begun_at >= wait
         delay, since = CLAIM_DELAY, self._first_since
         if self._may_act(known):
             if self._membership.reaches_store(known.holder):
@@ -169,6 +172,17 @@
                 delay = LIVE_CLAIM_DELAY
         return now - since >= delay
 
+    def _has_others(self, rollout: ServiceRollout) -> bool:
+        return any(
+            target.software != rollout.order.to
+            for target in self._state.targets_by_id.values()
+            if target.service == self.service
+        )
+
+    def _longest_use(self) -> float:
+        """Return how long an instance may use a version that an order has ended."""
+        return MAX_CONFIRMATION_AGE + self._longest_time_limit()
+
     def _may_act(self, record: RolloutRecord) -> bool:
         """Tell whether another process holds a record and is live."""
         holder, incarnation = record.holder, record.holder_incarnation
@@ -200,7 +214,10 @@
             return
         if known is None or known.order != order.id:
             epoch = known.epoch if known else 0
-            record = RolloutRecord(self.service, order.id, order.to, phase, epoch)
+            reason = IN_USE if phase is Phase.COMPLETED else ""
+            record = RolloutRecord(
+                self.service, order.id, order.to, phase, epoch, reason=reason
+            )
         elif phase.follows(known.phase):
             record = known.advance(phase, known.reason)
         else:
@@ -449,6 +466,8 @@
         if order is None or record is None or record.order != order.id:
             return None
         state = record.phase.value if record.phase.is_final else "serving"
+        if record.reason == IN_USE and order.state_to != order.to:
+            state = "serving"  # each order begins with it
         if (order.state, order.state_to) == (state, order.to):
             return None
         return {"state": state, "to": order.to}
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -51,7 +51,7 @@
 )
 from .state import RoutingState
 
-__all__ = ["ANY_VERSION", "RolloutClient", "ServiceRollout", "VersionUse"]
+__all__ = ["ANY_VERSION", "IN_USE", "RolloutClient", "ServiceRollout", "VersionUse"]
 
 REPORT_INTERVAL = 0.25  # seconds
 # The deciding instance needs some tens of samples a second; at this number a report
@@ -61,6 +61,7 @@
 # load of keys varies.
 KEYS_SHARE_MARGIN = 0.8
 MAX_KEYS_SHARE = 0.25  # of a service's work
+IN_USE = "version is in use already"  # reason for the end of an order
 TRIAL_PART = 0.7  # of an order's duration, in which a version is judged
 PHASES_BY_VALUE = {phase.value: phase for phase in Phase}  # a later build has others
 # As the metric shows them.
@@ -102,6 +103,7 @@
 
     order: RolloutOrder
     gate: VersionGate
+    begun_at: float  # when this instance saw the order
     holder: str = ""  # instance that sent the last lease
     heard_at: float = float("-inf")  # when that arrived
     trial_targets: frozenset[str] = frozenset()
@@ -413,6 +415,8 @@
             self._apply_records()
         if kind in (ROLLOUTS, TARGETS):
             self._held.note_change()
+        if kind in (ROLLOUTS, ROLLOUT_RECORDS, CONFIGURATION, TARGETS):
+            self._note_versions_in_use()
 
     def _apply_orders(self) -> None:
         orders = self._state.orders_by_service
@@ -456,7 +460,7 @@
             instance_share=self._state.registered_share,
             random_phase=self._random.random(),
         )
-        rollout = ServiceRollout(order, gate, logged_phase=gate.phase)
+        rollout = ServiceRollout(order, gate, self._clock(), logged_phase=gate.phase)
         self.rollouts_by_service[order.service] = rollout
         self._banned_by_service.get(order.service, set()).discard(order.to)
         emit(
@@ -498,6 +502,29 @@
             elif rollout is None or rollout.order.to != record.to:
                 self._ban(service, record.to)
 
+    def _note_versions_in_use(self) -> None:
+        for rollout in list(self.rollouts_by_service.values()):
+            if self._is_in_use(rollout.order):
+                rollout.gate.note_in_use()
+                self._log_phase(rollout, IN_USE)
+
+    def _is_in_use(self, order: RolloutOrder) -> bool:
+        """Tell whether an order names the version that the service uses already."""
+        targets = [
+            target
+            for target in self._state.targets_by_id.values()
+            if target.service == order.service and not target.leaving
+        ]
+        if not any(target.software == order.to for target in targets):
+            return False
+        record = self._state.rollouts_by_service.get(order.service)
+        if record is not None and record.to == order.to:
+            if record.phase is Phase.COMPLETED:
+                return True
+        # Versions of earlier orders that ended without success are not in use.
+        unused = self._banned_by_service.get(order.service, ())
+        return all(t.software == order.to or t.software in unused for t in targets)
+
     def _handle_lease(self, lease: RolloutLease, link: PeerLink, reply: Reply) -> None:
         self.apply_lease(lease, link.hello.instance)
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -350,6 +350,75 @@
         self.play(scenario)
 
 
+class VersionInUseTests(SenderTests):
+    """Guard against an order that shuts a service down for which nothing changes."""
+
+    def assert_serves(self, sender, *targets: str) -> None:
+        """Check that each request may use the targets, and no others."""
+        latest = sender.state.latest_records_by_target
+        for _ in range(200):
+            use = sender.client.choose(SERVICE, "")
+            self.assertIsNotNone(use)
+            usable = {
+                name
+                for name, record in latest.items()
+                if use.version in ("", record.software)
+                and record.software not in use.excluded_versions
+                and sender.client.may_use(use, name)
+            }
+            self.assertEqual(usable, set(targets))
+            sender.client.finish(use, sent=True, is_first=True)
+
+    def test_only_version(self):
+        def scenario(sender):
+            sender.order(OLD)
+            self.assert_serves(sender, "a1", "a2")
+            self.assertIs(sender.client.phase(SERVICE), Phase.COMPLETED)
+
+        self.play(scenario)
+
+    def test_version_of_a_completed_order(self):
+        def scenario(sender):
+            sender.order()
+            sender.add_target("b1", NEW)
+            sender.record(Phase.COMPLETED)
+            sender.order()
+            self.assert_serves(sender, "b1")
+
+        self.play(scenario)
+
+    def test_return_from_a_version_on_trial(self):
+        def scenario(sender):
+            sender.order()
+            sender.add_target("b1", NEW)
+            sender.lease()
+            sender.order(OLD)
+            self.assert_serves(sender, "a1", "a2")
+
+        self.play(scenario)
+
+    def test_completed_version_that_has_no_targets_any_more(self):
+        def scenario(sender):
+            sender.record(Phase.COMPLETED)
+            sender.order()
+            self.assert_serves(sender, "a1", "a2")
+
+        self.play(scenario)
+
+    def test_targets_that_are_lost_in_a_trial(self):
+        """The version under test would take over without a judgement."""
+
+        def scenario(sender):
+            sender.order()
+            sender.add_target("b1", NEW)
+            sender.record(Phase.TRIAL)
+            for name in ("a1", "a2"):
+                sender.write(TARGETS, name, None)
+            self.assertIs(sender.client.phase(SERVICE), Phase.TRIAL)
+
+        self.play(scenario)
+
+
 class OrderTests(SenderTests):
     """Guard against versions of earlier orders that go on getting requests."""
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_decisions.py
@@ -8,7 +8,7 @@
 
 from fireflystand_core.exceptions import StoreConflictError
 from fireflystand_core.replica import ObjectChange
-from fireflystand_core.rollouts import Phase
+from fireflystand_core.rollouts import MAX_CONFIRMATION_AGE, Phase
 
 from ..rollout_decisions import LEASE_INTERVAL, ServiceDecisions
 from .test_rollout_client import NEW, OLD, SERVICE, Sender
@@ -20,7 +20,7 @@
     def __init__(self, sender: Sender) -> None:
         self.sender = sender
         self.objects: dict[tuple[str, str], ObjectChange] = {}
-        self.statuses: list[dict] = []
+        self.statuses: list[str] = []
 
     async def put(self, kind: str, name: str, value, version: int) -> int:
         """Write an object if it has a version."""
@@ -34,7 +34,17 @@
 
     async def put_status(self, kind: str, name: str, status: dict, version: int):
         """Note a status."""
-        self.statuses.append(status)
+        self.statuses.append(status["state"])
+        order = self.sender.state.orders_by_service[name]
+        value = {
+            "service": name,
+            "to": order.to,
+            "duration": order.duration,
+            "created": order.created,
+            "state": status["state"],
+            "state_to": status["to"],
+        }
+        self.sender.write(kind, name, value)
 
     async def get(self, kind: str, name: str) -> ObjectChange | None:
         """Return an object."""
@@ -107,5 +117,40 @@
             self.assertNotIn(NEW, self.versions_in_an_outage(phase))
 
 
+class VersionInUseTests(DecisionTests):
+    """Guard against an order that shuts a service down for which nothing changes."""
+
+    def test_order_is_completed_at_once(self):
+        async def scenario(sender, store, decisions):
+            sender.order(OLD)
+            await decisions._act()
+            record = sender.state.rollouts_by_service[SERVICE]
+            self.assertIs(record.phase, Phase.COMPLETED)
+            with trio.move_on_after(1.0):
+                await decisions._write_statuses()
+            self.assertEqual(store.statuses, ["serving", "completed"])
+            await decisions._act()
+            self.assertEqual({sender.send() for _ in range(200)}, {OLD})
+
+        self.play(scenario)
+
+    def test_requests_at_the_targets_of_the_order_before_end_first(self):
+        async def scenario(sender, store, decisions):
+            sender.order()
+            sender.add_target("b1", NEW)
+            await self.claim(sender, decisions)
+            sender.order(OLD)
+            await decisions._act()
+            record = sender.state.rollouts_by_service[SERVICE]
+            self.assertFalse(record.phase.is_final)
+            sender.now += MAX_CONFIRMATION_AGE + 0.1
+            sender.confirm()
+            await decisions._act()
+            record = sender.state.rollouts_by_service[SERVICE]
+            self.assertEqual((record.phase, record.to), (Phase.COMPLETED, OLD))
+
+        self.play(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
