Try each selection of targets once per freed slot

While an order is in force, a request may be stuck behind one that waits for the other version, so the queue looks at all of them.

A selection (version, excluded versions, targets, and the instance while targets pause) that found no slot is not tried again in the same dispatch, and the search ends when all have failed.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -331,10 +331,17 @@
         decisions: list[Decision] = []
         if not queue:
             return decisions
+        # Hundreds of requests wait for the same few versions; no slot is freed here.
+        may_fit: set[tuple] = set()
+        if self._must_scan:
+            may_fit = {self._selection(request) for request in queue.values()}
         for request in self._by_urgency(queue, target, now):
+            if self._must_scan and self._selection(request) not in may_fit:
+                continue
             slots = self._choose_target(request, now)
             if slots is None:
-                if not self._must_scan:
+                may_fit.discard(self._selection(request))
+                if not may_fit or not self._must_scan:
                     break
                 continue
             del queue[request.id]
@@ -345,6 +352,12 @@
                 decisions.append(self._grant(request, slots, now))
         return decisions
 
+    def _selection(self, request: QueuedRequest) -> tuple:
+        """Return what decides which targets may run a request at a moment."""
+        instance = request.instance if self._has_pauses else ""
+        versions = request.version, request.excluded_versions, request.targets
+        return *versions, instance
+
     def _by_urgency(
         self, queue: dict[str, QueuedRequest], target: str, now: float
     ) -> Iterable[QueuedRequest]:
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_version_filter.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_version_filter.py
@@ -1,6 +1,7 @@
 """Test requests that only targets of one program version may run."""
 
 import unittest
+from unittest import mock
 
 from ...traffic import TargetRecord
 from ..admission_queue import (
@@ -64,6 +65,29 @@
         freed = self.queue.release(SlotResult(number, 0.1), 0.2)
         self.assertEqual(self.granted(freed), [("3", "a1")])
 
+    def test_requests_of_a_full_version_are_tried_once(self):
+        """Each release took 68 ms with 200 requests in the queue."""
+        self.submit("1", version="a")
+        decisions = self.queue.submit(request("2", version="b"), 0.0)
+        for number in range(200):
+            self.submit(f"w{number}", version="a")
+        with mock.patch.object(
+            self.queue, "_choose_target", wraps=self.queue._choose_target
+        ) as choose:
+            freed = self.queue.release(SlotResult(decisions[0].number, 0.1), 0.2)
+        self.assertEqual(self.granted(freed), [])
+        self.assertLessEqual(choose.call_count, 2)
+
+    def test_request_behind_those_of_a_full_version_gets_the_freed_slot(self):
+        self.submit("1", version="a")
+        decisions = self.queue.submit(request("2", version="b"), 0.0)
+        self.submit("3", version="b")
+        for number in range(50):
+            self.submit(f"w{number}", version="a")
+        self.submit("4", version="b")
+        freed = self.queue.release(SlotResult(decisions[0].number, 0.1), 0.2)
+        self.assertEqual([name for name, _ in self.granted(freed)], ["4"])
+
 
 if __name__ == "__main__":
     unittest.main()
