Check how recent a replica is before ending a rollout

The record and the order are read by separate watches. A record that came first looked like that of a withdrawn order and was rolled back, and could be replaced by a claim for the order before it. With a record that lagged, "serving" was written over a final status.

The decider now waits until its replica of the orders is as recent as the record, and writes no "serving" once the service's gate is final.

--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -160,6 +160,8 @@
         known = self._state.rollouts_by_service.get(self.service)
         now = self._clock()
         if known is None or known.order != rollout.order.id:
+            if known is not None and not self._knows_orders_of(known):
+                return False  # the record may be of a later order
             # Other targets are stopped at the end, as those of an order before this.
             is_end = rollout.gate.phase is Phase.COMPLETED
             wait = self._longest_use() if is_end and self._has_others(rollout) else 0.0
@@ -312,11 +314,22 @@
             return
         if self.service in self._state.orders_by_service:
             return
+        if not self._knows_orders_of(known):
+            return
         record = known.claim(self._membership.own_id, self._membership.incarnation)
         record = record.advance(Phase.ROLLED_BACK, WITHDRAWN)
         version = self._state.version_of(ROLLOUT_RECORDS, self.service)
         await self._write(record, version, WITHDRAWN)
 
+    def _knows_orders_of(self, record: RolloutRecord) -> bool:
+        """Tell whether the replica of the orders is as recent as a record.
+
+        The store has one counter of revisions, and the record was written after its
+        order.
+        """
+        written = self._state.version_of(ROLLOUT_RECORDS, self.service)
+        return self._state.replicas_by_kind[ROLLOUTS].revision >= written
+
     async def _write(self, record: RolloutRecord, version: int, what: str) -> bool:
         """Write the record if the store has ``version``; tell whether it did."""
         try:
@@ -465,6 +478,9 @@
         record = self._state.rollouts_by_service.get(self.service)
         if order is None or record is None or record.order != order.id:
             return None
+        rollout = self._client.rollouts_by_service.get(self.service)
+        if not record.phase.is_final and rollout and rollout.gate.phase.is_final:
+            return None  # the record has been lost, or this replica of it is behind
         state = record.phase.value if record.phase.is_final else "serving"
         if record.reason == IN_USE and order.state_to != order.to:
             state = "serving"  # each order begins with it
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -112,7 +112,12 @@
             "duration": DURATION,
             "created": self.revision + 1,
         }
-        self.write(ROLLOUTS, SERVICE, value | status)
+        self.value = value
+        self.order_again(**status)
+
+    def order_again(self, **status) -> None:
+        """Write the latest order with a status."""
+        self.write(ROLLOUTS, SERVICE, self.value | status)
         self.confirm()
 
     def lease(self, phase: Phase = Phase.TRIAL, share: float = 0.05) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_decisions.py
@@ -8,8 +8,9 @@
 
 from fireflystand_core.exceptions import StoreConflictError
 from fireflystand_core.replica import ObjectChange
-from fireflystand_core.rollouts import MAX_CONFIRMATION_AGE, Phase
+from fireflystand_core.rollouts import MAX_CONFIRMATION_AGE, Phase, RolloutRecord
 
+from ..ports import ROLLOUT_RECORDS
 from ..rollout_decisions import LEASE_INTERVAL, ServiceDecisions
 from .test_rollout_client import NEW, OLD, SERVICE, Sender
 
@@ -152,5 +153,50 @@
         self.play(scenario)
 
 
+class LaggingReplicaTests(DecisionTests):
+    """Guard against steps that what the other replica holds does not allow."""
+
+    def test_serving_is_not_written_over_the_end(self):
+        async def scenario(sender, store, decisions):
+            sender.order()
+            sender.add_target("b1", NEW)
+            sender.record(Phase.CUTOVER)
+            await self.claim(sender, decisions)
+            sender.order_again(state="completed", state_to=NEW)
+            self.assertIsNone(decisions._due_status())
+            sender.order_again(state="", state_to="")
+            self.assertIsNone(decisions._due_status())
+
+        self.play(scenario)
+
+    def test_record_that_came_before_its_order(self):
+        async def scenario(sender, store, decisions):
+            record = RolloutRecord(SERVICE, "later order", NEW, Phase.TRIAL, epoch=7)
+            sender.write(ROLLOUT_RECORDS, SERVICE, record.to_value())
+            for _ in range(2):
+                await decisions._act()
+                sender.now += 1.0
+            self.assertEqual(store.objects, {})
+            sender.confirm()
+            await decisions._act()
+            ((_, change),) = store.objects.items()
+            self.assertEqual(change.value["phase"], "rolled_back")
+
+        self.play(scenario)
+
+    def test_record_that_came_before_the_order_that_replaces_one(self):
+        async def scenario(sender, store, decisions):
+            sender.order()
+            record = RolloutRecord(SERVICE, "later order", "9", Phase.TRIAL, epoch=7)
+            sender.write(ROLLOUT_RECORDS, SERVICE, record.to_value())
+            await decisions._act()
+            self.assertEqual(store.objects, {})
+            sender.confirm()
+            await decisions._act()
+            self.assertTrue(decisions.is_decider)
+
+        self.play(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
