Place more keys at the new version as its share grows

Keys with 9% of a keyed service's work were placed once, in the trial. At 47 requests a second each step of the ramp then waited 3 s for its responses, and a good version did not complete before the deadline. RolloutDecider.placed_share was not used.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -257,7 +257,8 @@
     ``order`` identifies the order, ``phase`` is that of the rollout and ``epoch`` the
     number of the sender's claim. ``share`` is the part of the requests that the new
     version gets, ``remaining`` the seconds to the deadline of the order. ``targets``
-    are those of the new version to use, empty for all.
+    are those of the new version to use, empty for all. ``placed_share`` is the part of
+    a keyed service's work to give to the new version; earlier builds do not tell.
     """
 
     service: str
@@ -268,6 +269,7 @@
     remaining: float
     targets: list[str] = attrs.field(factory=list)
     holder: str = ""
+    placed_share: float = 0.0
 
 
 @message("rollout-report")
--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -420,6 +420,7 @@
             share=decider.share(now),
             remaining=decider.remaining(now),
             targets=self._trial_targets(rollout.order, decider, now),
+            placed_share=decider.placed_share(now, self._rate.value()),
         )
         self._client.apply_lease(lease, self._membership.own_id)
         for peer in self._membership.live:
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -107,6 +107,7 @@
     holder: str = ""  # instance that sent the last lease
     heard_at: float = float("-inf")  # when that arrived
     trial_targets: frozenset[str] = frozenset()
+    placed_share: float = 0.0  # of a keyed service's work; 0 if it is not told
     samples: list[list[Any]] = attrs.field(factory=list)
     logged_phase: Phase | None = None
     # The smallest figure that each process of a target has stated.
@@ -283,8 +284,12 @@
         """Return the part of a keyed service's work to give to its new version.
 
         That is about what the budgets of all instances allow until the version is
-        judged. Requests for these keys without a token are refused.
+        judged, and then what the ramp gives. Requests for these keys without a token
+        are refused.
         """
+        placed = self.rollouts_by_service[service].placed_share
+        if placed > 0:
+            return placed * KEYS_SHARE_MARGIN
         share = self.policy.trial_share
         if request_rate > 0:
             order = self.rollouts_by_service[service].order
@@ -541,6 +546,7 @@
         gate.apply_lease(phase, lease.epoch, lease.share, lease.remaining, now)
         rollout.holder, rollout.heard_at = sender, now
         rollout.trial_targets = frozenset(lease.targets)
+        rollout.placed_share = lease.placed_share
         self._log_phase(rollout)
 
     def _log_phase(self, rollout: ServiceRollout, reason: str = "") -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_decisions.py
@@ -12,6 +12,7 @@
 
 from ..ports import ROLLOUT_RECORDS
 from ..rollout_decisions import LEASE_INTERVAL, ServiceDecisions
+from ..rollouts import KEYS_SHARE_MARGIN
 from .test_rollout_client import NEW, OLD, SERVICE, Sender
 
 
@@ -118,6 +119,23 @@
             self.assertNotIn(NEW, self.versions_in_an_outage(phase))
 
 
+class PlacementTests(DecisionTests):
+    """Guard against a keyed service that has too few responses for the ramp."""
+
+    def test_leases_tell_how_many_keys_to_place(self):
+        async def scenario(sender, store, decisions):
+            sender.order()
+            sender.add_target("b1", NEW)
+            sender.record(Phase.RAMP)
+            await self.claim(sender, decisions)
+            with trio.move_on_after(1.5 * LEASE_INTERVAL):
+                await decisions._send_leases()
+            share = sender.client.trial_keys_share(SERVICE, 47.0)
+            self.assertAlmostEqual(share, 0.25 * KEYS_SHARE_MARGIN)
+
+        self.play(scenario)
+
+
 class VersionInUseTests(DecisionTests):
     """Guard against an order that shuts a service down for which nothing changes."""
 
