Keep the version in use when an end or the orders were not read

An instance that missed "completed" excluded the version that all targets run once the next order came. An excluded version is now used if the service has no target of any other but the ordered one.

An instance that had not read the orders yet used the version with the most targets, which a cutover may have ended. It now refuses requests for a service with two versions until it has read them.

--- a/packages/router/src/fireflystand_router/dispatch/held_versions.py
+++ b/packages/router/src/fireflystand_router/dispatch/held_versions.py
@@ -33,6 +33,15 @@
             held = self._held_by_service[service] = self._find(service)
         return held
 
+    def holds_all(self, service: str) -> bool:
+        """Tell whether it is not known yet which of several versions is in use.
+
+        An order that this instance has not read may have reached its cutover.
+        """
+        if self._state.replicas_by_kind[ROLLOUTS].revision:
+            return False
+        return len(self.versions(service)) > 1
+
     def _find(self, service: str) -> frozenset[str]:
         targets = [
             t for t in self._state.targets_by_id.values() if t.service == service
@@ -40,13 +49,15 @@
         counts = Counter(target.software for target in targets)
         if not counts:
             return frozenset()
+        revision = self._state.replicas_by_kind[ROLLOUTS].revision
+        if not revision and len(counts) > 1:
+            return frozenset(counts)
         first_by_version: dict[str, int] = {}
         for target in targets:
             known = first_by_version.get(target.software, target.version)
             first_by_version[target.software] = min(known, target.version)
         usual = max(counts, key=lambda v: (counts[v], -first_by_version[v]))
         self._cleared.add((service, usual))
-        revision = self._state.replicas_by_kind[ROLLOUTS].revision
         for version, first in first_by_version.items():
             if revision >= first:
                 self._cleared.add((service, version))
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -104,6 +104,7 @@
     order: RolloutOrder
     gate: VersionGate
     begun_at: float  # when this instance saw the order
+    had_targets: bool  # whether there were targets of the version then
     holder: str = ""  # instance that sent the last lease
     heard_at: float = float("-inf")  # when that arrived
     trial_targets: frozenset[str] = frozenset()
@@ -161,6 +162,8 @@
         """
         if not self._follows:
             return ANY_VERSION
+        if self._held.holds_all(service):
+            return None
         excluded = self.excluded_versions(service)
         rollout = self.rollouts_by_service.get(service)
         if rollout is None:
@@ -222,18 +225,21 @@
         if not held and not banned:
             return frozenset()
         rollout = self.rollouts_by_service.get(service)
-        if rollout is not None:
-            return frozenset((held | set(banned)) - {rollout.order.to})
-        if banned and self._has_only(service, banned):
-            # The version came into use later, without an order.
-            return held
-        return frozenset(held | set(banned))
-
-    def _has_only(self, service: str, versions: Collection[str]) -> bool:
+        ordered = {rollout.order.to} if rollout is not None else set()
+        if banned and self._has_only(service, banned, ordered):
+            # The version came into use later, without an order, or by an order whose
+            # end this instance has not seen.
+            return frozenset(held - ordered)
+        return frozenset((held | set(banned)) - ordered)
+
+    def _has_only(
+        self, service: str, versions: Collection[str], ignored: Collection[str]
+    ) -> bool:
+        """Tell whether all targets are of some versions, but for those ignored."""
         return all(
             target.software in versions
             for target in self._state.targets_by_id.values()
-            if target.service == service
+            if target.service == service and target.software not in ignored
         )
 
     def _software(self, target_id: str) -> str:
@@ -465,7 +471,13 @@
             instance_share=self._state.registered_share,
             random_phase=self._random.random(),
         )
-        rollout = ServiceRollout(order, gate, self._clock(), logged_phase=gate.phase)
+        rollout = ServiceRollout(
+            order,
+            gate,
+            self._clock(),
+            self._has_target(order),
+            logged_phase=gate.phase,
+        )
         self.rollouts_by_service[order.service] = rollout
         self._banned_by_service.get(order.service, set()).discard(order.to)
         emit(
@@ -476,6 +488,12 @@
             phase=gate.phase.value,
         )
 
+    def _has_target(self, order: RolloutOrder) -> bool:
+        return any(
+            target.service == order.service and target.software == order.to
+            for target in self._state.targets_by_id.values()
+        )
+
     def _earliest_begin(self, order: RolloutOrder) -> float:
         """Return a time after which an order was given, as far as it is known.
 
@@ -509,12 +527,13 @@
 
     def _note_versions_in_use(self) -> None:
         for rollout in list(self.rollouts_by_service.values()):
-            if self._is_in_use(rollout.order):
+            if self._is_in_use(rollout):
                 rollout.gate.note_in_use()
                 self._log_phase(rollout, IN_USE)
 
-    def _is_in_use(self, order: RolloutOrder) -> bool:
+    def _is_in_use(self, rollout: ServiceRollout) -> bool:
         """Tell whether an order names the version that the service uses already."""
+        order = rollout.order
         targets = [
             target
             for target in self._state.targets_by_id.values()
@@ -526,8 +545,11 @@
         if record is not None and record.to == order.to:
             if record.phase is Phase.COMPLETED:
                 return True
-        # Versions of earlier orders that ended without success are not in use.
+        # Versions of earlier orders that ended without success are not in use, unless
+        # this instance has not seen the end; then the order's targets come after it.
         unused = self._banned_by_service.get(order.service, ())
+        if not rollout.had_targets:
+            unused = ()
         return all(t.software == order.to or t.software in unused for t in targets)
 
     def _handle_lease(self, lease: RolloutLease, link: PeerLink, reply: Reply) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 from types import SimpleNamespace
+from unittest import mock
 
 import trio
 
@@ -176,6 +177,29 @@
 
         self.play(scenario)
 
+    def test_instance_that_starts_before_it_has_read_the_orders(self):
+        """The order may have reached its cutover, or be completed."""
+
+        def scenario(sender):
+            replica = sender.state.replicas_by_kind[ROLLOUTS]
+            sender.add_target("b1", NEW)
+            with mock.patch.object(replica, "revision", 0):
+                self.assertIsNone(sender.client.choose(SERVICE, ""))
+                self.assertIsNone(sender.client.choose(SERVICE, "a1"))
+                self.assertFalse(sender.client.may_use(ANY_VERSION, "a1"))
+            sender.confirm()
+            self.assertIs(sender.client.choose(SERVICE, ""), ANY_VERSION)
+
+        self.play(scenario)
+
+    def test_instance_that_starts_with_one_version(self):
+        def scenario(sender):
+            replica = sender.state.replicas_by_kind[ROLLOUTS]
+            with mock.patch.object(replica, "revision", 0):
+                self.assertIs(sender.client.choose(SERVICE, ""), ANY_VERSION)
+
+        self.play(scenario)
+
     def test_old_version_is_not_held_back(self):
         def scenario(sender):
             sender.add_target("b1", NEW)
@@ -471,6 +495,25 @@
 
         self.play(scenario)
 
+    def test_end_that_was_missed_before_the_next_order(self):
+        """The version that all targets run got nothing until that order ended."""
+
+        def scenario(sender):
+            sender.order()
+            sender.add_target("b1", NEW)
+            sender.record(Phase.CUTOVER)
+            for name in ("a1", "a2"):
+                sender.write(TARGETS, name, None)
+            sender.order(THIRD)
+            sender.add_target("c1", THIRD)
+            sender.confirm()
+            self.assertTrue(sender.client.admits("b1"))
+            self.assertIs(sender.client.phase(SERVICE), Phase.TRIAL)
+            use = sender.client.choose(SERVICE, "")
+            self.assertEqual(use.excluded_versions, {THIRD})
+
+        self.play(scenario)
+
     def test_malformed_order_changes_nothing(self):
         def scenario(sender):
             for odd in ({}, [], {"service": SERVICE}, {"service": "x", "to": 1}):
