Keep reported samples for the next decider

An instance emptied its samples before it knew whether there was a decider to send them to, and a decider that took over began without any.

Samples are dropped only after a send. The latest 200 of each version are kept and sent again when the decider or its epoch changes. These do not count in the rate of requests.

--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -109,6 +109,8 @@
         self._store_failed_at = float("-inf")
         self._logged_step: Advance | None = None
         self._rate = RequestRate()
+        # Instances whose next samples are all of the time since their last report.
+        self._reporters: set[str] = set()
 
     @property
     def is_decider(self) -> bool:
@@ -241,6 +243,7 @@
             epoch=record.epoch,
         )
         if not record.phase.is_final:
+            self._reporters.clear()
             self._decider = RolloutDecider(
                 order,
                 self._client.policy,
@@ -461,7 +464,9 @@
             phase = Phase(report.phase)
         except MALFORMED:
             return  # a later build may report in another form
-        self._rate.add(len(samples), now)
+        if instance in self._reporters:
+            self._rate.add(len(samples), now)
+        self._reporters.add(instance)
         self._decider.add_report(instance, samples, report.old_in_flight, phase, now)
 
     # Statuses
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -5,7 +5,7 @@
 tells the deciding instance how the requests ended.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Collection
 from random import Random
 from typing import Any
@@ -56,7 +56,7 @@
 REPORT_INTERVAL = 0.25  # seconds
 # The deciding instance needs some tens of samples a second; at this number a report
 # still takes less than a millisecond to encode.
-MAX_SAMPLES = 200  # in a report
+MAX_SAMPLES = 200  # in a report; of each version in the first one to a decider
 # A keyed service's new version gets keys with this part of what the budgets allow; the
 # load of keys varies.
 KEYS_SHARE_MARGIN = 0.8
@@ -97,6 +97,10 @@
 ANY_VERSION = VersionUse()
 
 
+def _latest_samples() -> deque[list[Any]]:
+    return deque(maxlen=MAX_SAMPLES)
+
+
 @attrs.define(eq=False)
 class ServiceRollout:
     """Hold what this instance knows of the order in force for a service."""
@@ -109,7 +113,12 @@
     heard_at: float = float("-inf")  # when that arrived
     trial_targets: frozenset[str] = frozenset()
     placed_share: float = 0.0  # of a keyed service's work; 0 if it is not told
-    samples: list[list[Any]] = attrs.field(factory=list)
+    holder_epoch: int = 0  # of that lease
+    samples: list[list[Any]] = attrs.field(factory=list)  # not reported yet
+    # What a decider that has just claimed is told, as it knows nothing.
+    latest_old: deque[list[Any]] = attrs.field(factory=_latest_samples)
+    latest_new: deque[list[Any]] = attrs.field(factory=_latest_samples)
+    told: tuple[str, int] = ("", 0)  # decider and epoch of the last report
     logged_phase: Phase | None = None
     # The smallest figure that each process of a target has stated.
     slowdowns_by_process: dict[tuple[str, int], float] = attrs.field(factory=dict)
@@ -354,9 +363,9 @@
         process = (target.id, target.started_at)
         slowdown = min(slowdown, rollout.slowdowns_by_process.get(process, slowdown))
         rollout.slowdowns_by_process[process] = slowdown
-        rollout.samples.append(
-            [is_new, route, failed, round(seconds, 4), slowdown, cold]
-        )
+        sample = [is_new, route, failed, round(seconds, 4), slowdown, cold]
+        rollout.samples.append(sample)
+        (rollout.latest_new if is_new else rollout.latest_old).append(sample)
         # The latest tell most; those of the new version are few.
         if len(rollout.samples) > MAX_SAMPLES:
             kept = [s for s in rollout.samples if s[0]]
@@ -398,7 +407,12 @@
         return record is not None and record.order == order.id and record.phase.is_final
 
     def _send_report(self, service: str, rollout: ServiceRollout) -> None:
-        samples, rollout.samples = rollout.samples, []
+        holder, epoch = self._receiver(service, rollout)
+        if not self._membership.is_live(holder):
+            return
+        samples = rollout.samples
+        if rollout.told != (holder, epoch):
+            samples = [*rollout.latest_old, *rollout.latest_new]
         report = RolloutReport(
             service=service,
             order=rollout.order.id,
@@ -406,17 +420,24 @@
             old_in_flight=self.old_in_flight(service),
             phase=rollout.gate.phase.value,
         )
-        holder = rollout.holder
-        if not holder or not self._membership.is_live(holder):
-            record = self._state.rollouts_by_service.get(service)
-            holder = record.holder if record else ""
         if holder == self._membership.own_id:
             self.on_own_report(holder, report)
-        elif holder and self._membership.is_live(holder):
+        else:
             try:
                 self._membership.network.send(holder, report)
             except PeerUnavailableError as error:
                 emit(PEER_CALL_FAILED, error, message="rollout-report")
+                return
+        rollout.told, rollout.samples = (holder, epoch), []
+
+    def _receiver(self, service: str, rollout: ServiceRollout) -> tuple[str, int]:
+        """Return the instance with the latest claim that is known, and its epoch."""
+        holder, epoch = rollout.holder, rollout.holder_epoch
+        record = self._state.rollouts_by_service.get(service)
+        if record is not None and record.order == rollout.order.id:
+            if record.epoch > epoch or not self._membership.is_live(holder):
+                holder, epoch = record.holder, record.epoch
+        return holder, epoch
 
     # Orders, records and leases
 
@@ -567,6 +588,7 @@
         phase = PHASES_BY_VALUE[lease.phase]
         gate.apply_lease(phase, lease.epoch, lease.share, lease.remaining, now)
         rollout.holder, rollout.heard_at = sender, now
+        rollout.holder_epoch = lease.epoch
         rollout.trial_targets = frozenset(lease.targets)
         rollout.placed_share = lease.placed_share
         self._log_phase(rollout)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import trio
+import trio.testing
 
 from fireflystand_core.messages import RolloutLease
 from fireflystand_core.replica import ObjectChange
@@ -18,6 +19,7 @@
 )
 
 from ...metrics import Metrics
+from ...peers import PeerUnavailableError
 from ..ports import (
     CONFIGURATION,
     INSTANCES,
@@ -27,7 +29,7 @@
     TARGETS,
     DispatchBounds,
 )
-from ..rollouts import ANY_VERSION, REPORT_INTERVAL, RolloutClient
+from ..rollouts import ANY_VERSION, MAX_SAMPLES, REPORT_INTERVAL, RolloutClient
 from ..state import RoutingState
 
 SERVICE = "pooled"
@@ -121,18 +123,22 @@
         self.write(ROLLOUTS, SERVICE, self.value | status)
         self.confirm()
 
-    def lease(self, phase: Phase = Phase.TRIAL, share: float = 0.05) -> None:
+    def lease(
+        self, phase: Phase = Phase.TRIAL, share: float = 0.05, sender: str = "n1"
+    ) -> None:
         """Deliver a lease of the deciding instance."""
         order = self.state.orders_by_service[SERVICE]
         epoch = self.client.rollouts_by_service[SERVICE].gate.epoch
         lease = RolloutLease(SERVICE, order.id, phase.value, epoch, share, 5.0)
-        self.client.apply_lease(lease, "n1")
+        self.client.apply_lease(lease, sender)
 
-    def record(self, phase: Phase, to: str = NEW) -> None:
+    def record(self, phase: Phase, to: str = NEW, holder: str = "") -> None:
         """Write the record of the order in force, or of one that is gone."""
         order = self.state.orders_by_service.get(SERVICE)
         order_id = order.id if order else "gone"
-        record = RolloutRecord(SERVICE, order_id, to, phase, epoch=self.revision)
+        record = RolloutRecord(
+            SERVICE, order_id, to, phase, epoch=self.revision, holder=holder
+        )
         self.write(ROLLOUT_RECORDS, SERVICE, record.to_value())
         self.confirm()
 
@@ -339,6 +345,75 @@
         self.play(scenario)
 
 
+class ReportTests(SenderTests):
+    """Guard against evidence that is lost with the decider, or on the way to it."""
+
+    def play_reports(self, scenario) -> None:
+        """Play with a function that returns the samples of the reports sent now."""
+
+        async def main():
+            sender = Sender()
+            sender.add_target("a1", OLD)
+            sender.order()
+            sender.add_target("b1", NEW)
+            self.sent = []
+            sender.client.on_own_report = lambda _, report: self.sent.append(report)
+            await scenario(sender)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def note(self, sender, target: str, count: int = 1) -> None:
+        record = sender.state.targets_by_id[target]
+        for _ in range(count):
+            sender.client.note_result(record, "r", failed=False, seconds=0.1)
+
+    async def reported(self, sender) -> list[int]:
+        """Return the numbers of samples in the reports of some time."""
+        self.sent.clear()
+        with trio.move_on_after(3 * REPORT_INTERVAL):
+            await sender.client.run()
+        return [len(report.samples) for report in self.sent if report.samples]
+
+    def test_samples_wait_for_a_receiver(self):
+        async def scenario(sender):
+            self.note(sender, "b1", 3)
+            self.assertEqual(await self.reported(sender), [])
+            sender.lease()
+            self.assertEqual(await self.reported(sender), [3])
+            self.assertEqual(await self.reported(sender), [])
+
+        self.play_reports(scenario)
+
+    def test_samples_wait_for_a_link(self):
+        async def scenario(sender):
+            def fail(peer, message):
+                raise PeerUnavailableError("no link", step="send", peer=peer)
+
+            sender.peers.live.append("n2")
+            sender.peers.network.send = fail
+            sender.lease(sender="n2")
+            self.note(sender, "b1", 3)
+            await self.reported(sender)
+            sender.peers.network.send = lambda peer, report: self.sent.append(report)
+            self.assertEqual(await self.reported(sender), [3])
+
+        self.play_reports(scenario)
+
+    def test_next_decider_gets_the_latest_samples(self):
+        async def scenario(sender):
+            sender.lease()
+            self.note(sender, "a1", 500)
+            self.note(sender, "b1", 3)
+            await self.reported(sender)
+            self.note(sender, "b1", 2)
+            sender.record(Phase.TRIAL, holder="n1")
+            self.assertEqual(await self.reported(sender), [MAX_SAMPLES + 5])
+            sender.lease()
+            self.assertEqual(await self.reported(sender), [])
+
+        self.play_reports(scenario)
+
+
 class CutoverTests(SenderTests):
     """Guard against requests at the old version after the cutover."""
 
