Send no version fields in slot requests of any version

Three fields that were added for rollouts were encoded in every slot request, so that messages changed where no rollouts are followed. Optional fields of a message are now left out at their defaults.

--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -104,7 +104,7 @@
     base: list = attrs.field(factory=list)
 
 
-@message("slot-request")
+@message("slot-request", optional=("version", "excluded_versions", "targets"))
 @attrs.frozen
 class SlotRequest:
     """Request a slot from the admission queue; times are seconds from now.
--- a/packages/core/src/fireflystand_core/messages/registry.py
+++ b/packages/core/src/fireflystand_core/messages/registry.py
@@ -1,10 +1,11 @@
 """Keep the registry of peer messages and their codec."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from typing import TypeVar
 
 import msgpack
 from cattrs.errors import BaseValidationError
+from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.preconf.msgpack import make_converter
 
 from fireflystand_core.exceptions import ProtocolError
@@ -25,14 +26,21 @@
 )
 
 
-def message(name: str) -> Callable[[T], T]:
-    """Register an attrs class as the peer message called ``name``."""
+def message(name: str, *, optional: Collection[str] = ()) -> Callable[[T], T]:
+    """Register an attrs class as the peer message called ``name``.
+
+    Its ``optional`` fields are not sent while they have their defaults.
+    """
 
     def register(cls: T) -> T:
         if name in message_classes_by_name:
             raise ValueError(f"peer message {name!r} is registered twice")
         message_classes_by_name[name] = cls
         _names_by_class[cls] = name
+        if optional:
+            omitted = {field: override(omit_if_default=True) for field in optional}
+            hook = make_dict_unstructure_fn(cls, _converter, **omitted)
+            _converter.register_unstructure_hook(cls, hook)
         return cls
 
     return register
--- a/packages/core/src/fireflystand_core/messages/tests/test_codec.py
+++ b/packages/core/src/fireflystand_core/messages/tests/test_codec.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import attrs
+import msgpack
+
 from fireflystand_core.exceptions import ProtocolError
 from fireflystand_core.messages import (
     Decoder,
@@ -9,6 +12,7 @@
     FeedItems,
     Hello,
     PermitReturn,
+    SlotRequest,
     StoredAnswer,
     encode,
 )
@@ -36,6 +40,19 @@
         self.assertEqual(caught.exception.peer, "namur-a-1")
         self.assertEqual(caught.exception.step, "decode")
 
+    def test_slot_requests_of_any_version_are_those_of_earlier_builds(self):
+        """Where no rollouts are followed, no byte of a message changes."""
+        request = SlotRequest("s", "1", "", 0, 0.5, 1.0, "x")
+        data = encode(1, request)
+        _, _, fields = msgpack.unpackb(data)
+        self.assertEqual(list(fields)[-1], "route")
+        selective = attrs.evolve(
+            request, version="7", excluded_versions=["8"], targets=["a"]
+        )
+        for message in (request, selective):
+            (envelope,) = Decoder().feed(encode(1, message))
+            self.assertEqual(envelope.message, message)
+
     def test_missing_field_is_a_protocol_error(self):
         decoder = Decoder()
         good = encode(1, Hello("a", "1", "namur-a", "127.0.0.1:1"))
