--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -40,6 +40,7 @@
 from .membership import Membership
 from .ports import ROLLOUT_RECORDS, ROLLOUTS, StorePort
 from .replicas import ReplicaSync
+from .restoration import MALFORMED
 from .rollouts import RolloutClient, ServiceRollout
 from .state import RoutingState
 
@@ -418,11 +419,13 @@
         if self._decider is None or report.order != self._record.order:
             return
         now = self._clock()
-        samples = [RolloutSample(*sample) for sample in report.samples]
+        try:
+            samples = [RolloutSample(*sample) for sample in report.samples]
+            phase = Phase(report.phase)
+        except MALFORMED:
+            return  # a later build may report in another form
         self._rate.add(len(samples), now)
-        self._decider.add_report(
-            instance, samples, report.old_in_flight, Phase(report.phase), now
-        )
+        self._decider.add_report(instance, samples, report.old_in_flight, phase, now)
 
     # Statuses
 
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -62,6 +62,7 @@
 KEYS_SHARE_MARGIN = 0.8
 MAX_KEYS_SHARE = 0.25  # of a service's work
 TRIAL_PART = 0.7  # of an order's duration, in which a version is judged
+PHASES_BY_VALUE = {phase.value: phase for phase in Phase}  # a later build has others
 # As the metric shows them.
 PHASE_NUMBERS = {
     Phase.TRIAL: 1,
@@ -106,6 +107,8 @@
     trial_targets: frozenset[str] = frozenset()
     samples: list[list[Any]] = attrs.field(factory=list)
     logged_phase: Phase | None = None
+    # The smallest figure that each process of a target has stated.
+    slowdowns_by_process: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
 
 class RolloutClient:
@@ -334,6 +337,10 @@
         if is_new and failed:
             self._metrics.count(ROLLOUT_BAD_RESPONSES)
         cold = self._state.is_cold(target)
+        # Larger figures come from the neighbours of the target for a moment.
+        process = (target.id, target.started_at)
+        slowdown = min(slowdown, rollout.slowdowns_by_process.get(process, slowdown))
+        rollout.slowdowns_by_process[process] = slowdown
         rollout.samples.append(
             [is_new, route, failed, round(seconds, 4), slowdown, cold]
         )
@@ -363,7 +370,7 @@
             revision = self._state.replicas_by_kind[ROLLOUTS].revision
             if self._first_revision is None and revision:
                 self._first_revision = number_of(revision)
-            for service, rollout in self.rollouts_by_service.items():
+            for service, rollout in list(self.rollouts_by_service.items()):
                 self._log_phase(rollout)
                 if not rollout.gate.phase.is_final:
                     self._send_report(service, rollout)
@@ -491,12 +498,11 @@
         if rollout is None or rollout.order.id != lease.order:
             return
         gate = rollout.gate
-        if lease.epoch < gate.epoch:
+        if lease.epoch < gate.epoch or lease.phase not in PHASES_BY_VALUE:
             return
         now = self._clock()
-        gate.apply_lease(
-            Phase(lease.phase), lease.epoch, lease.share, lease.remaining, now
-        )
+        phase = PHASES_BY_VALUE[lease.phase]
+        gate.apply_lease(phase, lease.epoch, lease.share, lease.remaining, now)
         rollout.holder, rollout.heard_at = sender, now
         rollout.trial_targets = frozenset(lease.targets)
         self._log_phase(rollout)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -230,6 +230,18 @@
 
         self.play(scenario)
 
+    def test_lease_with_an_unknown_phase_changes_nothing(self):
+        """An error in a handler of peer messages ends the instance."""
+
+        def scenario(sender):
+            self.begin(sender)
+            order = sender.state.orders_by_service[SERVICE]
+            lease = RolloutLease(SERVICE, order.id, "later", 1, 1.0, 5.0)
+            sender.client.apply_lease(lease, "n2")
+            self.assertEqual({sender.send() for _ in range(50)}, {""})
+
+        self.play(scenario)
+
     def test_slot_of_the_new_version_needs_a_token(self):
         """An instance of an earlier build grants slots of any version."""
 
