--- a/packages/core/src/fireflystand_core/rollouts/tests/load.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/load.py
@@ -31,12 +31,17 @@
 
 @attrs.define
 class Outcome:
-    """Hold what a comparison came to, and after how many bad responses."""
+    """Hold what a comparison came to, and after how many bad responses.
+
+    ``all_requests`` counts those of both versions.
+    """
 
     verdict: Verdict
     seconds: float
     new_requests: int
     bad_responses: int
+    all_requests: int
+    fiftieth_bad_at: float
 
 
 @attrs.define
@@ -76,6 +81,7 @@
     host_factors: tuple[float, ...] = (1.0,)
     seed: int = 0
     new_requests: int = 0
+    all_requests: int = 0
     bad_responses: int = 0
     fiftieth_bad_at: float = inf
 
@@ -89,7 +95,14 @@
             verdict = comparison.verdict(now)
             if verdict.is_bad or (until_good and verdict.is_good):
                 break
-        return Outcome(verdict, now, self.new_requests, self.bad_responses)
+        return Outcome(
+            verdict,
+            now,
+            self.new_requests,
+            self.bad_responses,
+            self.all_requests,
+            self.fiftieth_bad_at,
+        )
 
     def run_rollout(
         self, duration: float, policy: RolloutPolicy, time_limit: float = 1.5
@@ -132,7 +145,7 @@
         """Yield what is reported every eighth of a second."""
         rng = random.Random(self.seed)
         pending: list[tuple[float, RolloutSample, bool]] = []
-        self.new_requests = self.bad_responses = 0
+        self.new_requests = self.all_requests = self.bad_responses = 0
         self.fiftieth_bad_at = inf
         for step in range(1, int(seconds / TICK) + 1):
             now = step * TICK
@@ -154,6 +167,7 @@
     def _respond(self, rng: random.Random, at: float):
         is_new = rng.random() < self.share(at)
         self.new_requests += is_new
+        self.all_requests += 1
         route = rng.choice(self.routes)
         behaviour = (self.new if is_new else self.old)(route, at)
         failed = rng.random() < behaviour.failure_rate
--- a/packages/core/src/fireflystand_core/rollouts/tests/test_decider.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/test_decider.py
@@ -25,17 +25,25 @@
     return pooled(new, seeds, old, rate=47.0, hosts=5)
 
 
-class RolloutTests(unittest.TestCase):
-    """Guard against a bad version in use, and a good one given up."""
+class BadVersionCase(unittest.TestCase):
+    """Base of the tests of what a bad version may get."""
 
     def assert_rolled_back(self, outcomes: list[RolloutOutcome]):
         for outcome in outcomes:
-            self.assertIs(outcome.phase, Phase.ROLLED_BACK, outcome)
             self.assertLessEqual(outcome.new_requests, outcome.limit, outcome)
+        self.assert_in_time(outcomes)
+
+    def assert_in_time(self, outcomes: list[RolloutOutcome]):
+        for outcome in outcomes:
+            self.assertIs(outcome.phase, Phase.ROLLED_BACK, outcome)
             # An instance that misses the rollback uses its last lease to the end.
             last = outcome.seconds + LEASE_LIFETIME
             self.assertLess(last, outcome.fiftieth_bad_at + POLICY.rollback, outcome)
 
+
+class RolloutTests(BadVersionCase):
+    """Guard against a bad version in use, and a good one given up."""
+
     def test_good_version(self):
         for outcome in pooled(always(GOOD), 3, cold_until=3.0):
             self.assertIs(outcome.phase, Phase.COMPLETED, outcome)
@@ -94,6 +102,53 @@
             self.assertLess(last, outcome.fiftieth_bad_at + POLICY.rollback)
 
 
+class RareFailureTests(BadVersionCase):
+    """Guard against a keyed version that fails too rarely to be seen in the trial."""
+
+    def test_keyed_version_fails_one_in_ten(self):
+        self.assert_rolled_back(keyed(always(Behaviour(0.1)), 40))
+
+
+class KeyedRouteTests(BadVersionCase):
+    """Guard against a keyed version that is bad on one route and seen too late."""
+
+    def test_fails(self):
+        self.assert_rolled_back(keyed(on_route("b", FAILING), 40))
+
+    def test_is_slow(self):
+        self.assert_rolled_back(keyed(on_route("b", SLOW), 40))
+
+
+class LateSlownessTests(BadVersionCase):
+    """Guard against a version that is slow from the ramp on and is completed."""
+
+    def test_pooled(self):
+        self.assert_in_time(pooled(between(7.0, 99.0, SLOW), 6))
+
+    def test_keyed(self):
+        self.assert_in_time(keyed(between(7.0, 99.0, SLOW), 40))
+
+
+class LateExposureTests(BadVersionCase):
+    """Guard against a version that is bad from the ramp on and gets too much."""
+
+    def assert_limited(self, outcomes: list[RolloutOutcome]):
+        for outcome in outcomes:
+            self.assertLessEqual(outcome.new_requests, outcome.limit, outcome)
+
+    def test_pooled_version_fails(self):
+        self.assert_limited(pooled(between(7.0, 99.0, FAILING), 6))
+
+    def test_pooled_version_is_slow(self):
+        self.assert_limited(pooled(between(7.0, 99.0, SLOW), 6))
+
+    def test_keyed_version_fails(self):
+        self.assert_limited(keyed(between(7.0, 99.0, FAILING), 40))
+
+    def test_keyed_version_is_slow(self):
+        self.assert_limited(keyed(between(7.0, 99.0, SLOW), 40))
+
+
 class DeciderCase(unittest.TestCase):
     """Drive a decider by reports of two instances."""
 
--- a/packages/core/src/fireflystand_core/rollouts/tests/test_judgement.py
+++ b/packages/core/src/fireflystand_core/rollouts/tests/test_judgement.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..gate import LEASE_LIFETIME
 from ..judgement import (
     INTERVAL,
     Judgement,
@@ -16,11 +17,13 @@
     VersionComparison,
     is_failed_response,
 )
+from ..model import RolloutPolicy
 from .load import Behaviour, Outcome, ServiceLoad
 
 GOOD = Behaviour()
 FAILING = Behaviour(failure_rate=0.3)
 SLOW = Behaviour(factor=4.0)
+POLICY = RolloutPolicy()
 HOST_FACTORS = (0.7, 0.7, 1.6)
 
 
@@ -91,11 +94,18 @@
         self.assert_found(run(make, 8.0, 4), 49, 4.0)
 
     def test_slow_version_runs_on_fast_hosts(self):
-        # At the fastest hosts it takes 2.8 times the usual, like a disturbed one.
+        # At the fastest hosts it takes 2.8 times the usual, like a disturbed one, and
+        # is found after the 50th bad response. That is to be in time for the rollback.
         make = lambda seed: pooled(  # noqa: E731
             always(SLOW), states_slowdown=True, host_factors=HOST_FACTORS, seed=seed
         )
-        self.assert_found(run(make, 8.0, 6), 90, 4.0)
+        for outcome in run(make, 8.0, 20):
+            self.assertTrue(outcome.verdict.is_bad, outcome)
+            last = outcome.seconds + LEASE_LIFETIME
+            self.assertLess(last, outcome.fiftieth_bad_at + POLICY.rollback, outcome)
+            share = POLICY.exposure_share * outcome.all_requests
+            limit = share + POLICY.exposure_slack
+            self.assertLessEqual(outcome.new_requests, limit, outcome)
 
     def test_is_bad_while_the_old_version_has_trouble(self):
         trouble = between(1.0, 3.0, FAILING)
