Complete no version before all targets and the record are read

An instance that had read the order and one target, but neither the list of targets nor the record, took the version for the one in use and completed it. It now waits for both lists.

make unit ONLY=test_rollout_client, test_rollout_decisions, dispatch.tests.test_rollouts: 32, 8 and 7 passed; test_instance_that_has_read_a_part failed before.

--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -555,6 +555,9 @@
     def _is_in_use(self, rollout: ServiceRollout) -> bool:
         """Tell whether an order names the version that the service uses already."""
         order = rollout.order
+        replicas = self._state.replicas_by_kind
+        if not replicas[TARGETS].revision or not replicas[ROLLOUT_RECORDS].revision:
+            return False  # more targets, or the order's record, may be there
         targets = [
             target
             for target in self._state.targets_by_id.values()
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -509,6 +509,23 @@
 
         self.play(scenario)
 
+    def test_instance_that_has_read_a_part(self):
+        """It would complete a version whose trial has begun."""
+
+        def scenario(sender):
+            for kind in (TARGETS, ROLLOUT_RECORDS):
+                with mock.patch.object(
+                    sender.state.replicas_by_kind[kind], "revision", 0
+                ):
+                    sender.order(OLD)
+                    self.assertIs(sender.client.phase(SERVICE), Phase.TRIAL)
+
+        def without_confirmation(sender):
+            sender.confirm = lambda: None
+            scenario(sender)
+
+        self.play(without_confirmation)
+
     def test_targets_that_are_lost_in_a_trial(self):
         """The version under test would take over without a judgement."""
 
