--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -70,7 +70,9 @@
     """Request a slot at ``target``, or at any target of the service if it is empty.
 
     ``soft_deadline_at`` is the latency target and ``deadline_at`` the deadline, both
-    in seconds on the clock of the admission queue.
+    in seconds on the clock of the admission queue. Only targets of the program version
+    ``version`` may be used, any if it is empty, none of ``excluded_versions`` and, if
+    there are any, only those in ``targets``.
     """
 
     id: str
@@ -81,6 +83,22 @@
     deadline_at: float
     data_centre: str = ""
     route: str = ""  # empty if unknown
+    version: str = ""
+    excluded_versions: frozenset[str] = frozenset()
+    targets: frozenset[str] = frozenset()
+
+    @property
+    def is_selective(self) -> bool:
+        """Tell whether only some targets may run the request."""
+        return bool(self.version or self.excluded_versions or self.targets)
+
+    def admits(self, record: TargetRecord) -> bool:
+        """Tell whether a target may run the request, by its version."""
+        return (
+            self.version in ("", record.software)
+            and record.software not in self.excluded_versions
+            and (not self.targets or record.id in self.targets)
+        )
 
 
 @attrs.frozen
@@ -159,6 +177,8 @@
         # Targets that may have restarted and whose health has to be checked.
         self.suspects: set[str] = set()
         self._has_pauses = False  # whether some target may pause for an instance
+        # Whether a queued request may be one that only some targets may run.
+        self._has_selective = False
         self.mean = MeanDuration(INITIAL_MEAN)
         self.route_durations = RouteDurations()
         self._queues_by_target: dict[str, dict[str, QueuedRequest]] = {}
@@ -265,6 +285,7 @@
         delay, duration = self._estimate(request, now)
         if duration > left or delay + duration > left * USABLE_TIME_SHARE and delay > 0:
             return [self._refusal(request, NO_ROOM, delay, now)]
+        self._has_selective = self._has_selective or request.is_selective
         self._queues_by_target.setdefault(request.target, {})[request.id] = request
         return self._dispatch(request.target, now)
 
@@ -296,7 +317,7 @@
 
     def _estimate(self, request: QueuedRequest, now: float) -> tuple[float, float]:
         """Return the expected start delay and duration of a request, in seconds."""
-        targets = self._candidates(request.target)
+        targets = self._candidates_for(request)
         if not targets:
             return float("inf"), self.mean.seconds
         if wait := self._pause_left_for(request, now):
@@ -342,7 +363,7 @@
         self, target: str, targets: list[TargetSlots], now: float
     ) -> tuple[float, StartSequence]:
         """Return when requests can start, and for how long that has been known."""
-        if target or self._has_pauses:
+        if target or self._must_scan:
             return 0.0, _starts_at(targets, now)
         if self._starts is None or now - self._starts[0] >= STARTS_LIFETIME:
             self._starts = now, _starts_at(targets, now)
@@ -368,7 +389,7 @@
         """Return the seconds for which all targets pause for the request's instance."""
         if not self._has_pauses:
             return 0.0
-        targets = self._candidates(request.target)
+        targets = self._candidates_for(request)
         return min(
             (t.pause_left_for(request.instance, now) for t in targets), default=0
         )
@@ -381,6 +402,12 @@
             return [self.targets_by_id[target]]
         return [t for t in self.targets_by_id.values() if not t.record.leaving]
 
+    def _candidates_for(self, request: QueuedRequest) -> list[TargetSlots]:
+        targets = self._candidates(request.target)
+        if request.is_selective:
+            return [t for t in targets if request.admits(t.record)]
+        return targets
+
     def _refusal(
         self, request: QueuedRequest, reason: str, delay: float, now: float
     ) -> SlotRefused:
@@ -418,10 +445,17 @@
         decisions: list[Decision] = []
         if not queue:
             return decisions
+        # Hundreds of requests wait for the same few versions; no slot is freed here.
+        may_fit: set[tuple] = set()
+        if self._must_scan:
+            may_fit = {self._selection(request) for request in queue.values()}
         for request in self._by_urgency(queue, target, now):
+            if self._must_scan and self._selection(request) not in may_fit:
+                continue
             slots = self._choose_target(request, now)
             if slots is None:
-                if not self._has_pauses:
+                may_fit.discard(self._selection(request))
+                if not may_fit or not self._must_scan:
                     break
                 continue
             del queue[request.id]
@@ -435,12 +469,18 @@
                 decisions.append(self._grant(request, slots, now))
         return decisions
 
+    def _selection(self, request: QueuedRequest) -> tuple:
+        """Return what decides which targets may run a request at a moment."""
+        instance = request.instance if self._has_pauses else ""
+        versions = request.version, request.excluded_versions, request.targets
+        return *versions, instance
+
     def _by_urgency(
         self, queue: dict[str, QueuedRequest], target: str, now: float
     ) -> Iterable[QueuedRequest]:
         """Yield the requests of a queue while a target has a free slot."""
         urgency = self._urgency(now, target)
-        if self._has_pauses:
+        if self._must_scan:
             if self.policy.bounds_passing_over:
                 yield from self._each_by_turns(queue, target, now)
             elif self._has_free_slot(target, now):
@@ -473,6 +513,11 @@
         """Return the turns of the kinds that wait in one queue."""
         return self._turns_by_target.setdefault(target, KindTurns())
 
+    @property
+    def _must_scan(self) -> bool:
+        """Tell whether a request may be stuck while one behind it has a target."""
+        return self._has_pauses or self._has_selective
+
     def _has_free_slot(self, target: str, now: float) -> bool:
         return any(slots.free_slots(now) > 0 for slots in self._open_targets(target))
 
@@ -518,6 +563,7 @@
             for target in self._open_targets(request.target)
             if target.free_slots(now) > 0
             and not target.pause_left_for(request.instance, now)
+            and request.admits(target.record)
         ]
         if not free:
             return None
@@ -752,6 +798,12 @@
         self._drop_unused_connections(now)
         for schedule in self._returns_by_target.values():
             schedule.drop_past(now)
+        if self._has_selective:
+            self._has_selective = any(
+                request.is_selective
+                for queue in self._queues_by_target.values()
+                for request in queue.values()
+            )
         if self._has_pauses:
             self._drop_ended_pauses(now)
         decisions = self._free_slots(expired, now)
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -43,6 +43,7 @@
     PROOF_AGE,
     REQUEST_BYTES,
     RESPONSE_BYTES,
+    ROLLOUT_PHASE,
     STORE_AGE,
     STORE_ERA,
     WAITING,
@@ -70,6 +71,8 @@
 from .ranges import RangeCoordinator
 from .rate_limits import SharedRateLimiter
 from .replicas import ReplicaSync
+from .rollout_decisions import RolloutCoordinator, ServiceDecisions
+from .rollouts import RolloutClient
 from .slots import SlotClient, SlotService
 from .state import RoutingState
 from .work import WorkReporter
@@ -108,7 +111,9 @@
         self.control = control
         self.readiness = Readiness()
         self.metrics = Metrics(None)
-        self.state = RoutingState(read_table, read_target)
+        self.state = RoutingState(
+            read_table, read_target, follows_rollouts=settings.follows_rollouts
+        )
         random = Random(uuid.uuid4().int)
         hello = Hello(
             settings.instance,
@@ -160,6 +165,21 @@
         self.memory = MemoryBudget(settings.buffered_bytes)
         # The switch for limits on what targets hold, too.
         self.byte_limits = TargetByteLimits() if self.memory.is_bounded else None
+        self.rollouts = RolloutClient(
+            self.state,
+            self.membership,
+            settings.bounds,
+            random,
+            self.metrics,
+            follows_rollouts=settings.follows_rollouts,
+        )
+        self.rollout_coordinator = RolloutCoordinator(
+            self.state,
+            self.membership,
+            self._new_decisions,
+            follows_rollouts=settings.follows_rollouts,
+        )
+        self.rollouts.on_own_report = self.rollout_coordinator.add_report
         self.crash_detector = CrashDetector(self.membership, self.byte_limits)
         self.work_reporter = WorkReporter(self.state, self.membership)
         self.ownership = RangeCoordinators(
@@ -186,6 +206,7 @@
             pauses=self.pauses,
             memory=self.memory,
             byte_limits=self.byte_limits,
+            rollouts=self.rollouts,
         )
         self.entry = self._new_entry_server()
         self.health = self._new_health_server()
@@ -207,6 +228,17 @@
             store_age=lambda: self.replica_sync.store_age,
             is_first_start=self.settings.is_first_start,
             places_by_load=self._limits_by_capacity,
+            rollouts=self.rollouts if self.settings.follows_rollouts else None,
+        )
+
+    def _new_decisions(self, service: str) -> ServiceDecisions:
+        return ServiceDecisions(
+            service,
+            store=self.store,
+            state=self.state,
+            membership=self.membership,
+            replica_sync=self.replica_sync,
+            client=self.rollouts,
         )
 
     def _limits_by_capacity(self) -> bool:
@@ -302,6 +334,7 @@
         coordinators = self.ownership.coordinators_by_service.values()
         hot_keys = sum(len(c.hot_keys) for c in coordinators if c.is_coordinator)
         gauge(HOT_KEYS, hot_keys)
+        gauge(ROLLOUT_PHASE, self.rollouts.phase_number)
 
     def _not_ready_reason(self) -> str:
         if self.state.table is None:
@@ -339,7 +372,13 @@
     def summary(self) -> dict:
         """Return this instance's view of the fleet, for operators."""
         table = self.state.table
-        return {
+        rollouts = {}
+        if self.settings.follows_rollouts:
+            rollouts = {
+                "rollouts": self.rollouts.summary(),
+                "decides": self.rollout_coordinator.decided_services,
+            }
+        return rollouts | {
             "instance": self.settings.instance,
             "configuration": table.version if table else None,
             "live": self.membership.live,
@@ -382,6 +421,8 @@
                     self.slot_service.run,
                     self.work_reporter.run,
                     self.ownership.run,
+                    self.rollouts.run,
+                    self.rollout_coordinator.run,
                     self.loop_lag.run,
                     self._register,
                     self._expire_targets,
