--- a/packages/router/src/fireflystand_router/dispatch/tests/test_invalid_statuses.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_invalid_statuses.py
@@ -36,7 +36,7 @@
 class InvalidStatusTests(unittest.TestCase):
     """Guard against a response without a valid status that reaches a caller.
 
-    An upstream in trouble sent the status 000, and callers received it.
+    A target in trouble sent the status 000, and callers received it.
     """
 
     def check(self, options, *, kept: bool) -> None:
