--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -83,7 +83,7 @@
             ("serves", ["edge", "control"]),
             ("ip", self.ip),
             ("zone", self.zone),
-            ("region", "be-central"),
+            ("region", "lima" if self.zone.startswith("lima") else "be-central"),
             ("internalPorts", [7360, 7375]),
             ("seeds", self.seeds),
             ("bootstrap", bootstrap),
