--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,16 +14,16 @@
 
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SERVICE = "winkel"
-ZONES = ("namur-a", "namur-b", "gent-a", "gent-b")
-TARGETS = 171  # in four zones
-EMPTIED = "gent-b"
-CUT_OFF = "gent-a"
-LEAVING = 0.15  # of the targets, those in the other zones
+SERVICE = "menus"
+ZONES = ("lima-norte", "lima-centro", "lima-sur", "lima-este")
+TARGETS = 188  # in four zones
+EMPTIED = "lima-este"
+CUT_OFF = "lima-sur"
+LEAVING = 0.2  # of the targets, those in the other zones
 DRAIN = 2.0  # seconds
 HEARTBEAT = 0.87  # seconds
 CUT = 8.5  # seconds
-CUT_SHARE = 0.24  # of the targets
+CUT_SHARE = 0.22  # of the targets
 KILL_AFTER = 2.65  # seconds from the cut
 DOWN = 3.5  # seconds until the killed process is started again
 AFTER = 2.0  # seconds after the cut
@@ -51,6 +51,10 @@
         is_control = request.path == "/health" or request.path.startswith("/api/")
         if is_control and self.is_cut:
             return Reply(drop=True)
+        names = [name.lower() for name in request.headers]
+        if not is_control and "request-id" not in names:
+            self._record(f"{self.name} got {request.method} {request.path}")
+            return Reply(400, {"Not-Executed": "1"})
         return await super()._serve(request)
 
     def grant(self, body: dict) -> Reply:
@@ -154,14 +158,14 @@
             public=True,
         )
         service = resource(
-            "services", SERVICE, healthPath="/health", sharded=True, maxConnections=550
+            "services", SERVICE, healthPath="/health", sharded=True, maxConnections=520
         )
         write_configuration(self.store, 1, route, service)
         for number in range(TARGETS):
             zone = ZONES[number % len(ZONES)]
             target = KeyTarget(f"i-{number:03}", zone, self.targets, self.record)
             self.targets.append(target)
-            info = {"service": SERVICE, "zone": zone, "capacity": 3}
+            info = {"service": SERVICE, "zone": zone, "capacity": 6}
             spec = {"info": info, "born": 1000 + number}
             spec["address"] = await target.server.start(nursery)
             content = {"spec": spec, "status": {"state": "ready"}}
