End the processes of the review's scripts at SIGTERM

Cause: a script that its time limit ended would have left them running. Change: SIGTERM is taken as an interrupt, after which all is ended.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -291,6 +291,8 @@
 
 
 def main() -> None:
+    # So that the processes of the instances are ended at SIGTERM, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with tempfile.TemporaryDirectory(prefix="review-10-") as name:
         try:
             code = trio.run(play, Path(name))
