--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -380,6 +380,9 @@
     def _emit_claim(
         self, record: RangeRecord, claimed: RangeRecord, waits_for_predecessor: bool
     ) -> None:
+        earlier_until = self._ledger.grantable_after_timeout(
+            "", self._previous_authority_until
+        )
         emit(
             COORDINATOR_CLAIMED,
             service=self.service,
@@ -389,6 +392,8 @@
             waits_for_predecessor=waits_for_predecessor,
             era=claimed.era,
             awaits_leases=claimed.awaits_leases,
+            lease_validity=round(self._ledger.timing.max_validity, 2),
+            earlier_leases=round(max(0.0, earlier_until - self._clock()), 2),
         )
 
     # Claims in a restored store
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -380,6 +380,8 @@
     "waits_for_predecessor",
     "era",
     "awaits_leases",
+    "lease_validity",
+    "earlier_leases",
 )
 COORDINATOR_ENDED = define_event(
     6031,
