Wait for the leases of the coordinator before by their own length

Cause: the length of leases follows the number of usable targets at a claim (9 s with 188, 3.15 s with 63). The next coordinator computed the end of its predecessor's leases with its own length, and a process that claimed again did so for its own earlier grants.

Evidence: the record of the case shows leases of 9 s, renewed 0.5 to 3.1 s before the cut, and new grants of the same ranges 3.7 s after the claim. Ruled out: no wait at all (it waits 3.7 s), a late renewal (none arrives after the cut).

Change: the range record states in lease_validity_ms how long targets may act on a grant of its coordinator, and the next one counts with that. A record without the field counts as one with the longest leases. The ledger keeps the ends of leases in place of the times of sending. Lost claims in a restored store and a resignation with an unresolved write count the same way.

--- a/packages/core/src/fireflystand_core/ranges/leases.py
+++ b/packages/core/src/fireflystand_core/ranges/leases.py
@@ -1,5 +1,7 @@
 """Compute how long targets may act on the key ranges leased to them."""
 
+from math import ceil
+
 import attrs
 
 __all__ = ["CLOCK_DRIFT", "LeaseLedger", "LeaseTiming"]
@@ -24,49 +26,60 @@
         """Return the seconds after sending in which a target may act on a grant."""
         return self.lease_duration * (1 + CLOCK_DRIFT) + self.max_transit
 
+    @property
+    def max_validity_ms(self) -> int:
+        """Return ``max_validity`` in whole milliseconds, rounded up."""
+        return ceil(self.max_validity * 1000)
+
 
 @attrs.define
 class LeaseLedger:
-    """Track the grants sent to targets and compute when their leases have ended."""
+    """Track until when targets may act on the grants sent to them.
+
+    The times are those of the timing at which a grant was sent: a later claim of the
+    same process may grant shorter leases.
+    """
 
     timing: LeaseTiming
-    _sent_at_by_target: dict[str, float] = attrs.field(factory=dict)
-    _unacknowledged_at_by_target: dict[str, float] = attrs.field(factory=dict)
+    _ends_by_target: dict[str, float] = attrs.field(factory=dict)
+    _unacknowledged_ends_by_target: dict[str, float] = attrs.field(factory=dict)
 
     def record_sent(self, target: str, now: float) -> float:
-        """Record a grant that is about to be sent; return when the last one was."""
-        earlier = self._sent_at_by_target.get(target, float("-inf"))
-        self._sent_at_by_target[target] = now
+        """Record a grant that is about to be sent; return when the earlier ones end."""
+        earlier = self._ends_by_target.get(target, float("-inf"))
+        self._ends_by_target[target] = max(earlier, now + self.timing.max_validity)
         return earlier
 
     def record_unsent(self, target: str, earlier: float) -> None:
-        """Take back a grant of which nothing was sent; the last one stays recorded."""
-        self._sent_at_by_target[target] = earlier
+        """Take back a grant of which nothing was sent; the earlier ones stay."""
+        self._ends_by_target[target] = earlier
 
     def record_unacknowledged(self, target: str, sent_at: float) -> None:
         """Record an unacknowledged grant, which the target may still apply later."""
-        known = self._unacknowledged_at_by_target.get(target, sent_at)
-        self._unacknowledged_at_by_target[target] = max(known, sent_at)
+        end = sent_at + self.timing.max_validity
+        known = self._unacknowledged_ends_by_target.get(target, end)
+        self._unacknowledged_ends_by_target[target] = max(known, end)
 
     def grantable_after_release(self, target: str, now: float) -> float:
         """Return when keys that a target has released may be granted again.
 
         The target may apply an unacknowledged grant after the release.
         """
-        unacknowledged = self._unacknowledged_at_by_target.get(target)
-        if unacknowledged is None:
-            return now
-        return max(now, unacknowledged + self.timing.max_validity)
+        return max(now, self._unacknowledged_ends_by_target.get(target, now))
 
-    def grantable_after_timeout(self, target: str, unknown_until: float) -> float:
+    def grantable_after_timeout(self, target: str, earlier_until: float) -> float:
         """Return when the keys of an unresponsive target may be granted again.
 
-        Another coordinator may have sent a grant until ``unknown_until``.
+        It may act on the grants of other coordinators until ``earlier_until``.
         """
-        sent_at = self._sent_at_by_target.get(target, float("-inf"))
-        return max(sent_at, unknown_until) + self.timing.max_validity
+        return max(self._ends_by_target.get(target, float("-inf")), earlier_until)
+
+    @property
+    def last_end(self) -> float:
+        """Return when the last lease ends that this process has granted."""
+        return max(self._ends_by_target.values(), default=float("-inf"))
 
     def forget(self, target: str) -> None:
         """Drop a target whose process is known to have ended."""
-        self._sent_at_by_target.pop(target, None)
-        self._unacknowledged_at_by_target.pop(target, None)
+        self._ends_by_target.pop(target, None)
+        self._unacknowledged_ends_by_target.pop(target, None)
--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -55,7 +55,9 @@
     ``epoch`` rises with each claim of a coordinator; ``next_fence`` only increases.
     ``holder`` and ``holder_incarnation`` name the process that may change it. With
     ``awaits_leases``, a restored store may have lost the latest assignments, and no
-    range is granted until every lease under them has ended.
+    range is granted until every lease under them has ended. ``lease_validity_ms`` tells
+    for how many milliseconds after sending a target may act on a grant of the holder;
+    None if the holder runs a build that does not state it.
     """
 
     service: str
@@ -65,6 +67,7 @@
     holder: str = ""
     holder_incarnation: str = ""
     awaits_leases: bool = False
+    lease_validity_ms: int | None = None
     _firsts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
 
     @_firsts.default
@@ -124,6 +127,7 @@
         era: int = 0,
         number: int = 0,
         is_complete: bool = False,
+        lease_validity_ms: int | None = None,
     ) -> "RangeRecord":
         """Return the record with a later epoch, under a new coordinator.
 
@@ -142,6 +146,7 @@
             holder=holder,
             holder_incarnation=incarnation,
             awaits_leases=self.awaits_leases or (is_first and not is_complete),
+            lease_validity_ms=lease_validity_ms,
         )
 
     def settle(self, started_at_by_target: Mapping[str, int]) -> "RangeRecord":
@@ -176,6 +181,8 @@
     def to_value(self) -> dict[str, Any]:
         """Return the form that is stored in the object store."""
         value: dict[str, Any] = {"awaits_leases": True} if self.awaits_leases else {}
+        if self.lease_validity_ms is not None:
+            value["lease_validity_ms"] = self.lease_validity_ms
         return value | {
             "service": self.service,
             "epoch": self.epoch,
@@ -228,9 +235,12 @@
             holder=value["holder"],
             holder_incarnation=value["holder_incarnation"],
             awaits_leases=value.get("awaits_leases", False),
+            lease_validity_ms=value.get("lease_validity_ms"),
         )
         _check_all([record.service, record.holder, record.holder_incarnation], str)
         _check_all([record.next_fence, record.epoch], int)
+        if record.lease_validity_ms is not None:
+            _check_all([record.lease_validity_ms], int)
         if not ranges:
             raise ValueError("a range record without ranges")
         return record
--- a/packages/core/src/fireflystand_core/ranges/tests/test_planning.py
+++ b/packages/core/src/fireflystand_core/ranges/tests/test_planning.py
@@ -83,7 +83,18 @@
         ledger = LeaseLedger(LeaseTiming(lease_duration=3.0, max_transit=0.5))
         ledger.record_sent("a", 10.0)
         self.assertAlmostEqual(ledger.grantable_after_timeout("a", 0.0), 13.56)
-        self.assertAlmostEqual(ledger.grantable_after_timeout("a", 16.0), 19.56)
+        self.assertAlmostEqual(ledger.grantable_after_timeout("a", 19.56), 19.56)
+
+    def test_next_claim_of_the_same_process_grants_shorter_leases(self):
+        """The ends of the earlier leases were computed by the later length."""
+        ledger = LeaseLedger(LeaseTiming(lease_duration=9.0, max_transit=0.5))
+        ledger.record_sent("a", 10.0)
+        ledger.record_unacknowledged("a", 10.0)
+        ledger.timing = LeaseTiming(lease_duration=3.0, max_transit=0.5)
+        ledger.record_sent("a", 11.0)
+        self.assertAlmostEqual(ledger.grantable_after_timeout("a", 0.0), 19.68)
+        self.assertAlmostEqual(ledger.grantable_after_release("a", 12.0), 19.68)
+        self.assertAlmostEqual(ledger.last_end, 19.68)
 
 
 class PlanTests(unittest.TestCase):
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -115,6 +115,7 @@
 FREEZE_MARGIN = 0.3  # seconds that a freeze lasts beyond the expected move
 # Renewals that a small instance can send beside its requests.
 MAX_RENEWALS_PER_SECOND = 60.0
+MAX_LEASE_SHARE = 0.9  # of the longest lease that targets accept
 
 
 @attrs.define
@@ -180,7 +181,7 @@
         self._released: set[tuple[int, int]] = set()
         self._unsent_freezes: list[tuple[int, int]] = []
         self._authority_until = float("-inf")
-        self._previous_authority_until = float("-inf")
+        self._earlier_leases_until = float("-inf")
         self._has_authority = False
         self._next_confirm = 0.0
         self._failing_since: float | None = None  # when the first such call was sent
@@ -201,7 +202,7 @@
         self._is_claiming_again = False
         self._next_reclaim = 0.0
         self._claimed_at = float("-inf")
-        self._grants_from = float("-inf")
+        self._longest_validity = 0.0  # of the leases in the claims seen, in seconds
         self._next_settling = 0.0
         self._watch = ClaimWatch(service, state, membership, clock)
         self.writer = RecordWriter(
@@ -229,6 +230,7 @@
         async with trio.open_nursery() as self._nursery:
             while True:
                 self._watch.update_era()
+                self._follow_claim()
                 if self.is_coordinator:
                     await self._coordinate()
                 elif not self._stopping:
@@ -332,16 +334,17 @@
         is_complete = not self._may_be_lost(record)
         if record is None:
             record = RangeRecord(self.service)
+        timing = self._scaled_timing()
         claimed = await self.writer.claim(
             record,
             self._membership.own_id,
             self._membership.incarnation,
             self._watch.era,
             is_complete=is_complete,
+            lease_validity_ms=timing.max_validity_ms,
         )
         if claimed is None:
             return
-        previous_until = requested_at
         previous_may_act = record.holder and not (
             record.holder == self._membership.own_id
             or record.epoch == self._resigned_epoch
@@ -351,15 +354,16 @@
             )
         )
         now = self._claimed_at = self._clock()
-        if previous_may_act:
-            previous_until = now + AUTHORITY_PERIOD
-        elif not record.holder:
-            previous_until = float("-inf")
-        self._grants_from = float("-inf")
+        earlier_until = float("-inf")
+        if record.holder:
+            acts_until = now + AUTHORITY_PERIOD if previous_may_act else requested_at
+            earlier_until = acts_until + self._validity_of(record)
         if claimed.awaits_leases:
-            previous_until = now + self._lost_claim_period(bool(previous_may_act))
-            self._grants_from = previous_until + self._max_validity()
-        self._ledger.timing = self._scaled_timing()
+            acts_until = now + self._lost_claim_period(bool(previous_may_act))
+            lost_until = acts_until + self._max_validity()
+            earlier_until = max(earlier_until, lost_until)
+        self._earlier_leases_until = earlier_until
+        self._ledger.timing = timing
         self._status_by_target.clear()
         self._answered_processes.clear()
         self._asked_processes.clear()
@@ -370,7 +374,6 @@
         self._unsent_freezes.clear()
         self._is_claim_lost = False
         self._failing_since = None
-        self._previous_authority_until = previous_until
         self._authority_until = requested_at + AUTHORITY_PERIOD
         self._has_authority = True
         self._next_confirm = now + CONFIRM_INTERVAL
@@ -380,9 +383,7 @@
     def _emit_claim(
         self, record: RangeRecord, claimed: RangeRecord, waits_for_predecessor: bool
     ) -> None:
-        earlier_until = self._ledger.grantable_after_timeout(
-            "", self._previous_authority_until
-        )
+        earlier_leases = max(0.0, self._earlier_leases_until - self._clock())
         emit(
             COORDINATOR_CLAIMED,
             service=self.service,
@@ -393,7 +394,7 @@
             era=claimed.era,
             awaits_leases=claimed.awaits_leases,
             lease_validity=round(self._ledger.timing.max_validity, 2),
-            earlier_leases=round(max(0.0, earlier_until - self._clock()), 2),
+            earlier_leases=round(earlier_leases, 2),
         )
 
     # Claims in a restored store
@@ -426,15 +427,30 @@
         """
         if not self._watch.unreachable():
             return
-        until = self._claimed_at + AUTHORITY_PERIOD
-        self._previous_authority_until = max(self._previous_authority_until, until)
-        self._grants_from = max(self._grants_from, until + self._max_validity())
+        until = self._claimed_at + AUTHORITY_PERIOD + self._max_validity()
+        self._earlier_leases_until = max(self._earlier_leases_until, until)
 
     def _max_validity(self) -> float:
-        """Return the validity of leases that any coordinator may have granted."""
+        """Return the validity of leases that any lost claim may have granted."""
         known = self._state.latest_records_by_target.values()
         targets = sum(target.service == self.service for target in known)
-        return self._timing_for(targets).max_validity
+        return max(self._timing_for(targets).max_validity, self._longest_validity)
+
+    def _validity_of(self, record: RangeRecord) -> float:
+        """Return the validity of the leases that the holder of a record grants."""
+        if record.lease_validity_ms is None:
+            longest = attrs.evolve(
+                self._base_timing, lease_duration=self._longest_lease
+            )
+            return longest.max_validity
+        return record.lease_validity_ms / 1000
+
+    def _follow_claim(self) -> None:
+        """Note the validity of leases in each claim; the store may lose the claim."""
+        record = self._state.records_by_service.get(self.service)
+        if record is not None and record.lease_validity_ms is not None:
+            validity = record.lease_validity_ms / 1000
+            self._longest_validity = max(self._longest_validity, validity)
 
     def _handle_restoration(self, now: float) -> None:
         """Claim again in the restored store, from this process's own record."""
@@ -462,6 +478,7 @@
             self._membership.incarnation,
             self._watch.era,
             is_complete=True,
+            lease_validity_ms=self._ledger.timing.max_validity_ms,
         )
         if claimed is None:
             return
@@ -503,7 +520,7 @@
             return
         if self.record.awaits_leases:
             self._follow_unreachable()
-            if now >= max(self._grants_from, self._next_settling):
+            if now >= max(self._earlier_leases_until, self._next_settling):
                 self._next_settling = now + RECLAIM_INTERVAL
                 self._start_task(self._settle)
             return
@@ -584,7 +601,7 @@
         # The next coordinator may find owners in the record that this one has not
         # granted yet, so the leases that it renewed have to end first.
         self._authority_until = min(self._authority_until, now)
-        return now >= self._authority_until + self._max_validity()
+        return now >= self._ledger.last_end
 
     def _are_uncertain_parts_free(self) -> bool:
         """Tell whether no target holds a range whose stored owner is unknown.
@@ -645,14 +662,17 @@
     def _timing_for(self, targets: int) -> LeaseTiming:
         base = self._base_timing
         renewal_interval = max(base.renewal_interval, targets / MAX_RENEWALS_PER_SECOND)
-        lease_duration = min(
-            self._max_lease * 0.9,
-            base.lease_duration * renewal_interval / base.renewal_interval,
-        )
+        lease_duration = base.lease_duration * renewal_interval / base.renewal_interval
         return attrs.evolve(
-            base, renewal_interval=renewal_interval, lease_duration=lease_duration
+            base,
+            renewal_interval=renewal_interval,
+            lease_duration=min(lease_duration, self._longest_lease),
         )
 
+    @property
+    def _longest_lease(self) -> float:
+        return self._max_lease * MAX_LEASE_SHARE
+
     def _target_status(self, target: str) -> _TargetStatus:
         status = self._status_by_target.setdefault(target, _TargetStatus())
         known = self._state.targets_by_id.get(target)
@@ -1110,9 +1130,7 @@
         status = self._target_status(part.target)
         self._freeze(part)
         # Grants of an earlier coordinator may take effect late.
-        fenced = self._clock() >= self._ledger.grantable_after_timeout(
-            "", self._previous_authority_until
-        )
+        fenced = self._clock() >= self._earlier_leases_until
         async with status.lock:
             known = self._state.latest_records_by_target.get(part.target)
             if not fenced and known is not None:
@@ -1132,7 +1150,7 @@
                     await trio.sleep(max(0.0, free_at - self._clock()))
                     return handover
             free_at = self._ledger.grantable_after_timeout(
-                part.target, self._previous_authority_until
+                part.target, self._earlier_leases_until
             )
             if free_at <= self._clock() or await self._has_successor(part):
                 return ""
@@ -1145,7 +1163,7 @@
         if fenced:
             return self._ledger.grantable_after_release(part.target, self._clock())
         return self._ledger.grantable_after_timeout(
-            part.target, self._previous_authority_until
+            part.target, self._earlier_leases_until
         )
 
     async def _fence_off(
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -80,6 +80,7 @@
         era: int,
         *,
         is_complete: bool,
+        lease_validity_ms: int,
     ) -> RangeRecord | None:
         """Write a claim that continues from a record, unless a later one is stored.
 
@@ -102,6 +103,7 @@
                 era=era,
                 number=number_of(version),
                 is_complete=is_complete,
+                lease_validity_ms=lease_validity_ms,
             )
             self._shares_whole = True
             new_version = await self._write(claimed, version, "claim")
--- a/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
@@ -1,5 +1,6 @@
 """Run instances that share a store which is restored from earlier copies."""
 
+from collections.abc import Collection
 from contextlib import suppress
 
 import attrs
@@ -16,6 +17,7 @@
 )
 from fireflystand_core.replica import ObjectChange
 
+from ...http_client import ConnectionFailedError
 from ..ports import RANGES, GrantRefusedError
 from ..ranges import RangeCoordinator
 from ..state import InstanceRecord
@@ -63,6 +65,7 @@
     frozen_since: float | None = None
     cut_since: float | None = None  # from its peers
     reaches_store: bool = True
+    unreachable_targets: set[str] = attrs.field(factory=set)
     thawed_at: float = float("-inf")
     thawed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -113,8 +116,15 @@
         self._control = cluster.control
         self._instance = instance
 
-    async def grant(self, address: str, item: KeyRange, lease: float) -> None:
+    async def _connect(self, address: str) -> None:
         await self._instance.wait_while_frozen()
+        if address in self._instance.unreachable_targets:
+            raise ConnectionFailedError(
+                "no response", step="connect", peer=address, refused=False
+            )
+
+    async def grant(self, address: str, item: KeyRange, lease: float) -> None:
+        await self._connect(address)
         if trio.current_time() - self._instance.thawed_at < THAW_PERIOD:
             await trio.sleep(self._control.grant_time)
             target = self._control.targets_by_id[address]
@@ -124,11 +134,11 @@
         await self._control.grant(address, item, lease)
 
     async def reach(self, address: str, target: str) -> None:
-        await self._instance.wait_while_frozen()
+        await self._connect(address)
         await self._control.reach(address, target)
 
     async def release(self, address: str, item: KeyRange, timeout: float) -> str:
-        await self._instance.wait_while_frozen()
+        await self._connect(address)
         handover = await self._control.release(address, item, timeout)
         await self._instance.wait_while_frozen()
         return handover
@@ -236,6 +246,14 @@
         instance = self.instances_by_id[own_id]
         instance.cut_since, instance.reaches_store = None, True
 
+    def cut_targets(self, targets: Collection[str], *, reached_by: str = "") -> None:
+        """Cut targets off from all instances but one and from the store."""
+        for instance in self.instances_by_id.values():
+            if instance.id != reached_by:
+                instance.unreachable_targets.update(targets)
+                for target in targets:
+                    self.remove_target_record(instance.coordinator, target)
+
     def coordinator(self) -> Instance | None:
         """Return the instance that coordinates, if it is the only one."""
         found = [
