Hand the wait for earlier coordinators on to the next one

What callers saw: a coordinator was cut off together with a target, its successor was lost within a few seconds, and the third coordinator gave the target's keys to others.

Cause: the wait for a coordinator that may still send grants lived in the process that waited. A claim derived its wait from the last holder only; a kill, a planned stop, a resignation or a claim of the same instance waived it together with what that holder still owed to those before it.

Evidence: in the record of the case the third coordinator grants the keys at 17.65, 4.9 s after its claim, and the lease that the first one renewed ends at 18.77. Ruled out: late grants (the target records them during the cut, at their usual interval), a false proof for the first coordinator (the third never asks for one).

Change: a claim states in earlier_leases_ms for how long leases of the coordinators before it may hold. The next one takes over what is left, counted from when it first saw that claim. The field is taken out once the time is over, and written again if the wait grows. Replaced processes, resignations and ended processes count as before.

One more write of the record follows a claim in place of a coordinator that may still act, none after a kill or a stop.

--- a/packages/core/src/fireflystand_core/ranges/record.py
+++ b/packages/core/src/fireflystand_core/ranges/record.py
@@ -57,7 +57,9 @@
     ``awaits_leases``, a restored store may have lost the latest assignments, and no
     range is granted until every lease under them has ended. ``lease_validity_ms`` tells
     for how many milliseconds after sending a target may act on a grant of the holder;
-    None if the holder runs a build that does not state it.
+    None if the holder runs a build that does not state it. ``earlier_leases_ms`` tells
+    for how many milliseconds after the claim a target may act on grants of coordinators
+    before the holder; 0 if the leases of the holder last longer than these.
     """
 
     service: str
@@ -68,6 +70,7 @@
     holder_incarnation: str = ""
     awaits_leases: bool = False
     lease_validity_ms: int | None = None
+    earlier_leases_ms: int = 0
     _firsts: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
 
     @_firsts.default
@@ -128,6 +131,7 @@
         number: int = 0,
         is_complete: bool = False,
         lease_validity_ms: int | None = None,
+        earlier_leases_ms: int = 0,
     ) -> "RangeRecord":
         """Return the record with a later epoch, under a new coordinator.
 
@@ -147,6 +151,16 @@
             holder_incarnation=incarnation,
             awaits_leases=self.awaits_leases or (is_first and not is_complete),
             lease_validity_ms=lease_validity_ms,
+            earlier_leases_ms=earlier_leases_ms,
+        )
+
+    def with_earlier_leases(self, duration_ms: int) -> "RangeRecord":
+        """Return the record with another duration of the earlier leases.
+
+        The next fencing token orders the records of a claim.
+        """
+        return attrs.evolve(
+            self, earlier_leases_ms=duration_ms, next_fence=self.next_fence + 1
         )
 
     def settle(self, started_at_by_target: Mapping[str, int]) -> "RangeRecord":
@@ -183,6 +197,8 @@
         value: dict[str, Any] = {"awaits_leases": True} if self.awaits_leases else {}
         if self.lease_validity_ms is not None:
             value["lease_validity_ms"] = self.lease_validity_ms
+        if self.earlier_leases_ms:
+            value["earlier_leases_ms"] = self.earlier_leases_ms
         return value | {
             "service": self.service,
             "epoch": self.epoch,
@@ -236,9 +252,10 @@
             holder_incarnation=value["holder_incarnation"],
             awaits_leases=value.get("awaits_leases", False),
             lease_validity_ms=value.get("lease_validity_ms"),
+            earlier_leases_ms=value.get("earlier_leases_ms", 0),
         )
         _check_all([record.service, record.holder, record.holder_incarnation], str)
-        _check_all([record.next_fence, record.epoch], int)
+        _check_all([record.next_fence, record.epoch, record.earlier_leases_ms], int)
         if record.lease_validity_ms is not None:
             _check_all([record.lease_validity_ms], int)
         if not ranges:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -24,6 +24,7 @@
     RangesFrozen,
 )
 from fireflystand_core.ranges import (
+    AUTHORITY_PERIOD,
     HotKeys,
     KeyRange,
     LeaseLedger,
@@ -32,10 +33,12 @@
     PlannedMove,
     RangeRecord,
     RisenLoads,
+    Succession,
     initial_moves,
     isolating_moves,
     moves_to_idle_targets,
     rebalancing_moves,
+    stated_duration_ms,
     trial_moves,
 )
 from fireflystand_core.replica import ObjectChange
@@ -70,10 +73,6 @@
 __all__ = ["RangeCoordinator"]
 
 LOOP_INTERVAL = 0.1  # seconds between two iterations of the coordinator's loop
-# How long a coordinator may act after the store last confirmed its claim. Outages of
-# the store take 4 to 9 s. The period need not cover the longest: leases granted within
-# it end later, and requests with an API key are refused after 4 s without the store.
-AUTHORITY_PERIOD = 6.0  # seconds
 CONFIRM_INTERVAL = 1.5  # seconds
 CONFIRM_RETRY_INTERVAL = 0.5  # seconds from a failed confirmation to the next one
 RECLAIM_INTERVAL = 0.3  # seconds between two tries to claim in a restored store
@@ -172,7 +171,6 @@
         self._state = state
         self._membership = membership
         self._base_timing = lease_timing
-        self._max_lease = max_lease
         self._store_age = store_age
         self._ledger = LeaseLedger(lease_timing)
         self._status_by_target: dict[str, _TargetStatus] = {}
@@ -202,7 +200,11 @@
         self._is_claiming_again = False
         self._next_reclaim = 0.0
         self._claimed_at = float("-inf")
-        self._longest_validity = 0.0  # of the leases in the claims seen, in seconds
+        longest_lease = max_lease * MAX_LEASE_SHARE
+        self._succession = Succession(
+            attrs.evolve(lease_timing, lease_duration=longest_lease)
+        )
+        self._next_statement = 0.0
         self._next_settling = 0.0
         self._watch = ClaimWatch(service, state, membership, clock)
         self.writer = RecordWriter(
@@ -230,7 +232,8 @@
         async with trio.open_nursery() as self._nursery:
             while True:
                 self._watch.update_era()
-                self._follow_claim()
+                known = self._state.records_by_service.get(self.service)
+                self._succession.follow(known, self._clock())
                 if self.is_coordinator:
                     await self._coordinate()
                 elif not self._stopping:
@@ -334,6 +337,12 @@
         is_complete = not self._may_be_lost(record)
         if record is None:
             record = RangeRecord(self.service)
+        self._succession.follow(record, requested_at)
+        awaits_leases = record.awaits_leases or (
+            self._watch.era > record.era and not is_complete
+        )
+        predecessor_may_act = self._may_holder_act(record)
+        earlier_leases = self._earlier_leases(record, requested_at, awaits_leases)
         timing = self._scaled_timing()
         claimed = await self.writer.claim(
             record,
@@ -342,27 +351,14 @@
             self._watch.era,
             is_complete=is_complete,
             lease_validity_ms=timing.max_validity_ms,
+            earlier_leases_ms=stated_duration_ms(earlier_leases, timing),
         )
         if claimed is None:
             return
-        previous_may_act = record.holder and not (
-            record.holder == self._membership.own_id
-            or record.epoch == self._resigned_epoch
-            or self._is_holder_replaced(record)
-            or self._membership.has_process_ended(
-                record.holder, record.holder_incarnation
-            )
-        )
         now = self._claimed_at = self._clock()
-        earlier_until = float("-inf")
-        if record.holder:
-            acts_until = now + AUTHORITY_PERIOD if previous_may_act else requested_at
-            earlier_until = acts_until + self._validity_of(record)
-        if claimed.awaits_leases:
-            acts_until = now + self._lost_claim_period(bool(previous_may_act))
-            lost_until = acts_until + self._max_validity()
-            earlier_until = max(earlier_until, lost_until)
-        self._earlier_leases_until = earlier_until
+        # A live predecessor may have been confirmed until the claim was written.
+        is_open = predecessor_may_act or awaits_leases
+        self._earlier_leases_until = (now if is_open else requested_at) + earlier_leases
         self._ledger.timing = timing
         self._status_by_target.clear()
         self._answered_processes.clear()
@@ -378,7 +374,34 @@
         self._has_authority = True
         self._next_confirm = now + CONFIRM_INTERVAL
         self._next_plan = now
-        self._emit_claim(record, claimed, bool(previous_may_act))
+        self._emit_claim(record, claimed, predecessor_may_act)
+
+    def _may_holder_act(self, record: RangeRecord) -> bool:
+        """Tell whether the coordinator of a record may still send grants."""
+        if not record.holder or record.holder == self._membership.own_id:
+            return False
+        return not (
+            record.epoch == self._resigned_epoch
+            or self._is_holder_replaced(record)
+            or self._membership.has_process_ended(
+                record.holder, record.holder_incarnation
+            )
+        )
+
+    def _earlier_leases(
+        self, record: RangeRecord, now: float, awaits_leases: bool
+    ) -> float:
+        """Return for how many seconds leases of earlier coordinators may hold.
+
+        With ``awaits_leases``, a restored store may have lost claims after the record.
+        """
+        may_act = self._may_holder_act(record)
+        acts_until = now + AUTHORITY_PERIOD if may_act else now
+        until = self._succession.leases_until(record, acts_until)
+        if awaits_leases:
+            acts_until = now + self._lost_claim_period(may_act)
+            until = max(until, acts_until + self._max_validity())
+        return until - now
 
     def _emit_claim(
         self, record: RangeRecord, claimed: RangeRecord, waits_for_predecessor: bool
@@ -434,23 +457,10 @@
         """Return the validity of leases that any lost claim may have granted."""
         known = self._state.latest_records_by_target.values()
         targets = sum(target.service == self.service for target in known)
-        return max(self._timing_for(targets).max_validity, self._longest_validity)
-
-    def _validity_of(self, record: RangeRecord) -> float:
-        """Return the validity of the leases that the holder of a record grants."""
-        if record.lease_validity_ms is None:
-            longest = attrs.evolve(
-                self._base_timing, lease_duration=self._longest_lease
-            )
-            return longest.max_validity
-        return record.lease_validity_ms / 1000
-
-    def _follow_claim(self) -> None:
-        """Note the validity of leases in each claim; the store may lose the claim."""
-        record = self._state.records_by_service.get(self.service)
-        if record is not None and record.lease_validity_ms is not None:
-            validity = record.lease_validity_ms / 1000
-            self._longest_validity = max(self._longest_validity, validity)
+        return max(
+            self._timing_for(targets).max_validity,
+            self._succession.longest_stated_validity,
+        )
 
     def _handle_restoration(self, now: float) -> None:
         """Claim again in the restored store, from this process's own record."""
@@ -471,17 +481,20 @@
 
     async def _claim_again(self) -> None:
         requested_at = self._clock()
-        record = self.record
+        record, timing = self.record, self._ledger.timing
+        earlier_leases = self._earlier_leases_until - requested_at
         claimed = await self.writer.claim(
             record,
             self._membership.own_id,
             self._membership.incarnation,
             self._watch.era,
             is_complete=True,
-            lease_validity_ms=self._ledger.timing.max_validity_ms,
+            lease_validity_ms=timing.max_validity_ms,
+            earlier_leases_ms=stated_duration_ms(earlier_leases, timing),
         )
         if claimed is None:
             return
+        self._claimed_at = self._clock()
         self._is_claim_lost = False
         self._authority_until = max(
             self._authority_until, requested_at + AUTHORITY_PERIOD
@@ -494,6 +507,22 @@
         started_at_by_target = {target.id: target.started_at for target in usable}
         await self.writer.change(lambda record: record.settle(started_at_by_target))
 
+    def _state_earlier_leases(self, now: float) -> None:
+        """Write for how long earlier leases hold, once that is over or has changed."""
+        duration_ms, stated_ms = 0, self.record.earlier_leases_ms
+        if now < self._earlier_leases_until:
+            duration_ms = stated_duration_ms(
+                self._earlier_leases_until - self._claimed_at, self._ledger.timing
+            )
+        is_over = stated_ms > 0 and not duration_ms
+        if now < self._next_statement or not (is_over or duration_ms > stated_ms + 1):
+            return
+        self._next_statement = now + CONFIRM_RETRY_INTERVAL
+        self._start_task(
+            self.writer.change,
+            lambda record: record.with_earlier_leases(duration_ms),
+        )
+
     # Authority
 
     async def _coordinate(self) -> None:
@@ -520,6 +549,8 @@
             return
         if self.record.awaits_leases:
             self._follow_unreachable()
+        self._state_earlier_leases(now)
+        if self.record.awaits_leases:
             if now >= max(self._earlier_leases_until, self._next_settling):
                 self._next_settling = now + RECLAIM_INTERVAL
                 self._start_task(self._settle)
@@ -666,13 +697,9 @@
         return attrs.evolve(
             base,
             renewal_interval=renewal_interval,
-            lease_duration=min(lease_duration, self._longest_lease),
+            lease_duration=min(lease_duration, self._succession.longest.lease_duration),
         )
 
-    @property
-    def _longest_lease(self) -> float:
-        return self._max_lease * MAX_LEASE_SHARE
-
     def _target_status(self, target: str) -> _TargetStatus:
         status = self._status_by_target.setdefault(target, _TargetStatus())
         known = self._state.targets_by_id.get(target)
--- a/packages/router/src/fireflystand_router/dispatch/record_writer.py
+++ b/packages/router/src/fireflystand_router/dispatch/record_writer.py
@@ -81,6 +81,7 @@
         *,
         is_complete: bool,
         lease_validity_ms: int,
+        earlier_leases_ms: int,
     ) -> RangeRecord | None:
         """Write a claim that continues from a record, unless a later one is stored.
 
@@ -104,6 +105,7 @@
                 number=number_of(version),
                 is_complete=is_complete,
                 lease_validity_ms=lease_validity_ms,
+                earlier_leases_ms=earlier_leases_ms,
             )
             self._shares_whole = True
             new_version = await self._write(claimed, version, "claim")
--- a/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
@@ -145,9 +145,14 @@
 
 
 class FreezableCoordinator(RangeCoordinator):
-    """Stand still while the instance is frozen."""
+    """Stand still while the instance is frozen; count the confirmations."""
 
     instance: Instance
+    confirmations = 0
+
+    async def _confirm(self) -> None:
+        await super()._confirm()
+        self.confirmations += not self.writer.is_failing
 
     async def _coordinate(self) -> None:
         await self.instance.wait_while_frozen()
@@ -182,6 +187,7 @@
         self.control = CheckingControl(self.targets)
         self.instances_by_id: dict[str, Instance] = {}
         self.whole_shares = 0  # number of records sent as a whole
+        self._cut_targets: set[str] = set()
         self._starts = 0
         self._began_at = float("-inf")  # when the first instances started
         self._nursery = nursery
@@ -211,6 +217,7 @@
         coordinator.instance = instance
         instance.coordinator = coordinator
         self.instances_by_id[own_id] = instance
+        self._update_cut_targets(instance)
         self._update_membership()
         self._nursery.start_soon(self._run, instance)
         return instance
@@ -247,12 +254,16 @@
         instance.cut_since, instance.reaches_store = None, True
 
     def cut_targets(self, targets: Collection[str], *, reached_by: str = "") -> None:
-        """Cut targets off from all instances but one and from the store."""
+        """Cut targets off from the store and from all instances but one."""
+        self._cut_targets.update(targets)
         for instance in self.instances_by_id.values():
             if instance.id != reached_by:
-                instance.unreachable_targets.update(targets)
-                for target in targets:
-                    self.remove_target_record(instance.coordinator, target)
+                self._update_cut_targets(instance)
+
+    def _update_cut_targets(self, instance: Instance) -> None:
+        instance.unreachable_targets |= self._cut_targets
+        for target in self._cut_targets:
+            self.remove_target_record(instance.coordinator, target)
 
     def coordinator(self) -> Instance | None:
         """Return the instance that coordinates, if it is the only one."""
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
@@ -8,6 +8,7 @@
 from fireflystand_core.ranges import LeaseTiming
 
 from ..ports import RANGES
+from ..ranges import AUTHORITY_PERIOD
 from .restoration_support import RestorationCluster
 from .support import SERVICE
 
@@ -109,3 +110,141 @@
             await self.check_owners(cluster, 0)
 
         run_scenario(scenario)
+
+
+class HandedOnWaitTests(SuccessionTestCase):
+    """Guard against a wait for an earlier coordinator that ends with its successor."""
+
+    async def cut_off_coordinator(self, cluster: RestorationCluster) -> str:
+        """Cut a coordinator off with a target as the store has confirmed its claim."""
+        for own_id in "abc":
+            cluster.start(own_id)
+        await trio.sleep(12)
+        first = cluster.coordinator()
+        confirmed = first.coordinator.confirmations
+        while first.coordinator.confirmations == confirmed:
+            await trio.sleep(0.01)
+        cluster.cut(first.id, from_store=True)
+        cluster.cut_targets(["t0"], reached_by=first.id)
+        return first.id
+
+    async def next_coordinator(self, cluster: RestorationCluster, *others: str) -> str:
+        """Return the instance that claims the service in place of the others."""
+        with trio.fail_after(8):
+            while True:
+                await trio.sleep(0.05)
+                for instance in cluster.instances_by_id.values():
+                    if instance.id not in others and instance.coordinator.record:
+                        return instance.id
+
+    def kill_all_but(self, cluster: RestorationCluster, *kept: str) -> None:
+        for own_id in cluster.instances_by_id.keys() - set(kept):
+            cluster.kill(own_id)
+
+    def test_successor_is_killed(self):
+        """The next one waited for the killed process only, which acts no longer."""
+
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster)
+            second = await self.next_coordinator(cluster, first)
+            await trio.sleep(0.3)
+            cluster.kill(second)
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
+    def test_successor_stops_as_planned(self):
+        """A resignation waived the wait that the resigning process still owed."""
+
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster)
+            second = await self.next_coordinator(cluster, first)
+            await cluster.instances_by_id[second].coordinator.stop()
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
+    def test_successor_restarts_and_claims_again(self):
+        """A claim of the same instance waived the wait of its earlier process."""
+
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster)
+            second = await self.next_coordinator(cluster, first)
+            self.kill_all_but(cluster, first)
+            cluster.start(second)
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
+    def test_two_successors_are_killed_one_after_the_other(self):
+        """Only processes are left that started after the first claim had gone."""
+
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster)
+            await self.next_coordinator(cluster, first)
+            self.kill_all_but(cluster, first)
+            cluster.start("d")
+            await self.next_coordinator(cluster, first)
+            cluster.start("e")
+            self.kill_all_but(cluster, first, "e")
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
+    def test_successor_with_shorter_leases_is_killed(self):
+        """The length of the leases before it was known to the killed process only."""
+
+        async def scenario(cluster):
+            for own_id in "abc":
+                cluster.start(own_id)
+            await trio.sleep(12)
+            names = [target.id for target in cluster.targets]
+            for name in names[SMALL_SERVICE:]:
+                cluster.set_usable(name, False)
+            await trio.sleep(8)
+            first = cluster.coordinator().id
+            cluster.cut_targets(names[:4], reached_by=first)
+            cluster.kill(first)
+            cluster.kill(await self.next_coordinator(cluster))
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario, targets=3 * SMALL_SERVICE)
+
+    def test_wait_ends_although_coordinators_are_lost_in_a_row(self):
+        """The keys of a silent target would wait for as long as coordinators change."""
+
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster)
+            keys = [item.first for item in cluster.stored().owned_by("t0")]
+            await self.next_coordinator(cluster, first)
+            claimed_at, number = trio.current_time(), 0
+            while any(cluster.stored().owner(key).target == "t0" for key in keys):
+                number += 1
+                self.assertLess(number, 6)
+                cluster.start(f"x{number}")
+                await trio.sleep(4)
+                self.kill_all_but(cluster, first, f"x{number}")
+            # The last of them waits for the leases of the one before it, too.
+            validity = LeaseTiming().max_validity
+            wait = AUTHORITY_PERIOD + 2 * validity
+            self.assertLess(trio.current_time() - claimed_at, wait + 4)
+            self.assertGreater(number, 2)
+            self.assertEqual(cluster.control.violations, [])
+
+        run_scenario(scenario)
+
+    def test_wait_that_is_over_is_not_handed_on(self):
+        """A process that starts later would wait once more for leases long ended."""
+
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster)
+            await self.next_coordinator(cluster, first)
+            await trio.sleep(12)
+            cluster.start("d")
+            await trio.sleep(2)
+            cluster.cut_targets(["t1"])
+            self.kill_all_but(cluster, first, "d")
+            await trio.sleep(LeaseTiming().max_validity + 2)
+            self.assertEqual(cluster.stored().owned_by("t1"), [])
+
+        run_scenario(scenario)
