Share the scenario runner of the cluster tests; kill instances in a fixed order

The order of a set of names follows the hash seed of the process, so a sequence of test_successions could differ between two runs. No check is changed.

--- a/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
@@ -5,6 +5,7 @@
 
 import attrs
 import trio
+import trio.testing
 
 from fireflystand_core.exceptions import StoreUnavailableError
 from fireflystand_core.messages import CoordinatorResigned
@@ -390,3 +391,14 @@
     def stored_number(self) -> int:
         """Return the store's number of the range record."""
         return self.store.objects[RANGES, SERVICE].version
+
+
+def run_scenario(scenario, targets: int = 4) -> None:
+    """Run a scenario on a cluster, with a clock that skips waits."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await scenario(RestorationCluster(nursery, targets))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_restored_store.py
@@ -6,28 +6,16 @@
 from random import Random
 
 import trio
-import trio.testing
 
 from fireflystand_core.replica import ObjectChange, make_revision
 
 from ..ports import TARGETS
-from .restoration_support import RestorationCluster
+from .restoration_support import RestorationCluster, run_scenario
 
 SEEDS = int(os.environ.get("RESTORATION_SEEDS", "4"))
 STEPS = 12  # of a random sequence
 
 
-def run_scenario(scenario) -> None:
-    """Run a scenario on a cluster, with a clock that skips waits."""
-
-    async def main():
-        async with trio.open_nursery() as nursery:
-            await scenario(RestorationCluster(nursery))
-            nursery.cancel_scope.cancel()
-
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 async def start_instances(cluster: RestorationCluster, count: int = 3) -> None:
     """Start instances; return once one of them has granted all keys."""
     for own_id in "abc"[:count]:
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
@@ -6,14 +6,13 @@
 from unittest.mock import patch
 
 import trio
-import trio.testing
 
 from fireflystand_core.ranges import LeaseTiming
 
 from .. import ranges
 from ..ports import RANGES
 from ..ranges import AUTHORITY_PERIOD
-from .restoration_support import RestorationCluster
+from .restoration_support import RestorationCluster, run_scenario
 from .support import SERVICE
 
 SEEDS = int(os.environ.get("SUCCESSION_SEEDS", "6"))
@@ -21,17 +20,6 @@
 SMALL_SERVICE = 60  # targets whose renewals one instance sends within a second
 
 
-def run_scenario(scenario, targets: int = 4) -> None:
-    """Run a scenario on a cluster, with a clock that skips waits."""
-
-    async def main():
-        async with trio.open_nursery() as nursery:
-            await scenario(RestorationCluster(nursery, targets))
-            nursery.cancel_scope.cancel()
-
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 class SuccessionTestCase(unittest.TestCase):
     """Check that no two targets hold a key around a change of the coordinator."""
 
@@ -144,7 +132,7 @@
                         return instance.id
 
     def kill_all_but(self, cluster: RestorationCluster, *kept: str) -> None:
-        for own_id in cluster.instances_by_id.keys() - set(kept):
+        for own_id in sorted(cluster.instances_by_id.keys() - set(kept)):
             cluster.kill(own_id)
 
     def test_successor_is_killed(self):
