Do not take a refused connection for the end of a process

Cause: Membership recorded a peer that refused a connection as ended, and RangeCoordinator._claim did not wait for the authority of a predecessor that had ended. Behind a cut, a refusal proves nothing.

Change: a refused connection still declares a peer dead at once, so the next instance claims as fast as before, but has_process_ended is gone from claims, ClaimWatch and rollout records. A coordinator ends the wait for its predecessor when that one resigns or its instance runs another process (event 6039), and writes the shorter wait into the record.

Three tests counted on the refusal and are replaced, with the same bounds: a killed coordinator now restarts, since nothing else tells it from one that is cut off.

--- a/packages/core/src/fireflystand_core/ranges/succession.py
+++ b/packages/core/src/fireflystand_core/ranges/succession.py
@@ -12,7 +12,7 @@
 from .leases import LeaseTiming
 from .record import RangeRecord
 
-__all__ = ["AUTHORITY_PERIOD", "Succession", "stated_duration_ms"]
+__all__ = ["AUTHORITY_PERIOD", "EarlierLeases", "Succession", "stated_duration_ms"]
 
 # How long a coordinator may act after the store last confirmed its claim. Outages of
 # the store take 4 to 9 s. The period need not cover the longest: leases granted within
@@ -30,6 +30,18 @@
     return duration_ms if duration_ms > timing.max_validity_ms else 0
 
 
+@attrs.frozen
+class EarlierLeases:
+    """Hold what a claim knows of the leases of the coordinators before it."""
+
+    validity: float  # seconds, of the grants of the last one
+    handed_on_until: float  # the end of the leases of those before the last one
+
+    def until(self, acts_until: float) -> float:
+        """Return when all have ended, if the last one may act until a given time."""
+        return max(acts_until + self.validity, self.handed_on_until)
+
+
 @attrs.define
 class Succession:
     """Follow the claims of a service as one process sees them.
@@ -57,17 +69,17 @@
                 self.longest_stated_validity, record.lease_validity_ms / 1000
             )
 
-    def leases_until(self, record: RangeRecord, acts_until: float) -> float:
-        """Return until when the leases of a record's coordinators may hold.
+    def earlier_leases(self, record: RangeRecord) -> EarlierLeases:
+        """Return what is known of the leases of a record's coordinators.
 
-        The last of them may send grants until ``acts_until``; those before it may have
-        sent some until its claim and for a while after that.
+        Those before the last one may have sent grants until its claim and for a while
+        after that.
         """
         if not record.holder:
-            return float("-inf")
+            return EarlierLeases(float("-inf"), float("-inf"))
         validity = self.longest.max_validity
         earlier = AUTHORITY_PERIOD + validity
         if record.lease_validity_ms is not None:
             validity = record.lease_validity_ms / 1000
             earlier = record.earlier_leases_ms / 1000
-        return max(acts_until + validity, self._seen_at + earlier)
+        return EarlierLeases(validity, self._seen_at + earlier)
--- a/packages/core/src/fireflystand_core/ranges/tests/test_succession.py
+++ b/packages/core/src/fireflystand_core/ranges/tests/test_succession.py
@@ -33,28 +33,36 @@
     def test_first_claim_waits_for_nothing(self):
         record = RangeRecord("orders")
         self.succession.follow(record, 10.0)
-        self.assertEqual(self.succession.leases_until(record, 10.0), float("-inf"))
+        self.assertEqual(
+            self.succession.earlier_leases(record).until(10.0), float("-inf")
+        )
 
     def test_end_of_the_predecessor_does_not_end_what_it_waited_for(self):
         record = claimed_record(SHORT, earlier_leases_ms=9561)
         self.succession.follow(record, 10.0)
-        self.assertAlmostEqual(self.succession.leases_until(record, 11.0), 19.561)
+        self.assertAlmostEqual(
+            self.succession.earlier_leases(record).until(11.0), 19.561
+        )
 
     def test_duration_begins_with_the_first_look_at_the_claim(self):
         record = claimed_record(SHORT, earlier_leases_ms=9561)
         for now in (10.0, 12.0, 14.0):
             self.succession.follow(record.assign(0, 9, "t1", 1), now)
-        self.assertAlmostEqual(self.succession.leases_until(record, 14.0), 19.561)
+        self.assertAlmostEqual(
+            self.succession.earlier_leases(record).until(14.0), 19.561
+        )
         later = record.claim("b", "b1", lease_validity_ms=3561, earlier_leases_ms=9561)
         self.succession.follow(later, 15.0)
-        self.assertAlmostEqual(self.succession.leases_until(later, 15.0), 24.561)
+        self.assertAlmostEqual(
+            self.succession.earlier_leases(later).until(15.0), 24.561
+        )
 
     def test_claim_that_states_nothing_grants_the_longest_leases(self):
         record = RangeRecord("orders").claim("a", "a1")
         self.succession.follow(record, 10.0)
-        until = self.succession.leases_until(record, 30.0)
+        until = self.succession.earlier_leases(record).until(30.0)
         self.assertAlmostEqual(until, 30.0 + LONG.max_validity)
-        until = self.succession.leases_until(record, 10.0)
+        until = self.succession.earlier_leases(record).until(10.0)
         self.assertAlmostEqual(until, 10.0 + AUTHORITY_PERIOD + LONG.max_validity)
 
     def test_longest_stated_validity_outlives_its_claim(self):
--- a/packages/router/src/fireflystand_router/dispatch/claim_watch.py
+++ b/packages/router/src/fireflystand_router/dispatch/claim_watch.py
@@ -89,14 +89,7 @@
         )
 
     def unreachable(self) -> list[str]:
-        """Return the instances that are neither live nor known to have ended."""
+        """Return the known instances that are not live; they may act nevertheless."""
         membership = self._membership
         known = set(self._state.instances_by_id) | set(membership.incarnations_by_id)
-        return [
-            instance
-            for instance in known
-            if not membership.is_live(instance)
-            and not membership.has_process_ended(
-                instance, membership.incarnations_by_id.get(instance, "")
-            )
-        ]
+        return [instance for instance in known if not membership.is_live(instance)]
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -100,7 +100,6 @@
         self._without_store: set[str] = set()
         self.live_set_version = 0  # number of changes to the set of live instances
         self.incarnations_by_id: dict[str, str] = {}
-        self._ended_incarnations_by_id: dict[str, str] = {}  # processes that have ended
         state.listeners.append(self._on_state_change)
         network.set_direct_handler(Beat, self._handle_heartbeat)
         network.on_stream_end = self._handle_stream_end
@@ -127,10 +126,6 @@
         """Tell whether an instance is reachable."""
         return instance == self.own_id or instance in self._heard_at_by_id
 
-    def has_process_ended(self, instance: str, incarnation: str) -> bool:
-        """Tell whether a process has ended: its host refused a connection."""
-        return self._ended_incarnations_by_id.get(instance) == incarnation
-
     def reaches_store(self, instance: str) -> bool:
         """Tell whether an instance's calls to the store succeed, as it said last."""
         if instance == self.own_id:
@@ -357,7 +352,7 @@
             response = await self.network.request(peer, heartbeat, HEARTBEAT_TIMEOUT)
         except PeerUnavailableError as error:
             if error.refused:
-                self._record_ended(peer)
+                self._handle_refusal(peer)
             elif error.step == "Beat":
                 # The stream may be broken although a new one would work.
                 self.network.close_stream(peer)
@@ -382,8 +377,6 @@
             self._dead_since_by_id.pop(peer, None)
             emit(PEER_REACHABLE, peer=peer, incarnation=heartbeat.incarnation)
         self._heard_at_by_id[peer] = self._clock()
-        if self.has_process_ended(peer, heartbeat.incarnation):
-            del self._ended_incarnations_by_id[peer]
         self.incarnations_by_id[peer] = heartbeat.incarnation
         if heartbeat.store_lost:
             self._without_store.add(peer)
@@ -456,12 +449,13 @@
 
     def _handle_stream_end(self, peer: str, refused: bool) -> None:
         if refused:
-            self._record_ended(peer)
+            self._handle_refusal(peer)
+
+    def _handle_refusal(self, peer: str) -> None:
+        """Declare a peer dead that refuses connections.
 
-    def _record_ended(self, peer: str) -> None:
-        """Record that no process listens at the peer's address any longer."""
-        if peer in self.incarnations_by_id:
-            self._ended_incarnations_by_id[peer] = self.incarnations_by_id[peer]
+        Its process may go on: a partition can refuse connections too.
+        """
         self._declare_dead(peer, "connection refused")
 
     def _declare_dead(self, peer: str, reason: str) -> None:
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -25,6 +25,7 @@
 )
 from fireflystand_core.ranges import (
     AUTHORITY_PERIOD,
+    EarlierLeases,
     HotKeys,
     KeyRange,
     LeaseLedger,
@@ -52,6 +53,7 @@
     COORDINATOR_ENDED,
     GRANT_REFUSED,
     HOT_KEY_FOUND,
+    PREDECESSOR_ENDED,
     RANGE_ASSIGNED,
     RANGE_RELEASED,
     RECORD_WRITE_FAILED,
@@ -114,6 +116,8 @@
 FREEZE_MARGIN = 0.3  # seconds that a freeze lasts beyond the expected move
 # Renewals that a small instance can send beside its requests.
 MAX_RENEWALS_PER_SECOND = 60.0
+# A wait for earlier leases that is over sooner is written if it is by this much.
+MIN_SHORTENING = 0.5  # seconds
 MAX_LEASE_SHARE = 0.9  # of the longest lease that targets accept
 
 
@@ -130,6 +134,14 @@
     unresponsive: bool = False
 
 
+@attrs.frozen
+class _Predecessor:
+    """Hold a coordinator that may act although its service has been claimed."""
+
+    record: RangeRecord
+    leases: EarlierLeases
+
+
 class RangeCoordinator:
     """Claim one service and, while the claim holds, grant key ranges to its targets."""
 
@@ -180,6 +192,7 @@
         self._unsent_freezes: list[tuple[int, int]] = []
         self._authority_until = float("-inf")
         self._earlier_leases_until = float("-inf")
+        self._predecessor: _Predecessor | None = None  # until it is known to have ended
         self._has_authority = False
         self._next_confirm = 0.0
         self._failing_since: float | None = None  # when the first such call was sent
@@ -342,8 +355,9 @@
             self._watch.era > record.era and not is_complete
         )
         may_act = self._may_holder_act(record)
+        leases = self._succession.earlier_leases(record)
         earlier_leases = self._earlier_leases(
-            record, requested_at, may_act, awaits_leases
+            leases, requested_at, may_act, awaits_leases
         )
         timing = self._scaled_timing()
         claimed = await self.writer.claim(
@@ -361,6 +375,8 @@
         # A live predecessor may have been confirmed until the claim was written.
         counted_from = now if may_act or awaits_leases else requested_at
         self._earlier_leases_until = counted_from + earlier_leases
+        is_followed = may_act and not awaits_leases
+        self._predecessor = _Predecessor(record, leases) if is_followed else None
         self._ledger.timing = timing
         self._status_by_target.clear()
         self._answered_processes.clear()
@@ -383,23 +399,36 @@
         if not record.holder or record.holder == self._membership.own_id:
             return False
         return not (
-            record.epoch == self._resigned_epoch
-            or self._is_holder_replaced(record)
-            or self._membership.has_process_ended(
-                record.holder, record.holder_incarnation
-            )
+            record.epoch == self._resigned_epoch or self._is_holder_replaced(record)
+        )
+
+    def _follow_predecessor(self, now: float) -> None:
+        """Shorten the wait for earlier leases once the predecessor has ended."""
+        predecessor = self._predecessor
+        if predecessor is None or self._may_holder_act(predecessor.record):
+            return
+        self._predecessor = None
+        if now >= self._earlier_leases_until:
+            return
+        until = predecessor.leases.until(now)
+        self._earlier_leases_until = min(self._earlier_leases_until, until)
+        emit(
+            PREDECESSOR_ENDED,
+            service=self.service,
+            epoch=self.record.epoch,
+            predecessor=predecessor.record.holder,
+            earlier_leases=round(self._earlier_leases_until - now, 2),
         )
 
     def _earlier_leases(
-        self, record: RangeRecord, now: float, may_act: bool, awaits_leases: bool
+        self, leases: EarlierLeases, now: float, may_act: bool, awaits_leases: bool
     ) -> float:
         """Return for how many seconds leases of earlier coordinators may hold.
 
-        ``may_act`` tells whether the holder of the record may still send grants. With
+        ``may_act`` tells whether the last of them may still send grants. With
         ``awaits_leases``, a restored store may have lost claims after the record.
         """
-        acts_until = now + AUTHORITY_PERIOD if may_act else now
-        until = self._succession.leases_until(record, acts_until)
+        until = leases.until(now + AUTHORITY_PERIOD if may_act else now)
         if awaits_leases:
             acts_until = now + self._lost_claim_period(may_act)
             until = max(until, acts_until + self._max_validity())
@@ -510,7 +539,7 @@
         await self.writer.change(lambda record: record.settle(started_at_by_target))
 
     def _state_earlier_leases(self, now: float) -> None:
-        """Write for how long earlier leases hold once that is over or has grown."""
+        """Write for how long earlier leases hold once that is over or has changed."""
         duration_ms, stated_ms = 0, self.record.earlier_leases_ms
         if now < self._earlier_leases_until:
             duration_ms = stated_duration_ms(
@@ -518,7 +547,8 @@
             )
         is_over = stated_ms > 0 and not duration_ms
         has_grown = duration_ms > stated_ms + 1  # beyond the rounding
-        if self.writer.is_failing or not (is_over or has_grown):
+        has_shrunk = duration_ms < stated_ms - 1000 * MIN_SHORTENING
+        if self.writer.is_failing or not (is_over or has_grown or has_shrunk):
             return
         if now < self._next_statement:
             return
@@ -555,6 +585,7 @@
         awaits_leases = self.record.awaits_leases
         if awaits_leases:
             self._follow_unreachable()
+        self._follow_predecessor(now)
         self._state_earlier_leases(now)
         if awaits_leases:
             if now >= max(self._earlier_leases_until, self._next_settling):
--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -192,8 +192,6 @@
         holder, incarnation = record.holder, record.holder_incarnation
         if holder == self._membership.own_id or not self._membership.is_live(holder):
             return False
-        if self._membership.has_process_ended(holder, incarnation):
-            return False
         known = self._membership.incarnations_by_id.get(holder, incarnation)
         return known == incarnation
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
@@ -227,8 +227,6 @@
         """End the process of an instance."""
         instance = self.instances_by_id.pop(own_id)
         instance.scope.cancel()
-        for other in self.instances_by_id.values():
-            other.coordinator.membership.ended.add((own_id, instance.incarnation))
         self._update_membership()
 
     def freeze(self, own_id: str) -> None:
@@ -243,11 +241,19 @@
         instance.thawed.set()
         instance.thawed = trio.Event()
 
-    def cut(self, own_id: str, *, from_store: bool = False) -> None:
-        """Cut an instance off from its peers, but not from the targets."""
+    def cut(
+        self, own_id: str, *, from_store: bool = False, refuses: bool = False
+    ) -> None:
+        """Cut an instance off from its peers, but not from the targets.
+
+        A cut that ``refuses`` connections is noticed at once, as the end of a process.
+        """
         instance = self.instances_by_id[own_id]
         instance.cut_since = trio.current_time()
+        if refuses:
+            instance.cut_since -= 2 * DETECTION_TIME
         instance.reaches_store = not from_store
+        self._update_membership()
 
     def heal(self, own_id: str) -> None:
         """Let an instance reach its peers again."""
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -254,7 +254,6 @@
     live: list[str] = attrs.field(factory=lambda: ["a"])
     reachable_share: float = 1.0
     incarnations_by_id: dict[str, str] = attrs.field(factory=dict)
-    ended: set[tuple[str, str]] = attrs.field(factory=set)
     unreachable_since_by_id: dict[str, float] = attrs.field(factory=dict)
 
     def rank(self, name: str) -> int:
@@ -263,9 +262,6 @@
     def is_live(self, instance: str) -> bool:
         return instance in self.live
 
-    def has_process_ended(self, instance: str, incarnation: str) -> bool:
-        return (instance, incarnation) in self.ended
-
     def seconds_unreachable(self, instance: str) -> float:
         now = trio.current_time()
         return now - self.unreachable_since_by_id.setdefault(instance, now)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_mesh.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_mesh.py
@@ -8,6 +8,7 @@
 from fireflystand_core.sharding import rendezvous_order
 
 from ...peers import PeerNetwork
+from ..claim_watch import ClaimWatch
 from ..membership import MAX_HEARTBEATS_PER_INTERVAL, Membership
 from ..ports import INSTANCES
 from ..state import RoutingState
@@ -92,6 +93,23 @@
         self.assertEqual(live, 1)
 
 
+class RefusalTests(unittest.TestCase):
+    """Guard against a peer behind a cut that is taken for ended.
+
+    The cut refused connections. Its successor as coordinator granted its keys anew.
+    """
+
+    def test_peer_that_refuses_connections_may_act(self):
+        membership = make_membership(3, 12)
+        membership._record_heartbeat(Beat("n07", "i", [], False, 0.0, [], 0))
+        state = membership._state
+        watch = ClaimWatch("orders", state, membership, membership._clock)
+        self.assertNotIn("n07", watch.unreachable())
+        membership.network.on_stream_end("n07", True)
+        self.assertFalse(membership.is_live("n07"))
+        self.assertIn("n07", watch.unreachable())
+
+
 class DutyTests(unittest.TestCase):
     """Guard against shared duties on the weakest instances.
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -192,7 +192,7 @@
 
         run_scenario(scenario)
 
-    def test_coordinator_whose_process_has_ended_is_not_waited_for(self):
+    def test_coordinator_whose_process_was_replaced_is_not_waited_for(self):
         """A killed coordinator's authority was waited out as if it were cut off."""
 
         async def scenario(cluster, nursery):
@@ -200,7 +200,7 @@
             first.resign("killed")
             first._stopping = True
             second = cluster.new_coordinator("b")
-            second.membership.ended.add(("a", "a1"))
+            second.membership.incarnations_by_id["a"] = "a2"
             second.state.apply("ranges", 1, 9, cluster.store.history[-1:], 0.0)
             cluster.targets[0].reachable = False
             nursery.start_soon(second.run)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
@@ -30,6 +30,30 @@
             self.assertEqual(cluster.control.violations, [])
         self.assertEqual(cluster.unowned_keys(), [])
 
+    async def cut_off_coordinator(
+        self, cluster: RestorationCluster, *, refuses: bool = False
+    ) -> str:
+        """Cut a coordinator off with a target as the store has confirmed its claim."""
+        for own_id in "abc":
+            cluster.start(own_id)
+        await trio.sleep(12)
+        first = cluster.coordinator()
+        confirmed = first.coordinator.confirmations
+        while first.coordinator.confirmations == confirmed:
+            await trio.sleep(0.01)
+        cluster.cut(first.id, from_store=True, refuses=refuses)
+        cluster.cut_targets(["t0"], reached_by=first.id)
+        return first.id
+
+    async def next_coordinator(self, cluster: RestorationCluster, *others: str) -> str:
+        """Return the instance that claims the service in place of the others."""
+        with trio.fail_after(8):
+            while True:
+                await trio.sleep(0.05)
+                for instance in cluster.instances_by_id.values():
+                    if instance.id not in others and instance.coordinator.record:
+                        return instance.id
+
 
 class LeaseLengthTests(SuccessionTestCase):
     """Guard against keys that move while a longer lease of a predecessor holds."""
@@ -100,6 +124,8 @@
             await trio.sleep(2)
             cluster.cut_targets(["t0"])
             cluster.kill("a")
+            await trio.sleep(1)
+            cluster.start("a")
             await trio.sleep(LeaseTiming().max_validity + 1.5)
             await self.check_owners(cluster, 0)
 
@@ -109,28 +135,6 @@
 class HandedOnWaitTests(SuccessionTestCase):
     """Guard against a wait for an earlier coordinator that ends with its successor."""
 
-    async def cut_off_coordinator(self, cluster: RestorationCluster) -> str:
-        """Cut a coordinator off with a target as the store has confirmed its claim."""
-        for own_id in "abc":
-            cluster.start(own_id)
-        await trio.sleep(12)
-        first = cluster.coordinator()
-        confirmed = first.coordinator.confirmations
-        while first.coordinator.confirmations == confirmed:
-            await trio.sleep(0.01)
-        cluster.cut(first.id, from_store=True)
-        cluster.cut_targets(["t0"], reached_by=first.id)
-        return first.id
-
-    async def next_coordinator(self, cluster: RestorationCluster, *others: str) -> str:
-        """Return the instance that claims the service in place of the others."""
-        with trio.fail_after(8):
-            while True:
-                await trio.sleep(0.05)
-                for instance in cluster.instances_by_id.values():
-                    if instance.id not in others and instance.coordinator.record:
-                        return instance.id
-
     def kill_all_but(self, cluster: RestorationCluster, *kept: str) -> None:
         for own_id in sorted(cluster.instances_by_id.keys() - set(kept)):
             cluster.kill(own_id)
@@ -217,7 +221,10 @@
                 self.assertLess(number, 6)
                 cluster.start(f"x{number}")
                 await trio.sleep(4)
+                holder = cluster.stored().holder
                 self.kill_all_but(cluster, first, f"x{number}")
+                await self.next_coordinator(cluster, first)
+                cluster.start(holder)
             # The last of them waits for the leases of the one before it, too.
             validity = LeaseTiming().max_validity
             wait = AUTHORITY_PERIOD + 2 * validity
@@ -237,13 +244,70 @@
             cluster.start("d")
             await trio.sleep(2)
             cluster.cut_targets(["t1"])
+            holder = cluster.stored().holder
             self.kill_all_but(cluster, first, "d")
-            await trio.sleep(LeaseTiming().max_validity + 2)
+            await trio.sleep(1)
+            cluster.start(holder)
+            await trio.sleep(LeaseTiming().max_validity + 1)
             self.assertEqual(cluster.stored().owned_by("t1"), [])
 
         run_scenario(scenario)
 
 
+class EndOfProcessTests(SuccessionTestCase):
+    """Guard against a cut off coordinator that is taken for ended.
+
+    Its connections were refused, by the cut. The next coordinator gave its targets'
+    keys to others while it went on granting them.
+    """
+
+    def test_coordinator_is_cut_off_with_refused_connections(self):
+        async def scenario(cluster):
+            await self.cut_off_coordinator(cluster, refuses=True)
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
+    def test_all_coordinators_in_turn_are_cut_off_with_refused_connections(self):
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster, refuses=True)
+            second = await self.next_coordinator(cluster, first)
+            await trio.sleep(0.5)
+            cluster.cut(second, from_store=True, refuses=True)
+            await self.check_owners(cluster, 25)
+
+        run_scenario(scenario)
+
+    def test_restart_ends_the_wait_for_a_killed_coordinator(self):
+        """Keys of a silent target would wait for 9.6 s after each crash."""
+
+        async def scenario(cluster):
+            for own_id in "ab":
+                cluster.start(own_id)
+            await trio.sleep(12)
+            cluster.cut_targets(["t0"])
+            cluster.kill("a")
+            await self.next_coordinator(cluster)
+            await trio.sleep(1)
+            cluster.start("a")
+            await trio.sleep(LeaseTiming().max_validity + 1)
+            self.assertEqual(cluster.stored().holder, "b")
+            await self.check_owners(cluster, 0)
+
+        run_scenario(scenario)
+
+    def test_restart_does_not_end_the_wait_for_those_before(self):
+        async def scenario(cluster):
+            first = await self.cut_off_coordinator(cluster, refuses=True)
+            second = await self.next_coordinator(cluster, first)
+            cluster.kill(second)
+            await self.next_coordinator(cluster, first)
+            cluster.start(second)
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
+
 class DrawnSuccessionTests(SuccessionTestCase):
     """Guard against two owners after drawn losses of coordinators and targets."""
 
@@ -320,7 +384,8 @@
         own_id = self._draw(cluster)
         names = self._random.sample([t.id for t in cluster.targets], 2)
         self._note(f"cut {own_id} with {names}")
-        cluster.cut(own_id, from_store=self._random.random() < 0.7)
+        refuses = self._random.random() < 0.5
+        cluster.cut(own_id, from_store=self._random.random() < 0.7, refuses=refuses)
         cluster.cut_targets(names, reached_by=own_id)
         await trio.sleep(2)  # until another instance has claimed
 
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -391,6 +391,15 @@
     "epoch",
     "reason",
 )
+PREDECESSOR_ENDED = define_event(
+    6039,
+    "INFO",
+    "earlier coordinator has ended",
+    "service",
+    "epoch",
+    "predecessor",
+    "earlier_leases",
+)
 AUTHORITY_ENDED = define_event(
     6032,
     "WARNING",
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -28,8 +28,8 @@
 class PeerUnavailableError(FireflystandError):
     """Report a peer that could not be reached or did not reply.
 
-    ``refused`` is true if its host refused the connection, which means that no
-    process listens at the address.
+    ``refused`` is true if the connection was refused, by its host or by a partition,
+    so that nothing was sent.
     """
 
     def __init__(self, message: str, *, step: str, peer: str, refused: bool = False):
