Do not take an earlier process for the successor of a coordinator

Callers' keys could have two owners after a coordinator had restarted: an instance that saw its new claim before its new registration took the live coordinator for replaced, claimed the service and did not wait for its authority.

Cause: RangeCoordinator._is_holder_replaced asked whether another process of the holder's instance is known, not whether it is a later one.

Change: the holder is replaced if its instance has registered another process since the holder wrote the range record, by the order of the store's versions, which is one for all kinds within an era. Heartbeats and versions of another era prove nothing.

--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -42,7 +42,7 @@
     stated_duration_ms,
     trial_moves,
 )
-from fireflystand_core.replica import ObjectChange
+from fireflystand_core.replica import ObjectChange, era_of
 from fireflystand_core.rollouts import Phase
 from fireflystand_core.traffic import TargetRecord
 
@@ -139,6 +139,7 @@
     """Hold a coordinator that may act although its service has been claimed."""
 
     record: RangeRecord
+    version: int  # of the record in the store
     leases: EarlierLeases
 
 
@@ -332,18 +333,24 @@
             return delay
         if record.holder == self._membership.own_id:
             return delay if may_be_lost else 0.0
-        if self._is_holder_replaced(record):
+        version = self._state.range_version(self.service)
+        if self._is_holder_replaced(record, version):
             return delay
         if self._membership.is_live(record.holder):
             return None
         return delay
 
-    def _is_holder_replaced(self, record: RangeRecord) -> bool:
-        """Tell whether the holder's instance now runs a later process."""
-        known = self._state.instances_by_id.get(record.holder)
-        current = self._membership.incarnations_by_id.get(record.holder)
-        incarnations = {current, known.incarnation if known else None} - {None}
-        return bool(incarnations) and record.holder_incarnation not in incarnations
+    def _is_holder_replaced(self, record: RangeRecord, version: int) -> bool:
+        """Tell whether the holder's instance has registered a later process.
+
+        A process that this instance knows besides may be an earlier one. ``version`` is
+        that of the record, which the holder wrote.
+        """
+        if record.era != era_of(version):
+            return False  # the restored store has lost the claim
+        return self._state.has_other_process_since(
+            version, record.holder, record.holder_incarnation
+        )
 
     async def _claim(self, record: RangeRecord | None) -> None:
         requested_at = self._clock()
@@ -354,7 +361,8 @@
         awaits_leases = record.awaits_leases or (
             self._watch.era > record.era and not is_complete
         )
-        may_act = self._may_holder_act(record)
+        version = self._state.range_version(self.service)
+        may_act = self._may_holder_act(record, version)
         leases = self._succession.earlier_leases(record)
         earlier_leases = self._earlier_leases(
             leases, requested_at, may_act, awaits_leases
@@ -376,7 +384,9 @@
         counted_from = now if may_act or awaits_leases else requested_at
         self._earlier_leases_until = counted_from + earlier_leases
         is_followed = may_act and not awaits_leases
-        self._predecessor = _Predecessor(record, leases) if is_followed else None
+        self._predecessor = (
+            _Predecessor(record, version, leases) if is_followed else None
+        )
         self._ledger.timing = timing
         self._status_by_target.clear()
         self._answered_processes.clear()
@@ -394,18 +404,21 @@
         self._next_plan = now
         self._emit_claim(record, claimed, may_act)
 
-    def _may_holder_act(self, record: RangeRecord) -> bool:
+    def _may_holder_act(self, record: RangeRecord, version: int) -> bool:
         """Tell whether the coordinator of a record may still send grants."""
         if not record.holder or record.holder == self._membership.own_id:
             return False
         return not (
-            record.epoch == self._resigned_epoch or self._is_holder_replaced(record)
+            record.epoch == self._resigned_epoch
+            or self._is_holder_replaced(record, version)
         )
 
     def _follow_predecessor(self, now: float) -> None:
         """Shorten the wait for earlier leases once the predecessor has ended."""
         predecessor = self._predecessor
-        if predecessor is None or self._may_holder_act(predecessor.record):
+        if predecessor is None or self._may_holder_act(
+            predecessor.record, predecessor.version
+        ):
             return
         self._predecessor = None
         if now >= self._earlier_leases_until:
--- a/packages/router/src/fireflystand_router/dispatch/state.py
+++ b/packages/router/src/fireflystand_router/dispatch/state.py
@@ -753,6 +753,23 @@
             and known.value.get("incarnation") == incarnation
         )
 
+    def has_other_process_since(
+        self, version: int, instance: str, incarnation: str
+    ) -> bool:
+        """Tell whether an instance registered another process after a version.
+
+        The store's versions have one order for all kinds, but within an era only, and
+        its own number is 0 for an object that it has lost.
+        """
+        known = self.replicas_by_kind[INSTANCES].by_name.get(instance)
+        if known is None or not isinstance(known.value, dict):
+            return False
+        registered = known.value.get("incarnation")
+        if not isinstance(registered, str) or registered == incarnation:
+            return False
+        is_same_era = era_of(known.version) == era_of(version)
+        return is_same_era and known.version > version and number_of(version) > 0
+
     def range_version(self, service: str) -> int:
         """Return the version of a service's range record in the store.
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/restoration_support.py
@@ -19,9 +19,8 @@
 from fireflystand_core.replica import ObjectChange
 
 from ...http_client import ConnectionFailedError
-from ..ports import RANGES, GrantRefusedError
+from ..ports import INSTANCES, RANGES, GrantRefusedError
 from ..ranges import RangeCoordinator
-from ..state import InstanceRecord
 from .support import SERVICE, FakeCluster, FakeControl, FakeMembership, FakeTarget
 
 THAW_PERIOD = 0.3  # seconds in which an instance's grants after a freeze do not count
@@ -67,6 +66,7 @@
     cut_since: float | None = None  # from its peers
     reaches_store: bool = True
     unreachable_targets: set[str] = attrs.field(factory=set)
+    hears_peers: bool = True  # heartbeats and registrations
     thawed_at: float = float("-inf")
     thawed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -219,6 +219,7 @@
         instance.coordinator = coordinator
         self.instances_by_id[own_id] = instance
         self._update_cut_targets(instance)
+        self.store.write_registration(own_id, instance.incarnation)
         self._update_membership()
         self._nursery.start_soon(self._run, instance)
         return instance
@@ -315,6 +316,8 @@
         self.store.down = True
         await trio.sleep(outage)
         self.store.restore(outage + seconds)
+        for instance in self.instances_by_id.values():
+            self.store.write_registration(instance.id, instance.incarnation)
         self.store.down = False
 
     def unowned_keys(self) -> list[int]:
@@ -365,16 +368,16 @@
 
     def _update_membership(self) -> None:
         for instance in self.instances_by_id.values():
-            if instance.frozen_since is None:
+            if instance.frozen_since is None and instance.hears_peers:
                 self._update_members_of(instance)
 
     def _update_members_of(self, instance: Instance) -> None:
         membership, state = instance.coordinator.membership, instance.coordinator.state
         membership.live = [instance.id]
+        found = self.store.snapshot(INSTANCES)
+        if found.revision > state.replicas_by_kind[INSTANCES].revision:
+            state.replace(INSTANCES, found.revision, found.items, 0.0)
         for other in self.instances_by_id.values():
-            state.instances_by_id[other.id] = InstanceRecord(
-                other.id, other.incarnation, "", "x"
-            )
             if other is instance:
                 continue
             if not other.is_silent() and not instance.is_silent():
--- a/packages/router/src/fireflystand_router/dispatch/tests/support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/support.py
@@ -16,7 +16,7 @@
 from fireflystand_core.traffic import EntryLimits, RoutingTable, TargetRecord
 
 from ...http_client import ConnectionFailedError
-from ..ports import RANGES, TARGETS, GrantRefusedError, KindSnapshot
+from ..ports import INSTANCES, RANGES, TARGETS, GrantRefusedError, KindSnapshot
 from ..ranges import RangeCoordinator
 from ..state import RoutingState
 
@@ -44,6 +44,10 @@
 
     async def list(self, kind) -> KindSnapshot:
         await self._respond()
+        return self.snapshot(kind)
+
+    def snapshot(self, kind) -> KindSnapshot:
+        """Return the objects of a kind at once."""
         items = [
             self._current(change)
             for (of_kind, _), change in self.objects.items()
@@ -72,6 +76,11 @@
             raise StoreUnavailableError("response was lost", step="put")
         return self._current(change).version
 
+    def write_registration(self, instance: str, incarnation: str) -> ObjectChange:
+        """Write the record of an instance at once and return the change."""
+        value = {"incarnation": incarnation, "address": "", "data_centre": "x"}
+        return self._current(self._write(INSTANCES, instance, value, None))
+
     def carry_out_held_writes(self) -> None:
         """Carry out the writes held up whose condition holds now."""
         held, self._held = self._held, []
@@ -328,6 +337,12 @@
         change = ObjectChange(target, revision, None)
         coordinator.state.apply(TARGETS, revision - 1, revision, [change], 0.0)
 
+    def register(self, coordinator, instance: str, incarnation: str) -> None:
+        """Let a coordinator see the registration of a process, written just now."""
+        change = self.store.write_registration(instance, incarnation)
+        revision = coordinator.state.replicas_by_kind[INSTANCES].revision
+        coordinator.state.apply(INSTANCES, revision, change.version, [change], 0.0)
+
     def record(self) -> RangeRecord:
         """Return the stored range record."""
         return RangeRecord.from_value(self.store.objects[RANGES, SERVICE].value)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_ranges.py
@@ -200,7 +200,7 @@
             first.resign("killed")
             first._stopping = True
             second = cluster.new_coordinator("b")
-            second.membership.incarnations_by_id["a"] = "a2"
+            cluster.register(second, "a", "a2")
             second.state.apply("ranges", 1, 9, cluster.store.history[-1:], 0.0)
             cluster.targets[0].reachable = False
             nursery.start_soon(second.run)
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_state.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_state.py
@@ -4,13 +4,42 @@
 
 import trio
 
-from fireflystand_core.replica import ObjectChange
+from fireflystand_core.replica import ObjectChange, make_revision
 from fireflystand_core.traffic import EntryLimits, RoutingTable, TargetRecord
 
-from ..ports import CONFIGURATION, TARGETS
+from ..ports import CONFIGURATION, INSTANCES, TARGETS
 from ..state import OUTAGE_AGE, RETURN_PERIOD, RoutingState
 
 
+class LaterProcessTests(unittest.TestCase):
+    """Guard against an earlier process of an instance that is taken for a later one."""
+
+    def has_other_process(
+        self, registered_at: int, written_at: int, incarnation: object = "a1"
+    ) -> bool:
+        """Tell whether "a2" is followed by the process that is registered."""
+        state = RoutingState(lambda value: None, lambda change: None)
+        value = {"incarnation": incarnation, "address": "", "data_centre": "x"}
+        state.replace(
+            INSTANCES, registered_at, [ObjectChange("a", registered_at, value)], 0.0
+        )
+        return state.has_other_process_since(written_at, "a", "a2")
+
+    def test_registration_before_the_write_is_of_an_earlier_process(self):
+        self.assertFalse(self.has_other_process(40, written_at=50))
+        self.assertTrue(self.has_other_process(60, written_at=50))
+
+    def test_registration_that_cannot_be_read_tells_nothing(self):
+        self.assertFalse(self.has_other_process(60, 50, incarnation=7))
+        self.assertFalse(self.has_other_process(60, 50, incarnation="a2"))
+
+    def test_versions_of_a_restored_store_tell_nothing(self):
+        later = make_revision(1, 40)
+        self.assertFalse(self.has_other_process(later, written_at=50))
+        self.assertFalse(self.has_other_process(later, make_revision(1, 0)))
+        self.assertTrue(self.has_other_process(later, make_revision(1, 30)))
+
+
 class LapsedEntryTests(unittest.TestCase):
     """Guard against targets that are removed because the store was unreachable."""
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_successions.py
@@ -296,6 +296,27 @@
 
         run_scenario(scenario)
 
+    def test_knowledge_of_a_process_before_the_coordinator_is_old(self):
+        """It was taken for a later process, as it was another one."""
+
+        async def scenario(cluster):
+            for own_id in "ab":
+                cluster.start(own_id)
+            await trio.sleep(12)
+            cluster.instances_by_id["b"].hears_peers = False
+            cluster.kill("a")
+            cluster.start("a")
+            self.assertEqual(await self.next_coordinator(cluster), "a")
+            cluster.cut("a", from_store=True)
+            cluster.cut_targets(["t0"], reached_by="a")
+            for _ in range(12):
+                await trio.sleep(0.5)
+                self.assertEqual(cluster.control.violations, [])
+            cluster.instances_by_id["b"].hears_peers = True
+            await self.check_owners(cluster, 20)
+
+        run_scenario(scenario)
+
     def test_restart_does_not_end_the_wait_for_those_before(self):
         async def scenario(cluster):
             first = await self.cut_off_coordinator(cluster, refuses=True)
