--- a/packages/router/src/fireflystand_router/dispatch/clock.py
+++ b/packages/router/src/fireflystand_router/dispatch/clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-import trio
+from ..timers import sleep_until_next
 
 __all__ = ["lease_clock", "sleep_until_next"]
 
@@ -10,18 +10,3 @@
 def lease_clock() -> float:
     """Return the seconds since boot, including those of a suspended machine."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-async def sleep_until_next(interval: float) -> float:
-    """Sleep until the next multiple of ``interval`` seconds on trio's clock; return it.
-
-    Periodic tasks of an instance then wake in the same iterations of the event loop,
-    which cost more than most of these tasks. The clocks of processes begin at random,
-    so instances do not wake together.
-    """
-    now = trio.current_time()
-    due = (now // interval + 1) * interval
-    if due - now < interval / 2:
-        due += interval
-    await trio.sleep_until(due)
-    return due
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -742,11 +742,20 @@
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
-            self._send(slot.responsible, result)
+            # A lost one frees its slot soon after the request's deadline, and one with
+            # each request would double the replies on a stream with little traffic.
+            self._send(slot.responsible, result, confirmed=False)
 
-    def _send(self, responsible: str, message: SlotReturn | SlotWithdrawal) -> None:
+    def _send(
+        self,
+        responsible: str,
+        message: SlotReturn | SlotWithdrawal,
+        *,
+        confirmed: bool = True,
+    ) -> None:
+        network = self._membership.network
         try:
-            self._membership.network.send(responsible, message)
+            network.send(responsible, message, confirmed=confirmed)
         except PeerUnavailableError as error:
             # The responsible instance drops a queued request when the stream ends. It
             # frees a slot when it declares this instance dead, or soon after the
--- a/packages/router/src/fireflystand_router/events.py
+++ b/packages/router/src/fireflystand_router/events.py
@@ -366,6 +366,14 @@
 )
 PEER_REACHABLE = define_event(6023, "INFO", "peer is reachable", "peer", "incarnation")
 PEER_CALL_FAILED = define_event(6024, "INFO", "message to a peer failed", "message")
+PEER_STREAM_SILENT = define_event(
+    6027,
+    "WARNING",
+    "stream to a peer closed because the peer does not reply on it",
+    "peer",
+    "address",
+    "pending",
+)
 REGISTRATION_FAILED = define_event(
     6025, "WARNING", "record of an instance could not be written or deleted"
 )
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 from functools import partial
-from itertools import count
 
 import attrs
 import trio
@@ -10,15 +9,28 @@
 from fireflystand_core.exceptions import FireflystandError, ProtocolError
 from fireflystand_core.messages import Accepted, Decoder, Hello, encode
 
-from .events import PEER_REPLY_DROPPED, emit_limited
+from .events import (
+    PEER_CALL_FAILED,
+    PEER_REPLY_DROPPED,
+    PEER_STREAM_SILENT,
+    emit,
+    emit_limited,
+)
 from .future import Future
+from .reply_monitor import ReplyMonitor
 from .streams import DirectStream, connect, split_address
+from .timers import sleep_until_next
 
 __all__ = ["PeerLink", "PeerNetwork", "PeerUnavailableError", "Reply"]
 
 READ_SIZE = 65536
 CONNECT_TIMEOUT = 1.0  # seconds
 MAX_QUEUED_MESSAGES = 10_000
+CHECK_INTERVAL = 0.5  # seconds between two checks of the outgoing streams
+MAX_CHECK_DELAY = 0.5  # seconds; after a longer one, replies may not be read yet
+# What was sent on an incoming stream before its peer opened the next one is read for
+# this long.
+SUPERSEDED_LINK_TIMEOUT = 1.0  # seconds
 
 Handler = Callable[[object, "PeerLink"], Awaitable[object | None]]
 Reply = Callable[[object], None]
@@ -42,8 +54,16 @@
     """Identify the peer at the other end of an incoming stream."""
 
     hello: Hello
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     lost: trio.Event = attrs.field(factory=trio.Event)
 
+    def supersede(self) -> None:
+        """End the stream soon, since its peer has opened another one.
+
+        The end of a silent stream would never arrive.
+        """
+        self.scope.deadline = trio.current_time() + SUPERSEDED_LINK_TIMEOUT
+
 
 class _OutgoingStream:
     """Own the outgoing stream to one peer and match replies to requests."""
@@ -59,12 +79,15 @@
         self.peer = peer
         self.address = address
         self._hello = hello
-        self._correlations = count(1)
+        self._last_correlation = 0
         self._pending_replies: dict[int, Future] = {}  # set to None if the stream ends
         send, receive = trio.open_memory_channel(MAX_QUEUED_MESSAGES)
         self._send_queue: trio.MemorySendChannel = send
         self._queued: trio.MemoryReceiveChannel = receive
         self._scope = trio.CancelScope()
+        self._monitor = ReplyMonitor(trio.current_time())
+        self._is_connected = False
+        self._is_silent = False
         self.error: PeerUnavailableError | None = None
 
     async def run(self) -> None:
@@ -78,10 +101,13 @@
                 self._fail("decode", group.exceptions[0])
         if self.error is None:
             self._fail("stream", None)
+        self._queued.close()
 
     async def _exchange_messages(self) -> None:
         with trio.fail_after(CONNECT_TIMEOUT):
             stream = await connect(self.address)
+        self._monitor.restart(trio.current_time())
+        self._is_connected = True
         try:
             await stream.send_all(encode(0, self._hello))
             async with trio.open_nursery() as nursery:
@@ -89,12 +115,18 @@
                 await self._read(stream)
                 nursery.cancel_scope.cancel()
         finally:
+            if self._is_silent:
+                # The bytes that did not arrive must not follow those of a new stream.
+                stream.reset()
             stream.close()
 
     async def _read(self, stream: DirectStream) -> None:
         decoder = Decoder(self.peer)
         while data := await stream.receive_some(READ_SIZE):
+            now = trio.current_time()
+            self._monitor.record_received(now)
             for envelope in decoder.feed(data):
+                self._monitor.record_reply(envelope.correlation, now)
                 pending = self._pending_replies.pop(envelope.correlation, None)
                 if pending is not None:
                     pending.set(envelope.message)
@@ -109,19 +141,62 @@
         for pending in self._pending_replies.values():
             pending.set(None)
         self._pending_replies.clear()
-        self._queued.close()
         self._on_end(self.peer, self.error.refused)
 
-    def send(self, data: bytes) -> None:
+    def check(self, now: float) -> None:
+        """Send a probe if one is due; end the stream if its peer has not answered."""
+        if not self._is_connected or self.error is not None:
+            return
+        if self._monitor.is_silent(now):
+            self._end_silent()
+        elif self._monitor.is_probe_due(now, bool(self._pending_replies)):
+            self._send_probe(now)
+
+    def restart_check(self, now: float) -> None:
+        """Wait anew for replies, after this process has stood still."""
+        self._monitor.restart(now)
+
+    def _send_probe(self, now: float) -> None:
+        # Each message with a correlation number is answered, and instances of all
+        # builds know this one.
+        self._last_correlation += 1
+        probe = encode(self._last_correlation, Accepted())
+        self._monitor.record_probe(now)
+        try:
+            self._enqueue(probe, "probe")
+        except PeerUnavailableError as error:
+            emit(PEER_CALL_FAILED, error, message="probe")
+
+    def _end_silent(self) -> None:
+        emit(
+            PEER_STREAM_SILENT,
+            peer=self.peer,
+            address=self.address,
+            pending=len(self._pending_replies),
+        )
+        self._is_silent = True
+        self._fail("stream", TimeoutError("the peer does not reply"))
+        self._scope.cancel()
+
+    def send(self, data: bytes, *, confirmed: bool = True) -> None:
         """Queue an encoded message that expects no reply."""
         self._enqueue(data, "send")
+        if confirmed:
+            self._record_sent(len(data), self._last_correlation + 1)
+
+    def _record_sent(self, size: int, proving_correlation: int) -> None:
+        now = trio.current_time()
+        self._monitor.record_sent(size, proving_correlation, now)
 
     async def request(self, message: object, timeout: float | None) -> object:
         """Send a message and return the reply."""
-        correlation = next(self._correlations)
+        self._last_correlation += 1
+        correlation = self._last_correlation
         pending = self._pending_replies[correlation] = Future()
         try:
-            self._enqueue(encode(correlation, message), type(message).__name__)
+            data = encode(correlation, message)
+            self._enqueue(data, type(message).__name__)
+            self._record_sent(len(data), correlation)
             if timeout is None:
                 reply = await pending.wait()
             else:
@@ -185,6 +260,7 @@
         self._nursery: trio.Nursery | None = None
         self._listeners: list[trio.SocketListener] = []
         self._scope: trio.CancelScope | None = None
+        self._check_scope = trio.CancelScope()
 
     def set_handler(self, message_class: type, handler: Handler) -> None:
         """Reply to messages of a class with the results of ``handler``."""
@@ -231,6 +307,7 @@
         self.address = f"{host}:{port}"
         self.hello = attrs.evolve(self.hello, address=self.address)
         self._scope = await nursery.start(self._serve)
+        nursery.start_soon(self._check_streams)
         return self.address
 
     async def _serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -238,8 +315,22 @@
             task_status.started(scope)
             await trio.serve_listeners(self._accept, self._listeners)
 
+    async def _check_streams(self) -> None:
+        """Look for silent streams at intervals, until closed."""
+        with self._check_scope:
+            while True:
+                due = await sleep_until_next(CHECK_INTERVAL)
+                now = trio.current_time()
+                stood_still = now - due > MAX_CHECK_DELAY
+                for outgoing in list(self._outgoing_by_id.values()):
+                    if stood_still:
+                        outgoing.restart_check(now)
+                    else:
+                        outgoing.check(now)
+
     async def close(self) -> None:
         """Close all streams and stop listening."""
+        self._check_scope.cancel()
         for outgoing in self._outgoing_by_id.values():
             outgoing.close()
         self._outgoing_by_id.clear()
@@ -248,13 +339,14 @@
         for listener in self._listeners:
             await listener.aclose()
 
-    def send(self, instance: str, message: object) -> None:
+    def send(self, instance: str, message: object, *, confirmed: bool = True) -> None:
         """Queue a message that expects no reply.
 
-        Raise PeerUnavailableError if the peer has no known address, its stream ended
-        or its send queue is full.
+        If it is ``confirmed``, the stream is closed unless the peer proves within some
+        seconds to have received it. Raise PeerUnavailableError if the peer has no known
+        address, its stream ended or its send queue is full.
         """
-        self.send_encoded(instance, encode(0, message))
+        self._outgoing_to(instance).send(encode(0, message), confirmed=confirmed)
 
     def send_encoded(self, instance: str, data: bytes) -> None:
         """Queue an encoded message; the same bytes may be sent to several peers."""
@@ -296,7 +388,7 @@
                 while data := await stream.receive_some(READ_SIZE):
                     for envelope in decoder.feed(data):
                         if link is None:
-                            link = self._open_link(envelope.message)
+                            link = self._open_link(envelope.message, nursery)
                             continue
                         handler = self._direct_handlers.get(type(envelope.message))
                         if handler is None:
@@ -317,10 +409,13 @@
                     del self.links_by_id[link.hello.instance]
             stream.close()
 
-    def _open_link(self, message: object) -> PeerLink:
+    def _open_link(self, message: object, nursery: trio.Nursery) -> PeerLink:
         if not isinstance(message, Hello):
             raise ProtocolError("stream does not start with hello", step="hello")
-        link = PeerLink(message)
+        link = PeerLink(message, nursery.cancel_scope)
+        previous = self.links_by_id.get(message.instance)
+        if previous and previous.hello.incarnation == message.incarnation:
+            previous.supersede()
         self.links_by_id[message.instance] = link
         self._use_address_of_hello(message)
         return link
