--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -62,6 +62,7 @@
     emit,
 )
 from ..http_client import ConnectionFailedError
+from ..scoped_tasks import run_in_scope
 from .claim_watch import ClaimWatch
 from .clock import lease_clock, sleep_until_next
 from .load import ColdTarget, ServiceLoad
@@ -264,11 +265,7 @@
         self, scope: trio.CancelScope, task: Callable, *arguments
     ) -> None:
         try:
-            # The claim may have ended since the task was started; a cancelled scope
-            # alone would let it run until it waits for the first time.
-            if not scope.cancel_called:
-                with scope:
-                    await task(*arguments)
+            await run_in_scope(scope, task, *arguments)
         finally:
             self._tasks.discard(scope)
 
--- a/packages/router/src/fireflystand_router/dispatch/read_ahead.py
+++ b/packages/router/src/fireflystand_router/dispatch/read_ahead.py
@@ -9,6 +9,7 @@
 
 from ..forward import Exchange
 from ..forward.exchange import READ_SIZE
+from ..scoped_tasks import run_in_scope
 
 __all__ = ["ReadAhead"]
 
@@ -49,21 +50,20 @@
         if self.is_started or self._exchange.ended:
             return
         self._scope = trio.CancelScope()
-        self._start_soon(self._run)
+        self._start_soon(run_in_scope, self._scope, self._run)
 
     async def _run(self) -> None:
-        with self._scope:
-            try:
-                while part := await self._receive_next():
-                    self._parts.append(part)
-                    self._held += len(part)
-                    self._pool.add(len(part))
-                    self._notify()
-                self._complete = True
-                self._on_complete()
-            except Exception as error:
-                self._error = error  # raised to the task that delivers
-            self._notify()
+        try:
+            while part := await self._receive_next():
+                self._parts.append(part)
+                self._held += len(part)
+                self._pool.add(len(part))
+                self._notify()
+            self._complete = True
+            self._on_complete()
+        except Exception as error:
+            self._error = error  # raised to the task that delivers
+        self._notify()
 
     async def _receive_next(self) -> bytes:
         # A part that the caller waits for is received whatever the pool holds.
--- a/packages/router/src/fireflystand_router/forward/exchange.py
+++ b/packages/router/src/fireflystand_router/forward/exchange.py
@@ -10,6 +10,7 @@
 
 from ..fields import VIA, Fields, end_to_end_fields
 from ..framing import FINAL_STATUSES, MalformedMessageError, parse_framing_fields
+from ..scoped_tasks import run_in_scope
 from .pool import MAX_REFUSALS, PooledConnection, TargetPool
 from .target_options import TargetOptions
 
@@ -78,6 +79,7 @@
         self._http = connection.http
         self._received = 0
         self._ended = False
+        self._is_aborted = False  # before the response ended
         self._is_broken = False
         self._follows_early_end = connection.follows_early_end
         self._not_run_value: bytes | None = None
@@ -94,7 +96,7 @@
         try:
             await self._send_head()
             if self.request.read_more_body is not None:
-                nursery.start_soon(self._upload)
+                nursery.start_soon(run_in_scope, self._upload_scope, self._upload)
             await self._read_head()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._broken_error(f"connection broke: {error!r}", "head") from error
@@ -134,21 +136,20 @@
         await self._connection.stream.send_all(data)
 
     async def _upload(self) -> None:
-        with self._upload_scope:
-            try:
-                while part := await self.request.read_more_body():
-                    data = self._http.send(h11.Data(data=part))
-                    await self._connection.stream.send_all(data)
-                data = self._http.send(h11.EndOfMessage())
-                if data:
-                    await self._connection.stream.send_all(data)
-                self.upload_done = True
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                # The target may have responded before it stopped reading the body.
-                return
-            except (FireflystandError, h11.ProtocolError) as error:
-                self.upload_error = error
-                self.abort()
+        try:
+            while part := await self.request.read_more_body():
+                data = self._http.send(h11.Data(data=part))
+                await self._connection.stream.send_all(data)
+            data = self._http.send(h11.EndOfMessage())
+            if data:
+                await self._connection.stream.send_all(data)
+            self.upload_done = True
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The target may have responded before it stopped reading the body.
+            return
+        except (FireflystandError, h11.ProtocolError) as error:
+            self.upload_error = error
+            self.abort()
 
     async def _read_head(self) -> None:
         buffer = bytearray()
@@ -268,6 +269,10 @@
         if self._ended:
             if self.upload_error is not None:
                 raise self.upload_error
+            if self._is_aborted:
+                raise BrokenExchangeError(
+                    "exchange was aborted", step="body", peer=self.request.address
+                )
             return b""
         try:
             event = self._http.next_event()
@@ -315,7 +320,7 @@
     def abort(self) -> None:
         """Reset the connection unless the exchange has ended; may be repeated."""
         if not self._ended:
-            self._ended = True
+            self._ended = self._is_aborted = True
             self._cancel_upload()
             self._pool.reset(self._connection)
 
