--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -4,7 +4,6 @@
 from collections.abc import Collection
 from random import Random
 
-import attrs
 import trio
 
 from fireflystand_core.admission import MemoryBudget, TargetByteLimits
@@ -17,7 +16,7 @@
 from fireflystand_core.messages import Hello
 from fireflystand_core.replica import ObjectChange
 
-from ..entry import CallerOptions, EntryServer
+from ..entry import EntryServer
 from ..entry.server import RECEIVE_BUFFER_BYTES
 from ..events import (
     INSTANCE_STARTED,
@@ -53,6 +52,7 @@
 from ..peers import PeerNetwork
 from ..stop_parts import run_stop_part
 from ..streams import split_address
+from .caller_limits import CallerLimits
 from .clock import lease_clock, sleep_until_next
 from .crashes import CrashDetector
 from .flow import DispatchFlow
@@ -208,6 +208,9 @@
             byte_limits=self.byte_limits,
             rollouts=self.rollouts,
         )
+        self.caller_limits = CallerLimits(
+            self.state, settings.caller_options, settings.bounds.configuration_apply
+        )
         self.entry = self._new_entry_server()
         self.health = self._new_health_server()
         self.state.target_listeners.append(self._on_targets_change)
@@ -252,7 +255,7 @@
         return EntryServer(
             self.flow,
             self.metrics,
-            options=self._caller_options,
+            options=self.caller_limits.options,
             host=host,
             port=port,
             grace_period=notice,
@@ -260,19 +263,6 @@
             memory=self.memory,
         )
 
-    def _caller_options(self) -> CallerOptions:
-        options = self.settings.caller_options
-        table = self.state.table
-        if table is None:
-            return options
-        limits = table.limits
-        return attrs.evolve(
-            options,
-            header_limit=limits.header_bytes,
-            header_timeout=limits.header_timeout,
-            idle_timeout=limits.idle_timeout,
-        )
-
     def _new_health_server(self) -> HealthServer:
         conditions = self.readiness.conditions_by_name
         conditions["configuration"] = self._not_ready_reason
--- a/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/node_support.py
@@ -347,6 +347,7 @@
         warmup=0.0,
         warmup_rate=0.0,
         max_connections=16,
+        limits=EntryLimits(),
         **route,
     ) -> None:
         """Write a configuration with one keyed and one unkeyed route.
@@ -373,7 +374,7 @@
             ServicePolicy("keyed", keyed=True, **policy),
             ServicePolicy("pooled", **policy),
         ]
-        table = RoutingTable(version, routes, services, accounts, EntryLimits())
+        table = RoutingTable(version, routes, services, accounts, limits)
         self.tables_by_version[version] = table
         self.store.write(CONFIGURATION, "main", {"version": version})
 
--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -1,7 +1,9 @@
 """Serve the requests of one caller's connection."""
 
 import math
+from collections.abc import Callable
 
+import attrs
 import h11
 import trio
 
@@ -34,7 +36,8 @@
 
     One task reads from the connection. GET and HEAD requests without a body are
     served concurrently; a PipelinedResponseWriter for each request keeps the responses
-    in order.
+    in order. ``options`` returns those in force, which may change while the connection
+    is open.
     """
 
     def __init__(
@@ -42,7 +45,7 @@
         stream: DirectStream,
         flow: Flow,
         metrics: Metrics,
-        options: CallerOptions | None = None,
+        options: Callable[[], CallerOptions] = CallerOptions,
         memory: MemoryBudget | None = None,
     ) -> None:
         self.stream = stream
@@ -52,12 +55,12 @@
             FULL_CHECK_INTERVAL if self.memory.is_bounded else math.inf
         )
         self._is_awaited = False  # whether a request needs more bytes
-        self.options = options or CallerOptions()
+        self._options = options
         self.draining = False
         self.closing = False  # whether no further request is served
         self._flow = flow
         self._metrics = metrics
-        self._framer = RequestFramer(self.options.header_limit)
+        self._framer = RequestFramer()
         self._responses: list[PipelinedResponseWriter] = []
         self._readable = trio.Event()
         self._buffer_has_space = trio.Event()
@@ -68,6 +71,11 @@
         self._idle_scope: trio.CancelScope | None = None
         self._received_at = float("-inf")  # seconds; time of the last bytes
 
+    @property
+    def options(self) -> CallerOptions:
+        """Return the options in force."""
+        return self._options()
+
     @property
     def busy(self) -> int:
         """Return the number of requests being served."""
@@ -258,32 +266,28 @@
 
     async def _next_head(self) -> bytes | None:
         """Return the next header section; None if no further request is served."""
-        header_deadline = None
-        while (head := self._framer.read_header_section()) is None:
+        wait: _Wait | None = None
+        while (head := self._read_header_section()) is None:
             if self.closing:
                 return None
-            limit = None
-            if self._framer.buffer:
-                if header_deadline is None:
-                    timeout = self.options.header_timeout
-                    header_deadline = trio.current_time() + timeout
-                limit = header_deadline
-            elif self._disconnected:
+            idle = not self._framer.buffer
+            if idle and self._disconnected:
                 return None
-            elif self.draining and self._is_idle():
+            if idle and self.draining and self._is_idle():
                 self._ends_idle = True
                 return None
-            elif not self._responses:
-                limit = trio.current_time() + self.options.idle_timeout
-            if limit is None:
+            if idle and self._responses:
+                wait = None
                 await self._wait_for_bytes()
                 continue
-            idle = not self._framer.buffer
-            with trio.CancelScope(deadline=limit) as scope:
+            if wait is None or wait.idle != idle:
+                wait = _Wait(idle, trio.current_time())
+            wait.extend(self.options)
+            with trio.CancelScope(deadline=wait.deadline) as scope:
                 self._idle_scope = scope if idle else None
                 await self._wait_for_bytes()
             self._idle_scope = None
-            if not scope.cancelled_caught:
+            if not scope.cancelled_caught or not wait.is_over(self.options):
                 continue
             if not idle:
                 raise MalformedMessageError("header section is too slow", status=408)
@@ -294,6 +298,9 @@
         self._buffer_has_space.set()
         return head
 
+    def _read_header_section(self) -> bytes | None:
+        return self._framer.read_header_section(self.options.header_limit)
+
     async def _refuse_malformed(self, error: MalformedMessageError) -> None:
         if self.closing or (self._disconnected and not self._framer.buffer):
             return
@@ -343,6 +350,29 @@
             self.stream.reset()
 
 
+@attrs.define
+class _Wait:
+    """Hold for how long a caller may be idle, or take to send a header section.
+
+    A limit that grows holds for a wait under way, one that shrinks for the next waits.
+    Times are in seconds on trio's clock.
+    """
+
+    idle: bool
+    began_at: float
+    deadline: float = float("-inf")
+
+    def extend(self, options: CallerOptions) -> None:
+        """Apply the limits in force."""
+        timeout = options.idle_timeout if self.idle else options.header_timeout
+        self.deadline = max(self.deadline, self.began_at + timeout)
+
+    def is_over(self, options: CallerOptions) -> bool:
+        """Tell whether the caller has waited for too long."""
+        self.extend(options)
+        return trio.current_time() >= self.deadline
+
+
 def _is_last_request(event: h11.Request) -> bool:
     """Tell whether the caller ends the connection after the request."""
     if event.http_version < b"1.1":
--- a/packages/router/src/fireflystand_router/entry/server.py
+++ b/packages/router/src/fireflystand_router/entry/server.py
@@ -95,11 +95,10 @@
         if len(self._connections) >= self.connection_limit:
             return await trio.aclose_forcefully(stream)
         stream = DirectStream.from_trio(stream)
-        options = self._options()
         if self._memory.is_bounded:
             stream.limit_receive_buffer(RECEIVE_BUFFER_BYTES)
         connection = CallerConnection(
-            stream, self._flow, self._metrics, options, self._memory
+            stream, self._flow, self._metrics, self._options, self._memory
         )
         self._connections.add(connection)
         self._metrics.gauge(CONNECTIONS, len(self._connections))
--- a/packages/router/src/fireflystand_router/framing.py
+++ b/packages/router/src/fireflystand_router/framing.py
@@ -83,29 +83,31 @@
 class RequestFramer:
     """Split a caller's byte stream into the header sections and bodies of requests."""
 
-    def __init__(self, header_limit: int = HEADER_LIMIT) -> None:
+    def __init__(self) -> None:
         self.buffer = bytearray()
         self.length: int | None = 0  # bytes of the current body, None if chunked
         self.complete = True
         self.method = b""  # of the current request, even if it is malformed
-        self._header_limit = header_limit
         self._searched_size = 0
         self._remaining = 0
         self._read_part = self._read_length
 
-    def read_header_section(self) -> bytes | None:
-        """Return the next checked header section, or None if more bytes are needed."""
+    def read_header_section(self, limit: int = HEADER_LIMIT) -> bytes | None:
+        """Return the next checked header section, or None if more bytes are needed.
+
+        Raise MalformedMessageError if it is larger than ``limit`` bytes.
+        """
         buffer = self.buffer
         self.method = b""
         end = buffer.find(b"\r\n\r\n", max(0, self._searched_size - 3))
         if end < 0:
             self._searched_size = len(buffer)
-            if len(buffer) > self._header_limit:
+            if len(buffer) > limit:
                 raise MalformedMessageError("header section too large", status=431)
             self._check_partial_head()
             return None
         self._searched_size = 0
-        if end + 4 > self._header_limit:
+        if end + 4 > limit:
             raise MalformedMessageError("header section too large", status=431)
         head = bytes(buffer[: end + 4])
         del buffer[: end + 4]
