Read header sections of more than 64 KiB if the limit allows them

Callers would get 408 for a header section of more than 64 KiB that the configuration allows.

Cause: a connection stops reading at 64 KiB of unparsed bytes, also while a header section needs more.

Change: it reads on up to the limit of header sections.

Test: test_limits.test_header_limit_beyond_what_is_read_ahead got 408 before.

--- a/packages/router/src/fireflystand_router/entry/connection.py
+++ b/packages/router/src/fireflystand_router/entry/connection.py
@@ -163,7 +163,8 @@
 
     def _may_read(self) -> bool:
         """Tell whether to read ahead, or what a request needs."""
-        if len(self._framer.buffer) >= BUFFER_LIMIT:
+        size = len(self._framer.buffer)
+        if size >= BUFFER_LIMIT and size > self.options.header_limit:
             return False
         return self._is_awaited or not self.memory.requests.is_full
 
--- a/packages/router/src/fireflystand_router/entry/tests/test_limits.py
+++ b/packages/router/src/fireflystand_router/entry/tests/test_limits.py
@@ -11,6 +11,7 @@
 from .test_pipeline import FakeFlow
 
 SMALL, LARGE = 2 * 1024, 12 * 1024  # bytes
+HUGE = 100 * 1024  # bytes; more than the server reads ahead
 LONG = 0.9  # seconds, more than the usual time limits of these tests
 USUAL = 0.4  # seconds
 
@@ -89,6 +90,13 @@
 
         self.play(scenario)
 
+    def test_header_limit_beyond_what_is_read_ahead(self):
+        async def scenario(entry, stream):
+            entry.change(header_limit=HUGE + 1024)
+            self.assertEqual(await ask(stream, get(HUGE)), 200)
+
+        self.play(scenario)
+
     def test_lowered_header_limit(self):
         async def scenario(entry, stream):
             entry.change(header_limit=SMALL // 2)
