--- a/packages/router/src/fireflystand_router/forward/tests/test_exchange.py
+++ b/packages/router/src/fireflystand_router/forward/tests/test_exchange.py
@@ -12,6 +12,7 @@
 from ...dispatch.read_ahead import ReadAhead
 from ..client import Failure, Forwarder
 from ..exchange import BrokenExchangeError, Exchange, ForwardRequest
+from ..target_options import TargetOptions
 
 REFUSAL = b"HTTP/1.1 503 Busy\r\nFireflystand-Outcome: not-run\r\nContent-Length: 0\r\n"
 LONG_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n"
@@ -172,5 +173,65 @@
         play(LONG_HEAD, scenario)
 
 
+class EarlyAnswerTests(unittest.TestCase):
+    """Guard against cut responses without a length that look complete (review/12).
+
+    The reset came while the upload was still being written, and the upload found it.
+    """
+
+    HEAD = b"HTTP/1.1 200 OK\r\nFireflystand-Request-Id: r-1\r\n\r\n"
+    PART = 20_000 * b"x"
+    RUNS = 20
+
+    def count_complete(self, *, shuts_down: bool) -> int:
+        """Return how many responses look complete of targets that do not read."""
+
+        async def answer(stream: trio.SocketStream) -> None:
+            await stream.receive_some(1024)
+            await stream.send_all(self.HEAD + self.PART)
+            await trio.sleep(0.05)  # the upload fills the buffers meanwhile
+            if shuts_down:
+                await stream.send_eof()
+                await trio.sleep(0.02)
+            stream.socket.close()  # resets the connection, since bytes are unread
+
+        async def main() -> int:
+            complete = 0
+            options = TargetOptions(cancel_path="", allows_unframed_responses=True)
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, answer, listeners)
+                forwarder = Forwarder(options=options)
+                await forwarder.start(nursery)
+                with trio.fail_after(30):
+                    for _ in range(self.RUNS):
+                        complete += await is_complete(forwarder, f"127.0.0.1:{port}")
+                nursery.cancel_scope.cancel()
+            return complete
+
+        async def is_complete(forwarder: Forwarder, address: str) -> bool:
+            body = Body([65536 * b"y"] * 200)
+            exchange = await forwarder.open(upload(address, body))
+            received = b""
+            try:
+                while part := await exchange.receive():
+                    received += part
+            except BrokenExchangeError:
+                return False
+            finally:
+                exchange.abort()
+            self.assertEqual(received, self.PART)
+            return True
+
+        return trio.run(main)
+
+    def test_reset_while_the_upload_is_written(self):
+        self.assertEqual(self.count_complete(shuts_down=False), 0)
+
+    def test_target_that_ends_its_response_before_it_closes(self):
+        self.assertEqual(self.count_complete(shuts_down=True), self.RUNS)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/router/src/fireflystand_router/streams.py
+++ b/packages/router/src/fireflystand_router/streams.py
@@ -1,5 +1,6 @@
 """Send and receive on a socket with few iterations of the event loop."""
 
+import errno
 import socket
 import struct
 from contextlib import suppress
@@ -27,7 +28,8 @@
     def __init__(self, connected: socket.socket) -> None:
         connected.setblocking(False)
         self._socket = connected
-        self._found_error: OSError | None = None  # not yet raised by a read
+        # An error that the kernel has reported and a read has not raised yet.
+        self._found_error: OSError | None = None
 
     @classmethod
     def from_trio(cls, stream: trio.SocketStream) -> "DirectStream":
@@ -48,6 +50,7 @@
                 except BlockingIOError:
                     await self._wait(trio.lowlevel.wait_writable)
                 except OSError as error:
+                    self._keep_error(error)
                     raise self._stream_error(error) from error
 
     async def receive_some(self, size: int) -> bytes:
@@ -58,14 +61,25 @@
         """
         while True:
             await self._wait(trio.lowlevel.wait_readable)
-            if self._found_error is not None:
-                raise self._stream_error(self._found_error) from self._found_error
             try:
-                return self._socket.recv(size)
+                data = self._socket.recv(size)
             except BlockingIOError:
                 continue
             except OSError as error:
                 raise self._stream_error(error) from error
+            if not data and self._found_error is not None:
+                raise self._stream_error(self._found_error) from self._found_error
+            return data
+
+    def _keep_error(self, error: OSError) -> None:
+        """Keep an error for the read that reaches the end of the stream.
+
+        The kernel reports it once, and that read would find a regular end: a response
+        that was reset would look complete. EPIPE says nothing of what the peer sent
+        before; it may have shut down its side first.
+        """
+        if error.errno != errno.EPIPE and self._found_error is None:
+            self._found_error = error
 
     async def _wait(self, wait) -> None:
         if self._socket.fileno() < 0:
@@ -84,9 +98,7 @@
         except BlockingIOError:
             return True
         except OSError as error:
-            # The kernel reports an error once. The next read would return the end of
-            # the stream, and a response that was reset would look complete.
-            self._found_error = error
+            self._keep_error(error)
             return False
         return False
 
--- a/packages/router/src/fireflystand_router/tests/test_streams.py
+++ b/packages/router/src/fireflystand_router/tests/test_streams.py
@@ -117,6 +117,45 @@
         trio.run(main)
 
 
+class ResetBeforeSendTests(unittest.TestCase):
+    """Guard against a reset that a send has found and that looks like a regular end."""
+
+    PART = 700 * b"x"
+
+    def play(self, *, shuts_down: bool) -> tuple[bytes, bool]:
+        """Return what is read after a failed send, and whether it ends regularly."""
+
+        async def main() -> tuple[bytes, bool]:
+            listener = socket.create_server(("127.0.0.1", 0))
+            stream = await connect(f"127.0.0.1:{listener.getsockname()[1]}")
+            peer, _ = listener.accept()
+            await stream.send_all(b"request that the peer does not read")
+            peer.sendall(self.PART)
+            if shuts_down:
+                peer.shutdown(socket.SHUT_WR)
+            peer.close()  # resets the connection, since bytes are unread
+            listener.close()
+            with self.assertRaises(trio.BrokenResourceError):
+                for _ in range(3):
+                    await stream.send_all(b"more")
+                    await trio.sleep(0.01)
+            received = await stream.receive_some(65536)
+            try:
+                return received, await stream.receive_some(65536) == b""
+            except trio.BrokenResourceError:
+                return received, False
+            finally:
+                stream.close()
+
+        return trio.run(main)
+
+    def test_reset_that_a_send_has_found(self):
+        self.assertEqual(self.play(shuts_down=False), (self.PART, False))
+
+    def test_end_before_the_reset_is_regular(self):
+        self.assertEqual(self.play(shuts_down=True), (self.PART, True))
+
+
 class GivenUpTests(unittest.TestCase):
     """Guard against requests that are delivered when a network partition heals.
 
