--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -742,8 +742,8 @@
         if slot.responsible == self._membership.own_id:
             self._slot_service.release(slot.service, _slot_result(result))
         else:
-            # A lost one frees its slot soon after the request's deadline, and one with
-            # each request would double the replies on a stream with little traffic.
+            # If the message is lost, the slot is freed soon after the request's
+            # deadline. Probes for it would double the replies on a quiet stream.
             self._send(slot.responsible, result, confirmed=False)
 
     def _send(
--- a/packages/router/src/fireflystand_router/reply_monitor.py
+++ b/packages/router/src/fireflystand_router/reply_monitor.py
@@ -28,11 +28,11 @@
         self._received_at = now
         self._probed_at: float | None = None
 
-    def record_sent(self, size: int, next_correlation: int, now: float) -> None:
-        """Record a message that has to arrive."""
+    def record_sent(self, size: int, proving_correlation: int, now: float) -> None:
+        """Record a message that replies from a correlation number on prove."""
         if self._unproved_since is None:
             self._unproved_since = now
-            self._proving_correlation = next_correlation
+            self._proving_correlation = proving_correlation
             self._unproved_bytes = 0
         self._unproved_bytes += size
 
