Keep the time of a freeze out of the durations of targets

Cause: an instance reported how long a request took although it had stood still meanwhile. The queue took the freeze for the work of the target, whose mean rose from about 1 s to more than the 3 s of the callers, and with all of them refused only a probe a second brought it down.

Evidence: with a line for each returned slot of more than 2.5 s, the means of two targets rose by returns of 4.2 to 8.8 s that ended with a freeze, just before the refusals.

Change: a returned slot says whether its instance stood still. The queue then counts the request as run and adds its time to no mean and to no estimate of concurrency; work reports leave it out; rollouts count it without its time, and take no time limit that passed in a freeze for a failure. Earlier builds read past the new field, which is only sent then.

--- a/packages/core/src/fireflystand_core/dispatch/admission_queue.py
+++ b/packages/core/src/fireflystand_core/dispatch/admission_queue.py
@@ -128,7 +128,8 @@
 class SlotResult:
     """Report how a request that held a slot ended.
 
-    ``seconds`` is how long it ran, or a lower bound of that if not ``complete``.
+    ``seconds`` is how long it ran, or a lower bound of that if not ``complete``. It
+    says nothing of the target if the instance ``stood_still`` meanwhile, as if frozen.
     ``pause`` is for how many seconds the target wants nothing from the instance.
     ``may_have_restarted`` tells that no open connection to the target was left.
     """
@@ -141,6 +142,17 @@
     load: TargetLoad | None = None
     pause: float = 0.0
     may_have_restarted: bool = False
+    stood_still: bool = False
+
+    @property
+    def ran(self) -> bool:
+        """Tell whether the target ran the request to its end."""
+        return self.complete and self.seconds is not None
+
+    @property
+    def has_duration(self) -> bool:
+        """Tell whether ``seconds`` was measured, at least as a lower bound."""
+        return self.seconds is not None and not self.stood_still
 
 
 Decision = SlotGranted | SlotRefused
@@ -632,14 +644,13 @@
         if target is None:
             return []
         slot = self._free(target, result.number)
-        if result.complete and result.seconds is not None:
+        if result.ran:
             target.count_arrival(slot, now)
             target.note_response()
-            target.note_duration(result.seconds, now)
             target.used_at = now
             self._note_use(slot.instance, slot.target, now)
-        if result.seconds is not None:
-            self._record_duration(target, slot, result)
+        if result.has_duration:
+            self._record_duration(target, slot, result, now)
             self._learn_concurrency(target, slot, result, now)
         if result.load is not None:
             target.record_load(result.load, now)
@@ -730,9 +741,11 @@
         return decisions
 
     def _record_duration(
-        self, target: TargetSlots, slot: HeldSlot, result: SlotResult
+        self, target: TargetSlots, slot: HeldSlot, result: SlotResult, now: float
     ) -> None:
         """Update the mean durations; an incomplete request took at least so long."""
+        if result.complete:
+            target.note_duration(result.seconds, now)
         ratio = result.seconds / target.mean.seconds
         if result.complete or ratio > self.route_durations.ratio(slot.route):
             self.route_durations.add(slot.route, ratio)
--- a/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
+++ b/packages/core/src/fireflystand_core/dispatch/tests/test_desk.py
@@ -388,6 +388,32 @@
         self.assertEqual(queue._used_at_by_connection, {})
 
 
+class FrozenInstanceTests(unittest.TestCase):
+    """Guard against the time of a frozen instance taken for that of the target."""
+
+    def release(self, queue: AdmissionQueue, **result) -> None:
+        """Grant a slot at time 0 and release it 7 s later."""
+        (granted,) = queue.submit(slot_request("r", deadline_at=9.0), 0.0)
+        queue.release(SlotResult(granted.number, 7.0, **result), 7.0)
+
+    def test_no_mean_changes(self):
+        for complete in (True, False):
+            with self.subTest(complete=complete):
+                queue = queue_of(target(slots=9))
+                self.release(queue, complete=complete, stood_still=True)
+                self.assertEqual(queue.mean.seconds, 0.1)
+                self.assertEqual(queue.targets_by_id["t1"].mean.seconds, 0.1)
+                self.assertEqual(queue.route_durations.ratio("r"), 0.0)
+                self.release(queue, complete=complete)
+                self.assertGreater(queue.mean.seconds, 0.1)
+
+    def test_target_that_ran_a_request_was_in_use(self):
+        queue = queue_of(target(slots=9), warmup_rate=4.0, warmup=3.0)
+        self.release(queue, stood_still=True)
+        queue.submit(slot_request("next", deadline_at=9.0), 7.1)
+        self.assertEqual(queue.suspects, set())
+
+
 class LossTests(unittest.TestCase):
     """Guard against slots that stay taken after their holder is lost."""
 
--- a/packages/core/src/fireflystand_core/messages/dispatch.py
+++ b/packages/core/src/fireflystand_core/messages/dispatch.py
@@ -156,18 +156,20 @@
     retry_after: float
 
 
-@message("slot-return")
+@message("slot-return", optional=("stood_still",))
 @attrs.frozen
 class SlotReturn:
     """Return a slot with the result of its request and the target's reported load.
 
     ``seconds`` is how long the request ran, or a lower bound if not ``complete``.
-    ``leaving`` is the target and the start of its process if that process has stated
-    that it leaves. ``pause`` is for how many seconds the target wants no request from
-    the sender of this message. ``may_have_restarted`` tells that no open
-    connection to the target was left. ``cold`` is the target, the start of its process
-    and the remaining seconds of its warm-up, from a health check. It is sent without a
-    slot, with the number 0, since earlier builds know no other message for it.
+    ``stood_still`` tells that the sender stood still meanwhile, as if frozen, so that
+    ``seconds`` does not tell how long the target took. ``leaving`` is the target and
+    the start of its process if that process has stated that it leaves. ``pause`` is
+    for how many seconds the target wants no request from the sender of this message.
+    ``may_have_restarted`` tells that no open connection to the target was left.
+    ``cold`` is the target, the start of its process and the remaining seconds of its
+    warm-up, from a health check. It is sent without a slot, with the number 0, since
+    earlier builds know no other message for it.
     """
 
     service: str
@@ -181,6 +183,7 @@
     pause: float = 0.0
     may_have_restarted: bool = False
     cold: list[Any] | None = None
+    stood_still: bool = False
 
 
 @message("slot-withdrawal")
--- a/packages/core/src/fireflystand_core/messages/tests/test_codec.py
+++ b/packages/core/src/fireflystand_core/messages/tests/test_codec.py
@@ -13,6 +13,7 @@
     Hello,
     PermitReturn,
     SlotRequest,
+    SlotReturn,
     StoredAnswer,
     encode,
 )
@@ -53,6 +54,15 @@
             (envelope,) = Decoder().feed(encode(1, message))
             self.assertEqual(envelope.message, message)
 
+    def test_slot_returns_are_those_of_earlier_builds(self):
+        """Unless the sender stood still, which earlier builds read past."""
+        returned = SlotReturn("s", 1, 0.1)
+        _, _, fields = msgpack.unpackb(encode(0, returned))
+        self.assertNotIn("stood_still", fields)
+        for message in (returned, attrs.evolve(returned, stood_still=True)):
+            (envelope,) = Decoder().feed(encode(0, message))
+            self.assertEqual(envelope.message, message)
+
     def test_missing_field_is_a_protocol_error(self):
         decoder = Decoder()
         good = encode(1, Hello("a", "1", "namur-a", "127.0.0.1:1"))
--- a/packages/router/src/fireflystand_router/dispatch/flow.py
+++ b/packages/router/src/fireflystand_router/dispatch/flow.py
@@ -791,9 +791,12 @@
             raise failed_body_refusal(error) from error
         finally:
             context.attempts += forward.may_have_been_sent
+            elapsed = trio.current_time() - began_at
+            stood_still = self._loop_lag.stood_still_within(elapsed)
             if forward.may_have_been_sent:
-                elapsed = trio.current_time() - began_at
-                self._note_result(context, target, opened, elapsed)
+                self._note_result(
+                    context, target, opened, elapsed, stood_still=stood_still
+                )
             if not isinstance(opened, Exchange):
                 self._end_bytes(context, completed=False)
                 self._rollouts.end(target.id)
@@ -806,8 +809,9 @@
                         may_have_restarted=opened.may_have_restarted,
                     )
                 if forward.may_have_been_sent and not result.shed:
-                    elapsed = trio.current_time() - began_at
-                    result = attrs.evolve(result, seconds=elapsed, complete=False)
+                    result = attrs.evolve(
+                        result, seconds=elapsed, complete=False, stood_still=stood_still
+                    )
                 self._slots.release(slot, result)
         if isinstance(opened, Failure):
             self._record_failure(context, target, opened, may_have_run_before)
@@ -820,8 +824,13 @@
         target: TargetRecord,
         opened: Exchange | Failure | None,
         seconds: float,
+        *,
+        stood_still: bool,
     ) -> None:
-        """Report how the request ended, unless that says nothing of the target."""
+        """Report how the request ended, unless that says nothing of the target.
+
+        ``stood_still`` tells that this process stood still meanwhile.
+        """
         slowdown = 1.0
         if isinstance(opened, Exchange):
             load = self._settings.target_fields.read_load(opened.fields)
@@ -832,15 +841,17 @@
                 return
             failed = True
         else:
-            failed = not context.limit.shortened
+            failed = not (context.limit.shortened or stood_still)
             if not failed or trio.current_time() < context.deadline_at:
-                return  # the caller has disconnected, or the instance stops
+                # The caller has disconnected, or this instance stops or stood still.
+                return
         self._rollouts.note_result(
             target,
             context.route.name,
             failed=failed,
             seconds=seconds,
             slowdown=slowdown,
+            has_time=not stood_still,
         )
 
     def _begin_bytes(self, context: _RequestContext, target: str) -> None:
@@ -892,8 +903,15 @@
         if complete is not None:
             load = self._settings.target_fields.read_load(response.exchange.fields)
             seconds = trio.current_time() - response.began_at
-            result = attrs.evolve(result, seconds=seconds, complete=complete, load=load)
-            if complete:
+            stood_still = self._loop_lag.stood_still_within(seconds)
+            result = attrs.evolve(
+                result,
+                seconds=seconds,
+                complete=complete,
+                load=load,
+                stood_still=stood_still,
+            )
+            if complete and not stood_still:
                 slowdown = load[3] if load else 1.0
                 self._work_reporter.record_completed(
                     slot.service, slot.target, seconds, slowdown
--- a/packages/router/src/fireflystand_router/dispatch/loop_lag.py
+++ b/packages/router/src/fireflystand_router/dispatch/loop_lag.py
@@ -57,6 +57,10 @@
         """
         return min(self._recent)
 
+    def stood_still_within(self, seconds: float) -> bool:
+        """Tell whether the process stood still within the last ``seconds``."""
+        return self.stood_still_until > self._clock() - seconds
+
     @property
     def stood_still_until(self) -> float:
         """Return when the process last stood still; now if its timer is not set yet.
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -350,15 +350,20 @@
         failed: bool,
         seconds: float,
         slowdown: float = 1.0,
+        has_time: bool = True,
     ) -> None:
-        """Note how a request at a target ended, for the next report."""
+        """Note how a request at a target ended, for the next report.
+
+        ``has_time`` tells whether ``seconds`` is how long the target took.
+        """
         rollout = self.rollouts_by_service.get(target.service)
         if rollout is None or rollout.gate.phase.is_final:
             return
         is_new = target.software == rollout.order.to
         if is_new and failed:
             self._metrics.count(ROLLOUT_BAD_RESPONSES)
-        cold = self._state.is_cold(target)
+        # The times of cold targets are not compared either.
+        cold = self._state.is_cold(target) or not has_time
         # Larger figures come from the neighbours of the target for a moment.
         process = (target.id, target.started_at)
         slowdown = min(slowdown, rollout.slowdowns_by_process.get(process, slowdown))
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -459,6 +459,7 @@
         load=_target_load(message.load),
         pause=message.pause,
         may_have_restarted=message.may_have_restarted,
+        stood_still=message.stood_still,
     )
 
 
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
+++ b/packages/router/src/fireflystand_router/dispatch/tests/test_rollout_client.py
@@ -11,6 +11,7 @@
 from fireflystand_core.messages import RolloutLease
 from fireflystand_core.replica import ObjectChange
 from fireflystand_core.rollouts import Phase, RolloutRecord
+from fireflystand_core.rollouts.judgement import RolloutSample
 from fireflystand_core.traffic import (
     EntryLimits,
     RoutingTable,
@@ -399,6 +400,25 @@
 
         self.play_reports(scenario)
 
+    def test_time_of_a_frozen_instance_is_not_compared(self):
+        async def scenario(sender):
+            record = sender.state.targets_by_id["b1"]
+            sender.lease()
+            for has_time in (True, False):
+                sender.client.note_result(
+                    record, "r", failed=False, seconds=7.0, has_time=has_time
+                )
+            await self.reported(sender)
+            samples = [
+                RolloutSample(*sample)
+                for report in self.sent
+                for sample in report.samples
+            ]
+            self.assertEqual([s.has_time for s in samples], [True, False])
+            self.assertEqual([s.failed for s in samples], [False, False])
+
+        self.play_reports(scenario)
+
     def test_next_decider_gets_the_latest_samples(self):
         async def scenario(sender):
             sender.lease()
