Say "acknowledged" throughout for what a peer's reply shows

Callers saw nothing; no behaviour changes.

- "prove", "confirmed" and "acknowledge" stood for one thing, that a reply shows a message to have arrived.
The field's term is "acknowledged"; "confirmed" stays for what the store says of a replica.
- `sleep_until_next` could be imported from two modules.
It is imported from `timers` alone, and its test stands beside that module.
- `_EarlierTimeout` said that callers "may still go" by a timeout.

The tests of the streams, the monitor, the timers and the limits pass.

--- a/packages/router/src/fireflystand_router/dispatch/caller_limits.py
+++ b/packages/router/src/fireflystand_router/dispatch/caller_limits.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class _EarlierTimeout:
-    """Hold an idle timeout by which callers may still go; times in seconds."""
+    """Hold an earlier idle timeout that callers may still rely on; times in seconds."""
 
     idle_timeout: float
     until: float
--- a/packages/router/src/fireflystand_router/dispatch/clock.py
+++ b/packages/router/src/fireflystand_router/dispatch/clock.py
@@ -2,9 +2,7 @@
 
 import time
 
-from ..timers import sleep_until_next
-
-__all__ = ["lease_clock", "sleep_until_next"]
+__all__ = ["lease_clock"]
 
 
 def lease_clock() -> float:
--- a/packages/router/src/fireflystand_router/dispatch/loop_lag.py
+++ b/packages/router/src/fireflystand_router/dispatch/loop_lag.py
@@ -6,7 +6,8 @@
 import trio
 
 from ..events import EVENT_LOOP_LAG, emit_limited
-from .clock import lease_clock, sleep_until_next
+from ..timers import sleep_until_next
+from .clock import lease_clock
 
 __all__ = ["LoopLag"]
 
--- a/packages/router/src/fireflystand_router/dispatch/membership.py
+++ b/packages/router/src/fireflystand_router/dispatch/membership.py
@@ -12,7 +12,8 @@
 
 from ..events import PEER_CALL_FAILED, PEER_DECLARED_DEAD, PEER_REACHABLE, emit
 from ..peers import PeerLink, PeerNetwork, PeerUnavailableError, Reply
-from .clock import lease_clock, sleep_until_next
+from ..timers import sleep_until_next
+from .clock import lease_clock
 from .ports import (
     CONFIGURATION,
     DEPARTURES,
--- a/packages/router/src/fireflystand_router/dispatch/node.py
+++ b/packages/router/src/fireflystand_router/dispatch/node.py
@@ -52,8 +52,9 @@
 from ..peers import PeerNetwork
 from ..stop_parts import run_stop_part
 from ..streams import split_address
+from ..timers import sleep_until_next
 from .caller_limits import CallerLimits
-from .clock import lease_clock, sleep_until_next
+from .clock import lease_clock
 from .crashes import CrashDetector
 from .flow import DispatchFlow
 from .loop_lag import LoopLag
--- a/packages/router/src/fireflystand_router/dispatch/ranges.py
+++ b/packages/router/src/fireflystand_router/dispatch/ranges.py
@@ -63,8 +63,9 @@
 )
 from ..http_client import ConnectionFailedError
 from ..scoped_tasks import run_in_scope
+from ..timers import sleep_until_next
 from .claim_watch import ClaimWatch
-from .clock import lease_clock, sleep_until_next
+from .clock import lease_clock
 from .load import ColdTarget, ServiceLoad
 from .membership import Membership
 from .ports import RANGES, GrantRefusedError, StorePort, TargetControlPort
--- a/packages/router/src/fireflystand_router/dispatch/replicas.py
+++ b/packages/router/src/fireflystand_router/dispatch/replicas.py
@@ -26,7 +26,8 @@
 
 from ..events import PEER_CALL_FAILED, STORE_REACHABLE, STORE_UNREACHABLE, emit
 from ..peers import PeerLink, PeerUnavailableError, Reply
-from .clock import lease_clock, sleep_until_next
+from ..timers import sleep_until_next
+from .clock import lease_clock
 from .membership import WATCHER_COUNT, Membership
 from .ports import (
     CONFIGURATION,
--- a/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollout_decisions.py
@@ -36,7 +36,8 @@
     emit,
 )
 from ..peers import PeerLink, PeerUnavailableError, Reply
-from .clock import lease_clock, sleep_until_next
+from ..timers import sleep_until_next
+from .clock import lease_clock
 from .membership import Membership
 from .ports import ROLLOUT_RECORDS, ROLLOUTS, StorePort
 from .replicas import ReplicaSync
--- a/packages/router/src/fireflystand_router/dispatch/rollouts.py
+++ b/packages/router/src/fireflystand_router/dispatch/rollouts.py
@@ -38,7 +38,8 @@
     Metrics,
 )
 from ..peers import PeerLink, PeerUnavailableError, Reply
-from .clock import lease_clock, sleep_until_next
+from ..timers import sleep_until_next
+from .clock import lease_clock
 from .held_versions import HeldVersions
 from .membership import Membership
 from .ports import (
--- a/packages/router/src/fireflystand_router/dispatch/slots.py
+++ b/packages/router/src/fireflystand_router/dispatch/slots.py
@@ -48,7 +48,8 @@
     Metrics,
 )
 from ..peers import PeerLink, PeerUnavailableError, Reply
-from .clock import lease_clock, sleep_until_next
+from ..timers import sleep_until_next
+from .clock import lease_clock
 from .membership import Membership
 from .ports import CONFIGURATION, DEPARTURES, DispatchBounds, TargetControlPort
 from .rollouts import ANY_VERSION, VersionUse
@@ -745,18 +746,18 @@
         else:
             # If the message is lost, the slot is freed soon after the request's
             # deadline. Probes for it would double the replies on a quiet stream.
-            self._send(slot.responsible, result, confirmed=False)
+            self._send(slot.responsible, result, acknowledged=False)
 
     def _send(
         self,
         responsible: str,
         message: SlotReturn | SlotWithdrawal,
         *,
-        confirmed: bool = True,
+        acknowledged: bool = True,
     ) -> None:
         network = self._membership.network
         try:
-            network.send(responsible, message, confirmed=confirmed)
+            network.send(responsible, message, acknowledged=acknowledged)
         except PeerUnavailableError as error:
             # The responsible instance drops a queued request when the stream ends. It
             # frees a slot when it declares this instance dead, or soon after the
--- a/packages/router/src/fireflystand_router/dispatch/work.py
+++ b/packages/router/src/fireflystand_router/dispatch/work.py
@@ -4,7 +4,7 @@
 
 from ..events import PEER_CALL_FAILED, emit
 from ..peers import PeerUnavailableError
-from .clock import sleep_until_next
+from ..timers import sleep_until_next
 from .membership import Membership
 from .state import RoutingState
 
--- a/packages/router/src/fireflystand_router/peers.py
+++ b/packages/router/src/fireflystand_router/peers.py
@@ -178,15 +178,15 @@
         self._fail("stream", TimeoutError("the peer does not reply"))
         self._scope.cancel()
 
-    def send(self, data: bytes, *, confirmed: bool = True) -> None:
+    def send(self, data: bytes, *, acknowledged: bool = True) -> None:
         """Queue an encoded message that expects no reply."""
         self._enqueue(data, "send")
-        if confirmed:
+        if acknowledged:
             self._record_sent(len(data), self._last_correlation + 1)
 
-    def _record_sent(self, size: int, proving_correlation: int) -> None:
+    def _record_sent(self, size: int, correlation: int) -> None:
         now = trio.current_time()
-        self._monitor.record_sent(size, proving_correlation, now)
+        self._monitor.record_sent(size, correlation, now)
 
     async def request(self, message: object, timeout: float | None) -> object:
         """Send a message and return the reply."""
@@ -339,14 +339,16 @@
         for listener in self._listeners:
             await listener.aclose()
 
-    def send(self, instance: str, message: object, *, confirmed: bool = True) -> None:
+    def send(
+        self, instance: str, message: object, *, acknowledged: bool = True
+    ) -> None:
         """Queue a message that expects no reply.
 
-        If it is ``confirmed``, the stream is closed unless the peer proves within some
-        seconds to have received it. Raise PeerUnavailableError if the peer has no known
-        address, its stream ended or its send queue is full.
+        If it has to be ``acknowledged``, the stream is closed unless a reply shows
+        within some seconds that it has arrived. Raise PeerUnavailableError if the peer
+        has no known address, its stream ended or its send queue is full.
         """
-        self._outgoing_to(instance).send(encode(0, message), confirmed=confirmed)
+        self._outgoing_to(instance).send(encode(0, message), acknowledged=acknowledged)
 
     def send_encoded(self, instance: str, data: bytes) -> None:
         """Queue an encoded message; the same bytes may be sent to several peers."""
--- a/packages/router/src/fireflystand_router/tests/test_peers.py
+++ b/packages/router/src/fireflystand_router/tests/test_peers.py
@@ -210,7 +210,7 @@
     def test_idle_stream_carries_nothing(self):
         async def scenario(first, second, proxy):
             await self.check_served(first)
-            first.send("a", QuotaRequest("a", "gent", 1), confirmed=False)
+            first.send("a", QuotaRequest("a", "gent", 1), acknowledged=False)
             await trio.sleep(0.1)
             passed = proxy.bytes_passed
             await trio.sleep(DETECTION_TIME)
--- a/packages/router/src/fireflystand_router/tests/test_reply_monitor.py
+++ b/packages/router/src/fireflystand_router/tests/test_reply_monitor.py
@@ -24,7 +24,7 @@
         self.assertFalse(self.monitor.is_probe_due(1.0 + PROBE_DELAY, False))
         self.assertTrue(self.monitor.is_probe_due(1.0 + LONG_PROBE_DELAY, False))
 
-    def test_reply_to_a_later_request_proves_a_message(self):
+    def test_reply_to_a_later_request_acknowledges_a_message(self):
         self.monitor.record_sent(100, 2, 1.0)
         self.monitor.record_reply(2, 1.1)
         self.assertFalse(self.monitor.is_probe_due(100.0, False))
--- a/packages/router/src/fireflystand_router/dispatch/tests/test_clock.py
+++ b/packages/router/src/fireflystand_router/tests/test_timers.py
@@ -5,7 +5,7 @@
 import trio
 import trio.testing
 
-from ..clock import sleep_until_next
+from ..timers import sleep_until_next
 
 
 class PeriodicTests(unittest.TestCase):
